Shared module: domain types, messages, settings, fleet text, RPC, configuration sync

Cause: first commit; every program needs the same types, checked settings and connections. Ruled out: generic reducers (house style keeps generics to value types); HTTP between the system's processes (jsonrpc2 gives calls and notifications both ways on one connection). Before: nothing. After: module fleet with tests, formatter, linter, fuzzing behind make test. Conclusion: the programs can be built on it.

--- /dev/null
+++ b/fleet/configsync/configsync.go
@@ -0,0 +1,193 @@
+// Package configsync keeps a process at the configuration that the control quorum
+// accepted. It asks for the confirmed state once per Interval, fetches a newer
+// fleet text, checks its hash, and never goes back to a lower version.
+package configsync
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/fleettext"
+)
+
+const (
+	// Interval is the time between two questions to control.
+	Interval = time.Second
+	// callTimeout bounds one question including the retries over the replicas.
+	callTimeout = 2 * time.Second
+)
+
+// Config configures a Follower.
+type Config struct {
+	Control fleet.Caller
+	Clock   fleet.Clock
+	Log     *slog.Logger
+	// Heartbeat returns what the process tells control of itself.
+	Heartbeat func() fleet.StateRequest
+	// Changed is called, when set, with each newly confirmed configuration.
+	Changed func(fleet.Confirmed)
+	// State is called, when set, with each confirmed state and the moment it was asked for.
+	State func(asked time.Time, s fleet.StateReply)
+}
+
+// Follower follows the accepted configuration. It is safe for concurrent use.
+type Follower struct {
+	cfg    Config
+	cancel context.CancelFunc
+	done   chan struct{}
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	current  fleet.Confirmed
+	notAfter time.Time
+	hosts    []fleet.HostState
+}
+
+// New makes a Follower; Start begins to follow.
+func New(cfg Config) *Follower {
+	return &Follower{cfg: cfg, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+}
+
+// Start follows in the background until Stop.
+func (f *Follower) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go f.run(ctx)
+}
+
+// Stop ends following.
+func (f *Follower) Stop() {
+	f.cancel()
+	<-f.done
+}
+
+// Current returns the newest accepted configuration and whether the quorum confirmed
+// it recently enough to take new work under it.
+func (f *Follower) Current() (fleet.Confirmed, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current, f.current.Fleet != nil && f.cfg.Clock.Now().Before(f.notAfter)
+}
+
+// Hosts returns the processes that control heard of lately.
+func (f *Follower) Hosts() []fleet.HostState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]fleet.HostState(nil), f.hosts...)
+}
+
+// Seen tells of a version that a peer runs under; a higher one is asked for at once.
+func (f *Follower) Seen(v fleet.Version) {
+	f.mu.Lock()
+	newer := v > f.current.Version
+	f.mu.Unlock()
+	if newer {
+		f.Refresh()
+	}
+}
+
+// Refresh asks control now rather than at the next interval.
+func (f *Follower) Refresh() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) run(ctx context.Context) {
+	defer close(f.done)
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
+	for {
+		if err := f.Sync(ctx); err != nil && ctx.Err() == nil {
+			f.cfg.Log.Warn("ConfigUnconfirmed", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-f.wake:
+		}
+	}
+}
+
+// Sync asks control once and adopts what it confirms.
+func (f *Follower) Sync(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := f.cfg.Clock.Now()
+	var state fleet.StateReply
+	if err := f.cfg.Control.Call(ctx, fleet.MethodState, f.cfg.Heartbeat(), &state); err != nil {
+		return err
+	}
+	next, err := f.resolve(ctx, state)
+	if err != nil {
+		return err
+	}
+	f.adopt(asked, next, state)
+	if f.cfg.State != nil {
+		f.cfg.State(asked, state)
+	}
+	return nil
+}
+
+// resolve returns the configuration of the state, fetching its text when it is new.
+func (f *Follower) resolve(ctx context.Context, state fleet.StateReply) (fleet.Confirmed, error) {
+	f.mu.Lock()
+	next := f.current
+	f.mu.Unlock()
+	if state.Version < next.Version {
+		return next, errors.Errorf("control confirmed version %d after version %d", state.Version, next.Version)
+	}
+	if state.Version == next.Version {
+		return next, nil
+	}
+	if state.Hash != next.Hash {
+		parsed, err := f.fetch(ctx, state)
+		if err != nil {
+			return next, err
+		}
+		next.Fleet = parsed
+	}
+	next.Version, next.Hash = state.Version, state.Hash
+	next.DataCentresOut = make(map[fleet.DataCentreName]bool, len(state.DataCentresOut))
+	for _, dc := range state.DataCentresOut {
+		next.DataCentresOut[dc] = true
+	}
+	return next, nil
+}
+
+func (f *Follower) fetch(ctx context.Context, state fleet.StateReply) (*fleet.Fleet, error) {
+	var text fleet.TextReply
+	if err := f.cfg.Control.Call(ctx, fleet.MethodText, fleet.TextRequest{Version: state.Version}, &text); err != nil {
+		return nil, err
+	}
+	if hash := fleettext.Hash(text.Text); hash != state.Hash {
+		return nil, errors.Errorf("fleet text of version %d has hash %s; the quorum confirmed %s", state.Version, hash, state.Hash)
+	}
+	return fleettext.Parse("fleet text", text.Text)
+}
+
+func (f *Follower) adopt(asked time.Time, next fleet.Confirmed, state fleet.StateReply) {
+	f.mu.Lock()
+	if next.Version < f.current.Version {
+		f.mu.Unlock()
+		return
+	}
+	changed := next.Version > f.current.Version
+	f.current = next
+	f.notAfter = asked.Add(fleet.ShortenLease(state.Validity))
+	f.hosts = state.Hosts
+	f.mu.Unlock()
+	if changed {
+		f.cfg.Log.Info("ConfigInForce", "version", uint64(next.Version), "hash", next.Hash)
+		if f.cfg.Changed != nil {
+			f.cfg.Changed(next)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/program/program.go
@@ -0,0 +1,199 @@
+// Package program runs a fleet process: it parses the command line, checks the
+// settings, and starts and stops an fx application.
+package program
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
+	"github.com/fuchsiashed/fuchsiashed/fleet/settings"
+)
+
+// Version is the release of all programs.
+var Version = "0.1.0"
+
+// Exit codes of every program.
+const (
+	// ExitOK means success.
+	ExitOK = 0
+	// ExitError means that the work failed.
+	ExitError = 1
+	// ExitUsage means a wrong command line or wrong settings.
+	ExitUsage = 2
+	// ExitCancelled means that the user or a signal ended the work before its end.
+	ExitCancelled = 3
+)
+
+// DefaultStopLimit bounds a planned stop unless the settings give another limit.
+const DefaultStopLimit = 15 * time.Minute
+
+// Options are the flags that every fleet process takes.
+type Options struct {
+	Settings string `long:"settings" short:"s" value-name:"FILE" description:"settings file (INI)"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+// Spec describes a program.
+type Spec struct {
+	// Name is the program's file name.
+	Name string
+	// Summary is one line of help, Example a few command lines.
+	Summary string
+	Example string
+	// Settings is a pointer to the settings struct to fill, see package settings.
+	Settings any
+	// Identity is read after the settings are filled; it goes into every log line.
+	Identity func() Identity
+	// Modules returns the fx options of the program, after the settings are filled.
+	Modules func() fx.Option
+}
+
+// Identity says which process writes a log line.
+type Identity struct {
+	Host       fleet.HostID
+	DataCentre fleet.DataCentreName
+}
+
+// Main runs the program with the arguments of the command line and returns its exit code.
+func Main(spec Spec, io *iostreams.IOStreams, args []string) int {
+	var opts Options
+	parser := flags.NewNamedParser(spec.Name, flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = spec.Summary
+	parser.LongDescription = spec.Summary + "\n\nExamples:\n" + spec.Example
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		fmt.Fprintln(io.Err, err)
+		return ExitError
+	}
+	rest, err := parser.ParseArgs(args)
+	if code, done := parsed(io, rest, err); done {
+		return code
+	}
+	if opts.Version {
+		fmt.Fprintf(io.Out, "%s %s\n", spec.Name, Version)
+		return ExitOK
+	}
+	if opts.Settings == "" {
+		fmt.Fprintf(io.Err, "--settings is missing; give the settings file, or see %s --help\n", spec.Name)
+		return ExitUsage
+	}
+	if err := settings.Load(opts.Settings, spec.Settings); err != nil {
+		fmt.Fprintln(io.Err, err)
+		return ExitUsage
+	}
+	if opts.Check {
+		fmt.Fprintf(io.Out, "%s: settings are valid\n", opts.Settings)
+		return ExitOK
+	}
+	return run(spec, io)
+}
+
+// parsed tells whether parsing the command line ended the program, and with what code.
+func parsed(io *iostreams.IOStreams, rest []string, err error) (code int, done bool) {
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		fmt.Fprintln(io.Out, fe.Message)
+		return ExitOK, true
+	}
+	if err == nil && len(rest) > 0 {
+		err = errors.Errorf("argument %q is unknown", rest[0])
+	}
+	if err != nil {
+		fmt.Fprintln(io.Err, err)
+		return ExitUsage, true
+	}
+	return ExitOK, false
+}
+
+// run starts the application, waits for a signal or a shutdown, and stops it. A
+// second signal ends a planned stop that is still waiting.
+func run(spec Spec, io *iostreams.IOStreams) int {
+	id := spec.Identity()
+	log := slog.New(slog.NewTextHandler(io.Err, nil)).With("program", spec.Name, "host", string(id.Host), "datacentre", string(id.DataCentre))
+	app := fx.New(
+		fx.Supply(log),
+		fx.Supply(fx.Annotate(fleet.SystemClock{}, fx.As(new(fleet.Clock)))),
+		fx.WithLogger(func() fxevent.Logger { return &quietLogger{log: log} }),
+		fx.StopTimeout(DefaultStopLimit),
+		spec.Modules(),
+	)
+	if err := app.Err(); err != nil {
+		log.Error("Build", "error", err)
+		return ExitError
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		log.Error("Start", "error", err)
+		return ExitError
+	}
+	log.Info("Started", "version", Version, "pid", os.Getpid())
+	select {
+	case <-signals:
+	case sig := <-app.Wait():
+		if sig.ExitCode != 0 {
+			return stop(app, log, signals, sig.ExitCode)
+		}
+	}
+	return stop(app, log, signals, ExitOK)
+}
+
+func stop(app *fx.App, log *slog.Logger, signals <-chan os.Signal, code int) int {
+	log.Info("Stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			log.Warn("StopForced")
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if err := app.Stop(ctx); err != nil {
+		log.Error("Stop", "error", err)
+		return ExitCancelled
+	}
+	log.Info("Stopped")
+	return code
+}
+
+// quietLogger logs only what fx failed to do.
+type quietLogger struct {
+	log *slog.Logger
+}
+
+// LogEvent implements fxevent.Logger.
+func (l *quietLogger) LogEvent(ev fxevent.Event) {
+	switch e := ev.(type) {
+	case *fxevent.OnStartExecuted:
+		l.fail("OnStart", e.Err)
+	case *fxevent.OnStopExecuted:
+		l.fail("OnStop", e.Err)
+	case *fxevent.Invoked:
+		l.fail("Invoke", e.Err)
+	case *fxevent.Provided:
+		l.fail("Provide", e.Err)
+	}
+}
+
+func (l *quietLogger) fail(event string, err error) {
+	if err != nil {
+		l.log.Error(event, "error", err)
+	}
+}
--- /dev/null
+++ b/fleet/reason.go
@@ -0,0 +1,45 @@
+package fleet
+
+// Reason is the machine-readable cause of a refusal or a retry.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonUnknownKey         Reason = "UnknownKey"
+	ReasonUnknownService     Reason = "UnknownService"
+	ReasonMalformed          Reason = "Malformed"
+	ReasonBodyTooLarge       Reason = "BodyTooLarge"
+	ReasonHeaderTooLarge     Reason = "HeaderTooLarge"
+	ReasonSlowCaller         Reason = "SlowCaller"
+	ReasonTooManyConnections Reason = "TooManyConnections"
+	ReasonCustomerQueueFull  Reason = "CustomerQueueFull"
+	ReasonHostQueueFull      Reason = "HostQueueFull"
+	ReasonQueueTimeout       Reason = "QueueTimeout"
+	ReasonDeadline           Reason = "Deadline"
+	ReasonNoTarget           Reason = "NoTarget"
+	ReasonDependencyDown     Reason = "DependencyDown"
+	ReasonNoDispatcher       Reason = "NoDispatcher"
+	ReasonNoControl          Reason = "NoControl"
+	ReasonStopping           Reason = "Stopping"
+	ReasonQuarantined        Reason = "Quarantined"
+	ReasonKeyRequired        Reason = "IdempotencyKeyRequired"
+	ReasonKeyMismatch        Reason = "IdempotencyKeyMismatch"
+	ReasonStillRunning       Reason = "StillRunning"
+	ReasonAlreadyRan         Reason = "AlreadyRan"
+	ReasonEarlierRunInDoubt  Reason = "EarlierRunInDoubt"
+	ReasonRetryBudget        Reason = "RetryBudget"
+	ReasonConfigUnconfirmed  Reason = "ConfigUnconfirmed"
+	ReasonDataCentreOut      Reason = "DataCentreOut"
+	ReasonStaleGrant         Reason = "StaleGrant"
+	ReasonTargetConnect      Reason = "TargetConnect"
+	ReasonTargetReset        Reason = "TargetReset"
+	ReasonTargetSilent       Reason = "TargetSilent"
+	ReasonTargetShortAnswer  Reason = "TargetShortAnswer"
+	ReasonTargetRefused      Reason = "TargetRefused"
+	ReasonTargetWrongAnswer  Reason = "TargetWrongAnswer"
+	ReasonCallerGone         Reason = "CallerGone"
+	ReasonDispatcherResync   Reason = "DispatcherResync"
+	ReasonSuspectWithdrawn   Reason = "SuspectWithdrawn"
+	ReasonLeaderChanged      Reason = "LeaderChanged"
+	ReasonControlUnavailable Reason = "ControlUnavailable"
+)
--- /dev/null
+++ b/fleet/rpc/server.go
@@ -0,0 +1,94 @@
+package rpc
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Address netip.AddrPort
+	Handler Handler
+	// Gone, when set, is told of each connection that ended.
+	Gone    func(peer fleet.Caller)
+	Traffic *Traffic
+	Log     *slog.Logger
+}
+
+// Server accepts connections of peers.
+type Server struct {
+	cfg    ServerConfig
+	ln     net.Listener
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// NewServer makes a server; Start opens its listener.
+func NewServer(cfg ServerConfig) *Server {
+	if cfg.Traffic == nil {
+		cfg.Traffic = &Traffic{}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{cfg: cfg, ctx: ctx, cancel: cancel}
+}
+
+// Start listens and serves until Stop.
+func (s *Server) Start() error {
+	ln, err := net.Listen("tcp", s.cfg.Address.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", s.cfg.Address)
+	}
+	s.ln = ln
+	s.wg.Add(1)
+	go s.accept()
+	return nil
+}
+
+// Addr returns the address listened on; valid after Start.
+func (s *Server) Addr() netip.AddrPort {
+	return s.ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (s *Server) accept() {
+	defer s.wg.Done()
+	for {
+		nc, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go s.serve(nc)
+	}
+}
+
+func (s *Server) serve(nc net.Conn) {
+	defer s.wg.Done()
+	p := newPeer(s.ctx, nc, s.cfg.Handler, s.cfg.Traffic)
+	select {
+	case <-p.conn.DisconnectNotify():
+	case <-s.ctx.Done():
+		p.close()
+		<-p.conn.DisconnectNotify()
+	}
+	if s.cfg.Gone != nil {
+		s.cfg.Gone(p)
+	}
+}
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop() {
+	s.cancel()
+	if s.ln != nil {
+		// Closing twice is harmless.
+		_ = s.ln.Close()
+	}
+	s.wg.Wait()
+}
--- /dev/null
+++ b/fleet/verdict.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Verdict says whether a request may have run on a target.
+type Verdict int
+
+// The verdicts, from the one that always permits a retry to the one that never does.
+const (
+	// NotRun means that no byte of the request can have reached a target.
+	NotRun Verdict = iota + 1
+	// MayHaveRun means that a target may have run the request, wholly or in part.
+	MayHaveRun
+	// Ran means that a target ran the request to its end.
+	Ran
+)
+
+var verdictNames = map[Verdict]string{NotRun: "NotRun", MayHaveRun: "MayHaveRun", Ran: "Ran"}
+
+// String returns the verdict's name on the wire.
+func (v Verdict) String() string {
+	if s, ok := verdictNames[v]; ok {
+		return s
+	}
+	return fmt.Sprintf("Verdict(%d)", int(v))
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) {
+	if _, ok := verdictNames[v]; !ok {
+		return nil, errors.Errorf("verdict %d does not exist", int(v))
+	}
+	return []byte(v.String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for k, s := range verdictNames {
+		if s == string(text) {
+			*v = k
+			return nil
+		}
+	}
+	return errors.Errorf("verdict %q does not exist; use NotRun, MayHaveRun or Ran", text)
+}
+
+// Failure is the error with which a request ends.
+type Failure struct {
+	// Verdict says whether the request may have run.
+	Verdict Verdict
+	// Reason is the machine-readable cause; each reason has a counter.
+	Reason Reason
+	// Detail explains the cause to a person.
+	Detail string
+	// RetryAfter is when the caller should come back; zero means it need not.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%s (%s): %s", f.Reason, f.Verdict, f.Detail)
+}
+
+// VerdictOf returns the verdict of err: that of the Failure it wraps, or
+// MayHaveRun for any other error, since nothing is known about it.
+func VerdictOf(err error) Verdict {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f.Verdict
+	}
+	return MayHaveRun
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,63 @@
+#!/usr/bin/env bash
+# Checks and tests the packages given. Failures listed in KNOWN-RED.txt are printed
+# and passed over; any other failure fails the run.
+set -u
+cd "$(dirname "$0")/.."
+packages=("$@")
+failed=0
+
+step() {
+  echo "== $1"
+  shift
+  "$@" || { echo "FAILED: $*"; failed=1; }
+}
+
+format() {
+  local files
+  files=$(go tool gofumpt -l $(git ls-files '*.go' | xargs -r -n1 dirname | sort -u)) || return 1
+  [ -z "$files" ] || { echo "$files"; return 1; }
+}
+
+fuzz() {
+  local dir target
+  git grep -l '^func Fuzz' -- '*_test.go' | while read -r file; do
+    dir=$(dirname "$file")
+    for target in $(grep -o '^func Fuzz[A-Za-z0-9]*' "$file" | cut -d' ' -f2); do
+      go test "./$dir" -run '^$' -fuzz "^$target\$" -fuzztime 2000x || exit 1
+    done
+  done
+}
+
+# Prints "package TestName" for each failed top-level test, and "package -" for a
+# package that failed without naming a test.
+failures() {
+  awk '/^--- FAIL: /{n[++k]=$3} /^(ok|FAIL|---|\?)[ \t]/{if($1=="FAIL"&&$2!=""){if(!k)print $2" -";for(i=1;i<=k;i++)print $2" "n[i];k=0}else if($1=="ok")k=0}' "$1"
+}
+
+tests() {
+  local log known bad=0 line
+  log=$(mktemp)
+  go test -race -count=1 -timeout 20m "${packages[@]}" 2>&1 | tee "$log"
+  [ "${PIPESTATUS[0]}" -eq 0 ] && { rm -f "$log"; return 0; }
+  known=$(grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 | sed 's/ *$//')
+  while read -r line; do
+    if grep -qxF "$line" <<<"$known"; then
+      echo "KNOWN RED: $(grep -F "$line" KNOWN-RED.txt)"
+    else
+      echo "RED: $line"
+      bad=1
+    fi
+  done < <(failures "$log")
+  [ -n "$(failures "$log")" ] || bad=1
+  rm -f "$log"
+  return $bad
+}
+
+step "gofumpt" format
+step "revive" go tool revive -set_exit_status "${packages[@]}"
+step "vet" go vet "${packages[@]}"
+step "build" go build "${packages[@]}"
+step "test" tests
+step "fuzz" fuzz
+if [ "$failed" -ne 0 ]; then echo "test FAILED"; exit 1; fi
+echo "test ok"
