--- a/fleet/program/program.go
+++ b/fleet/program/program.go
@@ -39,6 +39,13 @@
 // DefaultStopLimit bounds a planned stop unless the settings give another limit.
 const DefaultStopLimit = 15 * time.Minute
 
+// ForcedStopLimit bounds what a process still does after a second signal.
+const ForcedStopLimit = 3 * time.Second
+
+// Force is closed by a second signal, which ends a planned stop. The application may
+// use ForcedStopLimit to answer what it has in hand.
+type Force <-chan struct{}
+
 // Options are the flags that every fleet process takes.
 type Options struct {
 	Settings string `long:"settings" short:"s" value-name:"FILE" description:"settings file (INI)"`
@@ -122,8 +129,9 @@
 func run(spec Spec, io *iostreams.IOStreams) int {
 	id := spec.Identity()
 	log := slog.New(slog.NewTextHandler(io.Err, nil)).With("program", spec.Name, "host", string(id.Host), "datacentre", string(id.DataCentre))
+	force := make(chan struct{})
 	app := fx.New(
-		fx.Supply(log),
+		fx.Supply(log, Force(force)),
 		fx.Supply(fx.Annotate(fleet.SystemClock{}, fx.As(new(fleet.Clock)))),
 		fx.WithLogger(func() fxevent.Logger { return &quietLogger{log: log} }),
 		fx.StopTimeout(DefaultStopLimit),
@@ -147,13 +155,13 @@
 	case <-signals:
 	case sig := <-app.Wait():
 		if sig.ExitCode != 0 {
-			return stop(app, log, signals, sig.ExitCode)
+			return stop(app, log, signals, force, sig.ExitCode)
 		}
 	}
-	return stop(app, log, signals, ExitOK)
+	return stop(app, log, signals, force, ExitOK)
 }
 
-func stop(app *fx.App, log *slog.Logger, signals <-chan os.Signal, code int) int {
+func stop(app *fx.App, log *slog.Logger, signals <-chan os.Signal, force chan<- struct{}, code int) int {
 	log.Info("Stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
@@ -161,7 +169,8 @@
 		select {
 		case <-signals:
 			log.Warn("StopForced")
-			cancel()
+			close(force)
+			time.AfterFunc(ForcedStopLimit, cancel)
 		case <-ctx.Done():
 		}
 	}()
--- /dev/null
+++ b/fleet/routing/hosts.go
@@ -0,0 +1,57 @@
+package routing
+
+import (
+	"hash/fnv"
+	"sort"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// HostStaleAfter is the time without a heartbeat after which a host leaves the hosts answer.
+const HostStaleAfter = 3 * time.Second
+
+// Host is one entry of the hosts answer.
+type Host struct {
+	Address    string
+	DataCentre fleet.DataCentreName
+}
+
+// HostsAnswer tells a caller which hosts to use, the best first.
+type HostsAnswer struct {
+	Hosts []Host
+	// ValidSeconds is how long the answer may be kept.
+	ValidSeconds float64
+}
+
+// ChooseHosts returns the hosts that take requests, in an order that spreads the
+// customers over them; the rotation spreads the callers of one customer.
+func ChooseHosts(known []fleet.HostState, out map[fleet.DataCentreName]bool, c fleet.CustomerName, s fleet.ServiceName, rotation uint64) []Host {
+	type ranked struct {
+		Host
+		rank uint64
+	}
+	var list []ranked
+	for _, h := range known {
+		if h.Role != fleet.RoleRouter || h.Stopping || h.Age > HostStaleAfter || out[h.DataCentre] {
+			continue
+		}
+		list = append(list, ranked{Host{h.Address, h.DataCentre}, rank(string(c), string(s), string(h.Host))})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].rank < list[j].rank })
+	hosts := make([]Host, 0, len(list))
+	for i := range list {
+		hosts = append(hosts, list[(i+int(rotation%uint64(len(list))))%len(list)].Host)
+	}
+	return hosts
+}
+
+func rank(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		// A hash never fails to write.
+		_, _ = h.Write([]byte(p))
+		_, _ = h.Write([]byte{0})
+	}
+	return mix(h.Sum64(), 0)
+}
--- /dev/null
+++ b/fleet/routing/report.go
@@ -0,0 +1,204 @@
+package routing
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// sentKept is how many reports' send times a router remembers for each dispatcher.
+const sentKept = 4096
+
+// peer is one dispatcher that the router reports to.
+type peer struct {
+	name      Peer
+	connected bool
+	// full says that the next report has to be complete.
+	full     bool
+	dirty    bool
+	sequence fleet.Sequence
+	lastSent time.Time
+	// sent holds the times of the newest reports, by sequence modulo sentKept.
+	sent    []time.Time
+	pending fleet.RouterReport
+}
+
+func newPeer(name Peer) *peer { return &peer{name: name} }
+
+// sentAt returns when a report was sent, if that is still known.
+func (p *peer) sentAt(seq fleet.Sequence) (time.Time, bool) {
+	if seq == 0 || seq > p.sequence || p.sequence-seq >= fleet.Sequence(len(p.sent)) {
+		return time.Time{}, false
+	}
+	return p.sent[seq%sentKept], true
+}
+
+func (p *peer) recordSent(now time.Time) {
+	p.sequence++
+	if p.sent == nil {
+		p.sent = make([]time.Time, sentKept)
+	}
+	p.sent[p.sequence%sentKept] = now
+	p.lastSent = now
+}
+
+func (r *Router) peer(name Peer) *peer {
+	for _, p := range r.peers {
+		if p.name == name {
+			return p
+		}
+	}
+	invariant(false, "dispatcher %s is not configured", name)
+	return nil
+}
+
+func (r *Router) dispatcherUp(name Peer) {
+	if p := r.peer(name); p != nil {
+		p.connected, p.full, p.dirty = true, true, true
+	}
+}
+
+func (r *Router) dispatcherDown(name Peer) {
+	if p := r.peer(name); p != nil {
+		p.connected = false
+	}
+}
+
+func (r *Router) reportLost(name Peer) {
+	if p := r.peer(name); p != nil {
+		p.full, p.dirty = true, true
+	}
+}
+
+// report adds a change to the next report of every dispatcher.
+func (r *Router) report(change func(rep *fleet.RouterReport)) {
+	for _, p := range r.peers {
+		if p.connected && !p.full {
+			change(&p.pending)
+			p.dirty = true
+		}
+	}
+}
+
+func (r *Router) reportTicket(t fleet.Ticket) {
+	r.report(func(rep *fleet.RouterReport) { rep.Tickets = append(rep.Tickets, t) })
+}
+
+// withdraw takes a ticket back, from the pending reports too.
+func (r *Router) withdraw(id fleet.TicketID) {
+	r.report(func(rep *fleet.RouterReport) {
+		i := slices.IndexFunc(rep.Tickets, func(t fleet.Ticket) bool { return t.ID == id })
+		if i >= 0 {
+			rep.Tickets = slices.Delete(rep.Tickets, i, i+1)
+			return
+		}
+		rep.Withdrawn = append(rep.Withdrawn, id)
+	})
+}
+
+func (r *Router) reportEnd(a *attempt, outcome fleet.Outcome) {
+	end := fleet.GrantEnd{Grant: a.grant, Ticket: a.ticket.ID, Outcome: outcome, Spent: a.spent, FirstToken: a.firstToken}
+	r.report(func(rep *fleet.RouterReport) { rep.Ended = append(rep.Ended, end) })
+}
+
+// returnGrant gives back a grant that is not used.
+func (r *Router) returnGrant(g fleet.Grant) {
+	end := fleet.GrantEnd{Grant: g.ID, Ticket: g.Ticket, Outcome: fleet.OutcomeNotSent}
+	r.report(func(rep *fleet.RouterReport) { rep.Ended = append(rep.Ended, end) })
+}
+
+func (r *Router) attemptProgressed(ev AttemptProgressed) {
+	q := r.requests[ev.Request]
+	if q == nil || q.attempt == nil || q.attempt.number != ev.Attempt {
+		return
+	}
+	a := q.attempt
+	a.spent = max(a.spent, ev.Spent)
+	a.firstToken = ev.FirstToken
+	p := fleet.Progress{Grant: a.grant, Spent: a.spent, FirstToken: a.firstToken}
+	r.report(func(rep *fleet.RouterReport) { rep.Progress = append(rep.Progress, p) })
+}
+
+func (r *Router) targetAnnounced(a fleet.Announcement) {
+	old, known := r.targets[a.Target]
+	if known && (old.Incarnation > a.Incarnation || old.Incarnation == a.Incarnation && old.Sequence >= a.Sequence) {
+		return
+	}
+	r.targets[a.Target] = a
+	r.report(func(rep *fleet.RouterReport) { rep.Targets = append(rep.Targets, a) })
+}
+
+// flush sends the reports that are due.
+func (r *Router) flush(now time.Time) {
+	for _, p := range r.peers {
+		if !p.connected {
+			continue
+		}
+		since := now.Sub(p.lastSent)
+		if p.dirty && since >= BatchInterval || since >= HeartbeatInterval {
+			r.sendReport(now, p)
+		}
+	}
+}
+
+func (r *Router) sendReport(now time.Time, p *peer) {
+	rep := p.pending
+	if p.full {
+		rep = r.fullReport()
+	}
+	p.recordSent(now)
+	rep.Router, rep.Incarnation, rep.DataCentre = r.cfg.Host, r.cfg.Incarnation, r.cfg.DataCentre
+	rep.Sequence, rep.Epoch, rep.Version = p.sequence, r.epoch, r.config.Version
+	rep.Full, rep.Stopping = p.full, r.stopping
+	p.pending, p.dirty, p.full = fleet.RouterReport{}, false, false
+	r.emit(SendReport{To: p.name, Report: rep})
+}
+
+// fullReport lists everything that a dispatcher has to know.
+func (r *Router) fullReport() fleet.RouterReport {
+	var rep fleet.RouterReport
+	for _, id := range r.requestIDs() {
+		q := r.requests[id]
+		if q.state == stateQueued {
+			rep.Tickets = append(rep.Tickets, q.ticket)
+		}
+		if q.attempt != nil {
+			rep.Running = append(rep.Running, q.attempt.running())
+		}
+	}
+	for _, a := range r.releasing {
+		rep.Running = append(rep.Running, a.running())
+	}
+	sort.Slice(rep.Running, func(i, j int) bool { return rep.Running[i].Grant < rep.Running[j].Grant })
+	for _, a := range r.targets {
+		rep.Targets = append(rep.Targets, a)
+	}
+	sort.Slice(rep.Targets, func(i, j int) bool { return rep.Targets[i].Target < rep.Targets[j].Target })
+	rep.Served = r.servedTotals()
+	return rep
+}
+
+func (r *Router) requestIDs() []fleet.RequestID {
+	ids := make([]fleet.RequestID, 0, len(r.requests))
+	for id := range r.requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (r *Router) servedTotals() []fleet.ServedTotal {
+	totals := make([]fleet.ServedTotal, 0, len(r.served))
+	for k, c := range r.served {
+		totals = append(totals, fleet.ServedTotal{Customer: k.customer, Service: k.service, Counter: c})
+	}
+	sort.Slice(totals, func(i, j int) bool {
+		if totals[i].Service != totals[j].Service {
+			return totals[i].Service < totals[j].Service
+		}
+		return totals[i].Customer < totals[j].Customer
+	})
+	return totals
+}
--- /dev/null
+++ b/fleet/routing/router.go
@@ -0,0 +1,169 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// Timing of the router's decisions.
+const (
+	// BatchInterval is the least time between two reports to a dispatcher.
+	BatchInterval = 2 * time.Millisecond
+	// HeartbeatInterval is the most time between two reports to a dispatcher.
+	HeartbeatInterval = 250 * time.Millisecond
+	// ContactTimeout is the silence of the dispatcher after which standing grants are used.
+	ContactTimeout = 300 * time.Millisecond
+	// CutOffAfter is the silence of the dispatcher after which requests are refused.
+	CutOffAfter = 5 * time.Second
+	// LedgerTimeout bounds the wait for the ledger.
+	LedgerTimeout = 3 * time.Second
+	// ResumeLimit is how many times in a row an answer is resumed without progress.
+	ResumeLimit = 3
+	// StopMargin is added to the validity of the hosts answer in a planned stop, for
+	// the other hosts to learn that this one stops.
+	StopMargin = 4 * time.Second
+)
+
+// Config configures a Router.
+type Config struct {
+	Host        fleet.HostID
+	Incarnation fleet.Incarnation
+	DataCentre  fleet.DataCentreName
+	// Dispatchers lists the dispatchers that the router reports to.
+	Dispatchers []Peer
+}
+
+// Router is the reducer of a router. It is not safe for concurrent use.
+type Router struct {
+	cfg Config
+
+	config         fleet.Confirmed
+	confirmedUntil time.Time
+
+	requests map[fleet.RequestID]*request
+	waiting  waitingCount
+	// queued lists requests in the order of their tickets; some may have moved on.
+	queued   []fleet.RequestID
+	timers   timerHeap
+	budget   retryBudget
+	attempts fleet.Sequence
+
+	// epoch is the highest lease epoch seen, contact the last message of its holder.
+	epoch    fleet.Epoch
+	holder   fleet.HostID
+	contact  time.Time
+	peers    []*peer
+	standing standingGrants
+	// releasing holds attempts that are over for the caller but may run on.
+	releasing map[fleet.GrantID]*attempt
+	targets   map[fleet.TargetID]fleet.Announcement
+	served    map[servedKey]fleet.Cost
+
+	stopping  bool
+	drainedAt time.Time
+	drained   bool
+
+	effects []fleet.Effect
+}
+
+type servedKey struct {
+	customer fleet.CustomerName
+	service  fleet.ServiceName
+}
+
+// New makes a Router that knows nothing yet.
+func New(cfg Config) *Router {
+	r := &Router{
+		cfg:       cfg,
+		requests:  map[fleet.RequestID]*request{},
+		waiting:   waitingCount{perCustomer: map[fleet.CustomerName]int{}},
+		releasing: map[fleet.GrantID]*attempt{},
+		targets:   map[fleet.TargetID]fleet.Announcement{},
+		served:    map[servedKey]fleet.Cost{},
+	}
+	for _, p := range cfg.Dispatchers {
+		r.peers = append(r.peers, newPeer(p))
+	}
+	return r
+}
+
+// Reduce implements fleet.Reducer.
+func (r *Router) Reduce(now time.Time, ev fleet.Event) []fleet.Effect {
+	r.effects = nil
+	r.apply(now, ev)
+	r.useStanding(now)
+	r.flush(now)
+	r.checkDrained(now)
+	return r.effects
+}
+
+func (r *Router) apply(now time.Time, ev fleet.Event) {
+	switch ev := ev.(type) {
+	case RequestAccepted:
+		r.accept(now, ev)
+	case LedgerBegun:
+		r.ledgerBegun(now, ev)
+	case DispatcherUp:
+		r.dispatcherUp(ev.Peer)
+	case DispatcherDown:
+		r.dispatcherDown(ev.Peer)
+	case ReportLost:
+		r.reportLost(ev.Peer)
+	case GrantsReceived:
+		r.grantsReceived(now, ev)
+	case AttemptProgressed:
+		r.attemptProgressed(ev)
+	case AttemptEnded:
+		r.attemptEnded(now, ev)
+	case AttemptReleased:
+		r.attemptReleased(now, ev)
+	case CallerGone:
+		r.callerGone(now, ev.Request)
+	case TargetAnnounced:
+		r.targetAnnounced(ev.Announcement)
+	case ConfigConfirmed:
+		r.configConfirmed(ev)
+	case StopRequested:
+		r.stopRequested(now)
+	case StopForced:
+		r.stopForced(now)
+	case fleet.Expired:
+		r.expired(now, ev)
+	case Tick:
+		r.tick(now)
+	default:
+		invariant(false, "event %s is not known to the router", ev.EventName())
+	}
+}
+
+func (r *Router) emit(e fleet.Effect) { r.effects = append(r.effects, e) }
+
+func (r *Router) configConfirmed(ev ConfigConfirmed) {
+	if ev.Config.Version < r.config.Version {
+		return
+	}
+	r.config = ev.Config
+	r.confirmedUntil = ev.NotAfter
+}
+
+// confirmed says whether new requests may be taken under the configuration.
+func (r *Router) confirmed(now time.Time) bool {
+	return r.config.Fleet != nil && now.Before(r.confirmedUntil)
+}
+
+// Counts returns how many requests wait and how many run.
+func (r *Router) Counts() (waiting, running int) {
+	for _, q := range r.requests {
+		if q.state == stateSending {
+			running++
+		}
+	}
+	return len(r.requests) - running, running
+}
+
+// Dispatcher returns the highest lease epoch seen and who holds it.
+func (r *Router) Dispatcher() (fleet.Epoch, fleet.HostID) { return r.epoch, r.holder }
+
+// Stopping says whether a planned stop has begun.
+func (r *Router) Stopping() bool { return r.stopping }
--- /dev/null
+++ b/fleet/routing/timers.go
@@ -0,0 +1,103 @@
+package routing
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+type timer struct {
+	at      time.Time
+	request fleet.RequestID
+}
+
+// timerHeap orders timers by their time. Timers of requests that moved on are
+// dropped when they come up.
+type timerHeap []timer
+
+// Len implements heap.Interface.
+func (h timerHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h timerHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].request < h[j].request
+	}
+	return h[i].at.Before(h[j].at)
+}
+
+// Swap implements heap.Interface.
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (h *timerHeap) add(at time.Time, id fleet.RequestID) {
+	heap.Push(h, timer{at: at, request: id})
+}
+
+// due removes and returns the next timer that is not after now.
+func (h *timerHeap) due(now time.Time) (timer, bool) {
+	if len(*h) == 0 || (*h)[0].at.After(now) {
+		return timer{}, false
+	}
+	return heap.Pop(h).(timer), true
+}
+
+// tick deals with the requests whose time has come.
+func (r *Router) tick(now time.Time) {
+	for {
+		t, ok := r.timers.due(now)
+		if !ok {
+			break
+		}
+		q := r.requests[t.request]
+		if q != nil && !q.wake.IsZero() && !q.wake.After(now) {
+			r.wake(now, q)
+		}
+	}
+	if len(r.timers) > 4*len(r.requests)+queuedSlack {
+		r.rebuildTimers()
+	}
+	r.refuseCutOff(now)
+}
+
+// rebuildTimers drops the timers of requests that have ended.
+func (r *Router) rebuildTimers() {
+	r.timers = r.timers[:0]
+	for _, q := range r.requests {
+		if !q.wake.IsZero() {
+			r.timers = append(r.timers, timer{at: q.wake, request: q.Request})
+		}
+	}
+	heap.Init(&r.timers)
+}
+
+func (r *Router) wake(now time.Time, q *request) {
+	switch {
+	case !now.Before(q.deadline):
+		r.deadlineReached(now, q)
+	case q.state == stateQueued:
+		r.fail(now, q, fleet.ReasonQueueTimeout, retryAfterQueue, "no target was free within %s", q.queueUntil.Sub(q.accepted))
+	case q.state == stateBackingOff:
+		r.queue(now, q)
+	}
+}
+
+// deadlineReached ends a request whose deadline has passed.
+func (r *Router) deadlineReached(now time.Time, q *request) {
+	if q.attempt != nil {
+		q.mayHaveRun = true
+		r.release(q, fleet.OutcomeUnknown)
+	}
+	r.fail(now, q, fleet.ReasonDeadline, 0, "the deadline passed after %s", now.Sub(q.accepted))
+}
--- /dev/null
+++ b/router/internal/caller/call.go
@@ -0,0 +1,179 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+	"github.com/fuchsiashed/fuchsiashed/router/internal/target"
+)
+
+// call is one open request of a caller. Its handler's goroutine does all the work.
+type call struct {
+	server   *Server
+	id       fleet.RequestID
+	w        http.ResponseWriter
+	rc       *http.ResponseController
+	exchange *target.Exchange
+	commands *mailbox
+
+	customer fleet.CustomerName
+	service  fleet.ServiceName
+	attempt  int
+	// detach says that the answer is read to its end when the caller leaves.
+	detach bool
+	// left says that writing to the caller failed.
+	left   bool
+	begun  bool
+	events bool
+}
+
+// mailbox holds the effects that a call has to perform, in order.
+type mailbox struct {
+	mu    sync.Mutex
+	queue []fleet.Effect
+	wake  chan struct{}
+}
+
+func newMailbox() *mailbox { return &mailbox{wake: make(chan struct{}, 1)} }
+
+func (m *mailbox) put(e fleet.Effect) {
+	m.mu.Lock()
+	m.queue = append(m.queue, e)
+	m.mu.Unlock()
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *mailbox) get() fleet.Effect {
+	for {
+		m.mu.Lock()
+		if len(m.queue) > 0 {
+			e := m.queue[0]
+			m.queue = m.queue[1:]
+			m.mu.Unlock()
+			return e
+		}
+		m.mu.Unlock()
+		<-m.wake
+	}
+}
+
+// run performs the effects of the call until one ends it.
+func (c *call) run() {
+	for {
+		switch e := c.commands.get().(type) {
+		case routing.StartSend:
+			c.attempt, c.detach = e.Attempt, e.Detach
+			c.post(c.exchange.Start(e))
+		case routing.ResumeSend:
+			c.post(c.exchange.Resume(e))
+		case routing.WaitOn:
+			c.post(c.exchange.WaitOn())
+		case routing.AnswerFailure:
+			c.fail(e.Failure)
+			return
+		case routing.AnswerRecorded:
+			c.replay(e.Answer)
+			return
+		case routing.AnswerDone:
+			c.done()
+			return
+		}
+	}
+}
+
+func (c *call) post(ev routing.AttemptEnded) { c.server.cfg.Events.Post(ev) }
+
+// Header implements target.Sink.
+func (c *call) Header(status int, h http.Header, length int64) error {
+	c.begun = true
+	out := c.w.Header()
+	for name, values := range h {
+		out[name] = values
+	}
+	out.Set(headerRequestID, string(c.id))
+	if length >= 0 {
+		out.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	c.events = len(out.Get("Content-Type")) >= len(eventStream) && out.Get("Content-Type")[:len(eventStream)] == eventStream
+	c.w.WriteHeader(status)
+	return nil
+}
+
+const eventStream = "text/event-stream"
+
+// Write implements target.Sink.
+func (c *call) Write(p []byte) (int, error) {
+	if c.left {
+		return len(p), nil
+	}
+	if err := c.write(p); err != nil {
+		if !c.detach {
+			return 0, err
+		}
+		c.left = true
+	}
+	return len(p), nil
+}
+
+func (c *call) write(p []byte) error {
+	if err := c.rc.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout)); err != nil {
+		return errors.Wrap(err, "write to caller")
+	}
+	if _, err := c.w.Write(p); err != nil {
+		return errors.Wrap(err, "write to caller")
+	}
+	return errors.Wrap(c.rc.Flush(), "write to caller")
+}
+
+// Progress implements target.Sink.
+func (c *call) Progress(spent fleet.Cost, firstToken time.Duration) {
+	c.server.cfg.Events.Post(routing.AttemptProgressed{Request: c.id, Attempt: c.attempt, Spent: spent, FirstToken: firstToken})
+}
+
+// fail ends the call with a failure: as its answer, or, when a part of an answer was
+// passed on, by cutting the connection after a last event.
+func (c *call) fail(f fleet.Failure) {
+	if !c.begun {
+		if others := c.server.otherHosts(c.customer, c.service); others != "" && f.RetryAfter > 0 {
+			c.w.Header().Set(headerHosts, others)
+		}
+		writeFailure(c.w, c.id, f)
+		return
+	}
+	if c.events && !c.left {
+		last := append([]byte("\n\nevent: error\ndata: "), failureJSON(c.id, f)...)
+		// The connection is cut next, whether or not the event arrives.
+		_ = c.write(append(last, '\n', '\n'))
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// replay ends the call with the answer that the ledger kept.
+func (c *call) replay(a fleet.RecordedAnswer) {
+	h := c.w.Header()
+	if a.ContentType != "" {
+		h.Set("Content-Type", a.ContentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	h.Set(headerRequestID, string(c.id))
+	h.Set(headerReplayed, "true")
+	c.w.WriteHeader(a.Status)
+	// A caller that left needs no answer.
+	_, _ = c.w.Write(a.Body)
+}
+
+// done ends a call whose answer was passed on, or whose caller left.
+func (c *call) done() {
+	if !c.begun || c.left {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/router/internal/caller/failure.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// Headers of the protocol towards callers.
+const (
+	headerRequestID  = "Fuchsiashed-Request-Id"
+	headerVerdict    = "Fuchsiashed-Verdict"
+	headerReason     = "Fuchsiashed-Reason"
+	headerReplayed   = "Fuchsiashed-Replayed"
+	headerCostHint   = "Fuchsiashed-Cost-Hint"
+	headerDeadline   = "Fuchsiashed-Deadline"
+	headerHosts      = "Fuchsiashed-Hosts"
+	headerIdempotent = "Idempotency-Key"
+)
+
+// failureBody is a failure as callers get it.
+type failureBody struct {
+	Verdict           fleet.Verdict
+	Reason            fleet.Reason
+	Detail            string
+	RequestId         fleet.RequestID //revive:disable-line:var-naming the wire name is fixed
+	RetryAfterSeconds int
+}
+
+var statuses = map[fleet.Reason]int{
+	fleet.ReasonUnknownKey:         http.StatusUnauthorized,
+	fleet.ReasonUnknownService:     http.StatusNotFound,
+	fleet.ReasonMalformed:          http.StatusBadRequest,
+	fleet.ReasonKeyRequired:        http.StatusBadRequest,
+	fleet.ReasonBodyTooLarge:       http.StatusRequestEntityTooLarge,
+	fleet.ReasonHeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
+	fleet.ReasonSlowCaller:         http.StatusRequestTimeout,
+	fleet.ReasonTooManyConnections: http.StatusTooManyRequests,
+	fleet.ReasonCustomerQueueFull:  http.StatusTooManyRequests,
+	fleet.ReasonKeyMismatch:        http.StatusUnprocessableEntity,
+	fleet.ReasonQuarantined:        http.StatusUnprocessableEntity,
+	fleet.ReasonStillRunning:       http.StatusConflict,
+	fleet.ReasonAlreadyRan:         http.StatusConflict,
+	fleet.ReasonEarlierRunInDoubt:  http.StatusConflict,
+	fleet.ReasonDeadline:           http.StatusGatewayTimeout,
+	fleet.ReasonTargetSilent:       http.StatusGatewayTimeout,
+	fleet.ReasonTargetConnect:      http.StatusBadGateway,
+	fleet.ReasonTargetReset:        http.StatusBadGateway,
+	fleet.ReasonTargetShortAnswer:  http.StatusBadGateway,
+	fleet.ReasonTargetWrongAnswer:  http.StatusBadGateway,
+}
+
+// statusOf returns the HTTP status of a failure.
+func statusOf(r fleet.Reason) int {
+	if s, ok := statuses[r]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
+
+func seconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
+
+func failureJSON(id fleet.RequestID, f fleet.Failure) []byte {
+	raw, err := json.Marshal(failureBody{
+		Verdict: f.Verdict, Reason: f.Reason, Detail: f.Detail, RequestId: id, RetryAfterSeconds: seconds(f.RetryAfter),
+	})
+	if err != nil {
+		return []byte("{}")
+	}
+	return raw
+}
+
+// writeFailure answers a request of which no part of an answer was written.
+func writeFailure(w http.ResponseWriter, id fleet.RequestID, f fleet.Failure) {
+	body := failureJSON(id, f)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(headerRequestID, string(id))
+	h.Set(headerVerdict, f.Verdict.String())
+	h.Set(headerReason, string(f.Reason))
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds(f.RetryAfter)))
+	}
+	w.WriteHeader(statusOf(f.Reason))
+	// A caller that left needs no answer.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/router/internal/caller/handler.go
@@ -0,0 +1,229 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/fleettext"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+	"github.com/fuchsiashed/fuchsiashed/router/internal/target"
+)
+
+// serve takes one request of a caller to its end.
+func (s *Server) serve(gc *gin.Context) {
+	w, r := gc.Writer, gc.Request
+	id := fleet.RequestID(s.prefix + strconv.FormatUint(s.sequence.Add(1), 36))
+	in, f := s.admit(id, r)
+	if f != nil {
+		s.refuseFailure(w, id, *f)
+		return
+	}
+	if !s.conns.enter(in.accepted.Customer, in.limit) {
+		s.refuse(w, id, fleet.ReasonTooManyConnections, fmt.Sprintf("customer has %d open requests here", in.limit), time.Second)
+		return
+	}
+	defer s.conns.leave(in.accepted.Customer)
+	if f := s.readBody(w, r, in); f != nil {
+		s.refuseFailure(w, id, *f)
+		return
+	}
+	s.perform(w, r, in)
+}
+
+// incoming is a request on its way to the reducer.
+type incoming struct {
+	accepted routing.RequestAccepted
+	request  target.Request
+	limit    int
+	maxBody  fleet.ByteSize
+}
+
+// perform hands the request to the reducer and performs what it decides.
+func (s *Server) perform(w http.ResponseWriter, r *http.Request, in *incoming) {
+	c := &call{
+		server: s, id: in.accepted.Request, w: w, rc: http.NewResponseController(w), commands: newMailbox(),
+		customer: in.accepted.Customer, service: in.accepted.Service,
+	}
+	c.exchange = s.cfg.Targets.NewExchange(in.request, c)
+	s.mu.Lock()
+	s.calls[c.id] = c
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.calls, c.id)
+		s.mu.Unlock()
+		c.exchange.Close()
+	}()
+	s.cfg.Events.Post(in.accepted)
+	stop := context.AfterFunc(r.Context(), func() { s.cfg.Events.Post(routing.CallerGone{Request: c.id}) })
+	defer stop()
+	c.run()
+}
+
+func malformed(detail string) *fleet.Failure {
+	return &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonMalformed, Detail: detail}
+}
+
+// admit checks everything that can be checked before the body is read.
+func (s *Server) admit(id fleet.RequestID, r *http.Request) (*incoming, *fleet.Failure) {
+	if n := headerSize(r); n > maxHeader {
+		return nil, &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonHeaderTooLarge, Detail: fmt.Sprintf("header has %d bytes; at most %d are allowed", n, maxHeader)}
+	}
+	cfg, confirmed := s.cfg.Configuration.Current()
+	if !confirmed {
+		return nil, &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonConfigUnconfirmed, Detail: "control has not confirmed the configuration in time; use another host", RetryAfter: time.Second}
+	}
+	customer, ok := customerOf(cfg.Fleet, r)
+	if !ok {
+		return nil, &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonUnknownKey, Detail: "the Authorization header holds no key of a customer"}
+	}
+	service, escaped, plain, err := splitPath(r)
+	if err != nil {
+		return nil, malformed(err.Error())
+	}
+	if !allowedMethods[r.Method] {
+		return nil, malformed("method " + r.Method + " is not passed on")
+	}
+	svc, ok := cfg.Fleet.Services[service]
+	if !ok {
+		return nil, &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonUnknownService, Detail: fmt.Sprintf("service %q does not exist", service)}
+	}
+	in := &incoming{limit: cfg.Fleet.Policy.ConnectionsPerCustomer, maxBody: cfg.Fleet.Policy.MaxBody}
+	in.accepted = routing.RequestAccepted{
+		Request: id, Customer: customer, Service: service, Random: rand.Uint64(), //nolint:gosec // jitter needs no secrecy
+		Idempotent: fleettext.IsIdempotent(svc, r.Method, plain),
+	}
+	in.request = target.Request{
+		ID: id, Method: r.Method, Path: escaped, Query: r.URL.RawQuery, Header: forwarded(r.Header), Protocol: svc.Protocol,
+	}
+	if f := s.parseHeaders(r, in); f != nil {
+		return nil, f
+	}
+	return in, nil
+}
+
+// parseHeaders reads the fleet's own headers.
+func (s *Server) parseHeaders(r *http.Request, in *incoming) *fleet.Failure {
+	keys := r.Header.Values(headerIdempotent)
+	if len(keys) > 1 || len(keys) == 1 && len(keys[0]) > fleet.MaxIdempotencyKey {
+		return malformed(fmt.Sprintf("Idempotency-Key is one value of at most %d bytes", fleet.MaxIdempotencyKey))
+	}
+	if len(keys) == 1 {
+		in.accepted.Key = fleet.IdempotencyKey(keys[0])
+	}
+	if v := r.Header.Get(headerCostHint); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || n < 0 {
+			return malformed(headerCostHint + " is not a whole number of at least 0")
+		}
+		in.accepted.Hint = fleet.Cost(n)
+	}
+	if v := r.Header.Get(headerDeadline); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 {
+			return malformed(headerDeadline + " is not a duration such as 500ms or 30s")
+		}
+		in.accepted.Deadline = s.cfg.Clock.Now().Add(d)
+	}
+	return nil
+}
+
+// forwarded returns the headers that are passed on to a target.
+func forwarded(h http.Header) http.Header {
+	out := target.EndToEnd(h)
+	out.Del("Authorization")
+	out.Del("Expect")
+	for _, name := range overrides {
+		out.Del(name)
+	}
+	return out
+}
+
+// readBody reads the body as long as it comes fast enough.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, in *incoming) *fleet.Failure {
+	body, err := s.readAll(w, r, in.maxBody)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonBodyTooLarge, Detail: fmt.Sprintf("body has more than %d bytes", in.maxBody)}
+	case isTimeout(err):
+		return &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonSlowCaller, Detail: "the body came too slowly"}
+	case err != nil:
+		return malformed("the body broke off: " + err.Error())
+	}
+	in.request.Body = body
+	in.accepted.Bytes = fleet.ByteSize(len(body) + headerSize(r))
+	in.accepted.Content = contentHash(r.Method, in.request.Path, in.request.Query, body)
+	return nil
+}
+
+func (s *Server) readAll(w http.ResponseWriter, r *http.Request, most fleet.ByteSize) ([]byte, error) {
+	if r.ContentLength > int64(most) {
+		return nil, &http.MaxBytesError{Limit: int64(most)}
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	rc := http.NewResponseController(w)
+	src := &pacedReader{body: http.MaxBytesReader(w, r.Body, int64(most)), rc: rc, start: time.Now(), grace: s.cfg.BodyGrace}
+	body, err := io.ReadAll(src)
+	if err != nil {
+		return nil, err
+	}
+	return body, rc.SetReadDeadline(time.Time{})
+}
+
+// pacedReader gives up on a body that comes more slowly than bodyRate after the grace.
+type pacedReader struct {
+	body  io.Reader
+	rc    *http.ResponseController
+	start time.Time
+	grace time.Duration
+	n     int64
+}
+
+// Read implements io.Reader.
+func (p *pacedReader) Read(b []byte) (int, error) {
+	earned := time.Duration(p.n) * time.Second / bodyRate
+	if err := p.rc.SetReadDeadline(p.start.Add(p.grace + earned)); err != nil {
+		return 0, err
+	}
+	n, err := p.body.Read(b)
+	p.n += int64(n)
+	return n, err
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+func contentHash(method, path, query string, body []byte) fleet.ContentHash {
+	h := sha256.New()
+	// A hash never fails to write.
+	_, _ = fmt.Fprintf(h, "%s %s?%s\n", method, path, query)
+	_, _ = h.Write(body)
+	return fleet.ContentHash(hex.EncodeToString(h.Sum(nil)))
+}
+
+// refuse answers a request that was not handed to the reducer.
+func (s *Server) refuse(w http.ResponseWriter, id fleet.RequestID, reason fleet.Reason, detail string, after time.Duration) {
+	s.refuseFailure(w, id, fleet.Failure{Verdict: fleet.NotRun, Reason: reason, Detail: detail, RetryAfter: after})
+}
+
+func (s *Server) refuseFailure(w http.ResponseWriter, id fleet.RequestID, f fleet.Failure) {
+	s.cfg.Refused(f.Reason)
+	w.Header().Set("Connection", "close")
+	writeFailure(w, id, f)
+}
--- /dev/null
+++ b/router/internal/caller/limits.go
@@ -0,0 +1,70 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// connections counts the open requests of each customer.
+type connections struct {
+	mu   sync.Mutex
+	open map[fleet.CustomerName]int
+}
+
+// enter counts a request, unless the customer has as many open as it may.
+func (c *connections) enter(customer fleet.CustomerName, limit int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[customer] >= limit {
+		return false
+	}
+	c.open[customer]++
+	return true
+}
+
+func (c *connections) leave(customer fleet.CustomerName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[customer]--; c.open[customer] == 0 {
+		delete(c.open, customer)
+	}
+}
+
+// customerOf returns the customer whose key the request carries. It compares with the
+// hashes of all customers in constant time.
+func customerOf(f *fleet.Fleet, r *http.Request) (fleet.CustomerName, bool) {
+	values := r.Header.Values("Authorization")
+	if len(values) != 1 {
+		return "", false
+	}
+	scheme, key, _ := strings.Cut(values[0], " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return "", false
+	}
+	sum := sha256.Sum256([]byte(key))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	var found fleet.CustomerName
+	for name, c := range f.Customers {
+		if subtle.ConstantTimeCompare(hash, []byte(c.KeyHash)) == 1 {
+			found = name
+		}
+	}
+	return found, found != ""
+}
+
+// headerSize returns the bytes of a header as it was sent, nearly.
+func headerSize(r *http.Request) int {
+	n := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/router/internal/caller/server.go
@@ -0,0 +1,160 @@
+// Package caller speaks HTTP to callers: it tells them which hosts to use, takes their
+// requests and streams the answers back.
+package caller
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+	"github.com/fuchsiashed/fuchsiashed/router/internal/target"
+)
+
+// Limits of callers' connections.
+const (
+	// headerTimeout bounds reading a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = time.Minute
+	// maxHeader is the largest header that is taken, in bytes.
+	maxHeader = 32 << 10
+	// parsedHeader is the largest header that is parsed, in bytes.
+	parsedHeader = 256 << 10
+	// writeTimeout bounds the write of one part of an answer.
+	writeTimeout = 10 * time.Second
+	// bodyGrace and bodyRate bound reading a body: the grace, and the bytes a second.
+	bodyGrace = 5 * time.Second
+	bodyRate  = 16 << 10
+)
+
+// Configuration is what a Server needs of package configsync.
+type Configuration interface {
+	Current() (fleet.Confirmed, bool)
+	Hosts() []fleet.HostState
+}
+
+// Poster takes events for the reducer.
+type Poster interface {
+	Post(ev fleet.Event)
+}
+
+// Config configures a Server.
+type Config struct {
+	Host          fleet.HostID
+	Incarnation   fleet.Incarnation
+	Configuration Configuration
+	Events        Poster
+	Targets       *target.Client
+	// Stopping says whether this host leaves the hosts answer.
+	Stopping func() bool
+	// Refused counts a refusal.
+	Refused func(reason fleet.Reason)
+	Clock   fleet.Clock
+	Log     *slog.Logger
+	// WriteTimeout bounds the write of one part of an answer; 0 means the default.
+	WriteTimeout time.Duration
+	// BodyGrace bounds the time before a body's first bytes; 0 means the default.
+	BodyGrace time.Duration
+}
+
+// Server answers callers.
+type Server struct {
+	cfg      Config
+	prefix   string
+	sequence atomic.Uint64
+	rotation atomic.Uint64
+	conns    connections
+
+	mu    sync.Mutex
+	calls map[fleet.RequestID]*call
+}
+
+// New makes a Server.
+func New(cfg Config) *Server {
+	if cfg.WriteTimeout == 0 {
+		cfg.WriteTimeout = writeTimeout
+	}
+	if cfg.BodyGrace == 0 {
+		cfg.BodyGrace = bodyGrace
+	}
+	return &Server{
+		cfg:    cfg,
+		prefix: string(cfg.Host) + "-" + strconv.FormatUint(uint64(cfg.Incarnation), 36) + "-",
+		conns:  connections{open: map[fleet.CustomerName]int{}},
+		calls:  map[fleet.RequestID]*call{},
+	}
+}
+
+// HTTP returns the HTTP server of the callers' address.
+func (s *Server) HTTP() *http.Server {
+	gin.SetMode(gin.ReleaseMode)
+	e := gin.New()
+	e.RedirectTrailingSlash = false
+	e.GET("/v1/hosts", s.hosts)
+	e.NoRoute(s.serve)
+	return &http.Server{
+		Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: parsedHeader,
+		ErrorLog: slog.NewLogLogger(s.cfg.Log.Handler(), slog.LevelDebug),
+	}
+}
+
+// Perform implements engine.Performer for the effects that concern one call.
+func (s *Server) Perform(e fleet.Effect) {
+	id := requestOf(e)
+	s.mu.Lock()
+	c := s.calls[id]
+	s.mu.Unlock()
+	if r, ok := e.(routing.ReleaseSend); ok {
+		s.release(c, r)
+		return
+	}
+	if c != nil {
+		c.commands.put(e)
+	}
+}
+
+func requestOf(e fleet.Effect) fleet.RequestID {
+	switch e := e.(type) {
+	case routing.StartSend:
+		return e.Request
+	case routing.ResumeSend:
+		return e.Request
+	case routing.WaitOn:
+		return e.Request
+	case routing.ReleaseSend:
+		return e.Request
+	case routing.AnswerFailure:
+		return e.Request
+	case routing.AnswerRecorded:
+		return e.Request
+	case routing.AnswerDone:
+		return e.Request
+	}
+	return ""
+}
+
+// release stops an attempt here and at its target.
+func (s *Server) release(c *call, r routing.ReleaseSend) {
+	if c != nil {
+		c.exchange.Abort(r.Attempt)
+	}
+	go func() {
+		confirmed := s.cfg.Targets.Cancel(context.Background(), r.Address, r.Request)
+		s.cfg.Events.Post(routing.AttemptReleased{Request: r.Request, Grant: r.Grant, Confirmed: confirmed})
+	}()
+}
+
+// Running returns how many calls are open.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
--- /dev/null
+++ b/router/internal/control/ledger.go
@@ -0,0 +1,131 @@
+// Package control keeps the ledger of calls that may run once, by the control protocol.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+)
+
+const (
+	// endTimeout bounds one attempt to record the end of a call.
+	endTimeout = 5 * time.Second
+	// endPause is the time between two attempts to record the end of a call.
+	endPause = 500 * time.Millisecond
+	// endLimit bounds all attempts; after it the call stays in doubt in the ledger.
+	endLimit = 10 * time.Minute
+)
+
+// Poster takes events for the reducer.
+type Poster interface {
+	Post(ev fleet.Event)
+}
+
+// LedgerConfig configures a Ledger.
+type LedgerConfig struct {
+	Control fleet.Caller
+	Events  Poster
+	Clock   fleet.Clock
+	Log     *slog.Logger
+}
+
+// Ledger performs the ledger effects of the reducer.
+type Ledger struct {
+	cfg    LedgerConfig
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// begins holds a channel for each begin without a reply; it is closed by the reply.
+	begins map[fleet.RequestID]chan struct{}
+	wg     sync.WaitGroup
+}
+
+// NewLedger makes a Ledger.
+func NewLedger(cfg LedgerConfig) *Ledger {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Ledger{cfg: cfg, ctx: ctx, cancel: cancel, begins: map[fleet.RequestID]chan struct{}{}}
+}
+
+// Stop waits until all ends are recorded or ctx ends.
+func (l *Ledger) Stop(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		l.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	l.cancel()
+}
+
+// Perform implements engine.Performer for LedgerBegin and LedgerEnd.
+func (l *Ledger) Perform(e fleet.Effect) {
+	l.wg.Add(1)
+	switch e := e.(type) {
+	case routing.LedgerBegin:
+		replied := make(chan struct{})
+		l.mu.Lock()
+		l.begins[e.Request] = replied
+		l.mu.Unlock()
+		go l.begin(e, replied)
+	case routing.LedgerEnd:
+		l.mu.Lock()
+		begun := l.begins[e.Request]
+		l.mu.Unlock()
+		go l.end(e, begun)
+	default:
+		l.wg.Done()
+	}
+}
+
+func (l *Ledger) begin(e routing.LedgerBegin, replied chan struct{}) {
+	defer l.wg.Done()
+	ctx, cancel := context.WithTimeout(l.ctx, e.Until.Sub(l.cfg.Clock.Now()))
+	defer cancel()
+	var reply fleet.LedgerBeginReply
+	err := l.cfg.Control.Call(ctx, fleet.MethodLedgerBegin, e.Begin, &reply)
+	if err != nil {
+		l.cfg.Log.Warn("LedgerBeginFailed", "request", string(e.Request), "error", err)
+	}
+	l.mu.Lock()
+	delete(l.begins, e.Request)
+	l.mu.Unlock()
+	close(replied)
+	l.cfg.Events.Post(routing.LedgerBegun{Request: e.Request, Failed: err != nil, Reply: reply})
+}
+
+// end records the end of a call, after its begin has been replied to.
+func (l *Ledger) end(e routing.LedgerEnd, begun <-chan struct{}) {
+	defer l.wg.Done()
+	if begun != nil {
+		<-begun
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, endLimit)
+	defer cancel()
+	for {
+		err := l.endOnce(ctx, e)
+		if err == nil {
+			return
+		}
+		l.cfg.Log.Warn("LedgerEndFailed", "request", string(e.Request), "error", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(endPause):
+		}
+	}
+}
+
+func (l *Ledger) endOnce(ctx context.Context, e routing.LedgerEnd) error {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	var reply fleet.LedgerEndReply
+	return l.cfg.Control.Call(ctx, fleet.MethodLedgerEnd, e.End, &reply)
+}
--- /dev/null
+++ b/router/internal/engine/engine.go
@@ -0,0 +1,136 @@
+// Package engine runs the router's reducer and performs its effects.
+package engine
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+)
+
+// Performer performs effects of one kind. It must not block; it may post events.
+type Performer interface {
+	Perform(e fleet.Effect)
+}
+
+// PerformerFunc is a function that is a Performer.
+type PerformerFunc func(e fleet.Effect)
+
+// Perform implements Performer.
+func (f PerformerFunc) Perform(e fleet.Effect) { f(e) }
+
+// Config configures an Engine.
+type Config struct {
+	Router *routing.Router
+	Clock  fleet.Clock
+	Log    *slog.Logger
+}
+
+// Engine feeds events to the reducer one at a time and performs its effects in
+// order. It is safe for concurrent use.
+type Engine struct {
+	cfg        Config
+	performers map[string]Performer
+
+	mu    sync.Mutex
+	busy  bool
+	queue []func()
+	done  chan struct{}
+	wg    sync.WaitGroup
+}
+
+// New makes an Engine. Handle registers performers before Start.
+func New(cfg Config) *Engine {
+	return &Engine{cfg: cfg, performers: map[string]Performer{}, done: make(chan struct{})}
+}
+
+// Handle registers the performer of the named effects.
+func (e *Engine) Handle(p Performer, names ...string) {
+	for _, n := range names {
+		e.performers[n] = p
+	}
+}
+
+// Start begins to pass the time to the reducer.
+func (e *Engine) Start() {
+	e.wg.Add(1)
+	go e.tick()
+}
+
+// Stop ends the passing of time.
+func (e *Engine) Stop() {
+	close(e.done)
+	e.wg.Wait()
+}
+
+func (e *Engine) tick() {
+	defer e.wg.Done()
+	ticker := time.NewTicker(routing.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.done:
+			return
+		case <-ticker.C:
+			e.Post(routing.Tick{})
+		}
+	}
+}
+
+// Post gives an event to the reducer. It may return before the event is reduced.
+func (e *Engine) Post(ev fleet.Event) {
+	e.run(func() { e.reduce(ev) })
+}
+
+// Inspect calls f while no event is being reduced, and returns after it did.
+func (e *Engine) Inspect(f func(r *routing.Router)) {
+	done := make(chan struct{})
+	e.run(func() {
+		f(e.cfg.Router)
+		close(done)
+	})
+	<-done
+}
+
+// run calls f now, or leaves it to the goroutine that is at work already.
+func (e *Engine) run(f func()) {
+	e.mu.Lock()
+	e.queue = append(e.queue, f)
+	if e.busy {
+		e.mu.Unlock()
+		return
+	}
+	e.busy = true
+	for len(e.queue) > 0 {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		e.mu.Unlock()
+		next()
+		e.mu.Lock()
+	}
+	e.queue = nil
+	e.busy = false
+	e.mu.Unlock()
+}
+
+func (e *Engine) reduce(ev fleet.Event) {
+	for _, eff := range e.cfg.Router.Reduce(e.cfg.Clock.Now(), ev) {
+		e.perform(eff)
+	}
+}
+
+// perform performs an effect, unless it rests on a grant that has lapsed meanwhile.
+func (e *Engine) perform(eff fleet.Effect) {
+	if ex, ok := eff.(fleet.Expiring); ok && !e.cfg.Clock.Now().Before(ex.NotAfter()) {
+		e.Post(fleet.Expired{Effect: ex})
+		return
+	}
+	p := e.performers[eff.EffectName()]
+	if p == nil {
+		e.cfg.Log.Error("EffectUnknown", "effect", eff.EffectName())
+		return
+	}
+	p.Perform(eff)
+}
--- /dev/null
+++ b/router/internal/routercmd/settings.go
@@ -0,0 +1,34 @@
+// Package routercmd wires the router program together.
+package routercmd
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet/program"
+)
+
+// Settings are the settings of a router.
+type Settings struct {
+	Host        program.HostSection
+	Router      RouterSection
+	Control     program.ControlSection
+	Dispatchers DispatchersSection
+}
+
+// RouterSection is the [Router] section.
+type RouterSection struct {
+	// Callers is the address for callers, Targets the one to which targets announce themselves.
+	Callers netip.AddrPort
+	Targets netip.AddrPort
+	// StopLimit bounds a planned stop.
+	StopLimit time.Duration `default:"15m" min:"1s" max:"24h"`
+	// EventLog is a file that records the events of the reducer; empty for none.
+	EventLog string `default:""`
+}
+
+// DispatchersSection is the [Dispatchers] section.
+type DispatchersSection struct {
+	// Addresses lists all dispatchers.
+	Addresses []netip.AddrPort
+}
--- /dev/null
+++ b/router/internal/routercmd/stopper.go
@@ -0,0 +1,61 @@
+package routercmd
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/configsync"
+	"github.com/fuchsiashed/fuchsiashed/fleet/program"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+	"github.com/fuchsiashed/fuchsiashed/router/internal/engine"
+)
+
+// stopper carries out a planned stop: the host leaves the hosts answer, and the
+// listeners close once everything has ended.
+type stopper struct {
+	limit    time.Duration
+	force    program.Force
+	stopping atomic.Bool
+	once     sync.Once
+	drained  chan struct{}
+}
+
+func newStopper(s Settings, force program.Force) *stopper {
+	return &stopper{limit: s.Router.StopLimit, force: force, drained: make(chan struct{})}
+}
+
+// leavesHosts says whether callers are not to be sent here any more.
+func (s *stopper) leavesHosts() bool { return s.stopping.Load() }
+
+// Perform implements engine.Performer for Drained.
+func (s *stopper) Perform(fleet.Effect) { s.once.Do(func() { close(s.drained) }) }
+
+// registerStop makes the planned stop the first thing that is stopped.
+func registerStop(lc fx.Lifecycle, s *stopper, e *engine.Engine, f *configsync.Follower) {
+	lc.Append(fx.StopHook(func(ctx context.Context) { s.stop(ctx, e, f) }))
+}
+
+func (s *stopper) stop(ctx context.Context, e *engine.Engine, f *configsync.Follower) {
+	s.stopping.Store(true)
+	f.Refresh()
+	e.Post(routing.StopRequested{})
+	limit := time.NewTimer(s.limit)
+	defer limit.Stop()
+	select {
+	case <-s.drained:
+		return
+	case <-limit.C:
+	case <-s.force:
+	case <-ctx.Done():
+	}
+	e.Post(routing.StopForced{})
+	select {
+	case <-s.drained:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/router/internal/target/answer.go
@@ -0,0 +1,114 @@
+package target
+
+import (
+	"bytes"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+const (
+	// tailKept is how much of the end of a body is kept to verify it, in bytes.
+	tailKept = 512
+	// streamEnd ends a stream of server-sent events of a model.
+	streamEnd = "data: [DONE]"
+)
+
+var completionTokens = regexp.MustCompile(`"completion_tokens"\s*:\s*(\d+)`)
+
+// answer is what is known of the answer that an exchange passes on.
+type answer struct {
+	// once says that the answer is kept for the ledger.
+	once bool
+	// begun says that the header was passed on.
+	begun       bool
+	status      int
+	contentType string
+	// length is the announced length of the body, or -1.
+	length     int64
+	offset     int64
+	firstToken time.Duration
+	events     bool
+	tokens     fleet.Cost
+	// line holds the beginning of the line at the end of what arrived.
+	line []byte
+	tail []byte
+	kept []byte
+	over bool
+}
+
+// add takes the next part of the body.
+func (a *answer) add(p []byte) {
+	a.offset += int64(len(p))
+	a.tail = append(a.tail, p[max(0, len(p)-tailKept):]...)
+	if n := len(a.tail) - tailKept; n > 0 {
+		a.tail = a.tail[:copy(a.tail, a.tail[n:])]
+	}
+	if a.events {
+		a.count(p)
+	}
+	if !a.once || a.over {
+		return
+	}
+	if a.over = len(a.kept)+len(p) > fleet.MaxRecordedAnswer; a.over {
+		a.kept = nil
+		return
+	}
+	a.kept = append(a.kept, p...)
+}
+
+// lineKept is how much of a line is needed to recognise a data event.
+const lineKept = len(streamEnd)
+
+// count counts the data events, one for each token, except the one that ends the stream.
+func (a *answer) count(p []byte) {
+	for len(p) > 0 {
+		i := bytes.IndexByte(p, '\n')
+		part := p
+		if i >= 0 {
+			part = p[:i]
+		}
+		if room := lineKept - len(a.line); room > 0 {
+			a.line = append(a.line, part[:min(room, len(part))]...)
+		}
+		if i < 0 {
+			return
+		}
+		if bytes.HasPrefix(a.line, []byte("data:")) && string(a.line) != streamEnd {
+			a.tokens++
+		}
+		a.line = a.line[:0]
+		p = p[i+1:]
+	}
+}
+
+// whole says whether a body that ended as framed is complete.
+func (a *answer) whole() bool {
+	if a.length >= 0 && a.offset != a.length {
+		return false
+	}
+	if !a.events {
+		return true
+	}
+	return strings.HasSuffix(strings.TrimRight(string(a.tail), "\r\n"), streamEnd)
+}
+
+// finish counts the tokens of an answer in one piece.
+func (a *answer) finish() {
+	if a.events {
+		return
+	}
+	if m := completionTokens.FindSubmatch(a.tail); m != nil {
+		if n, err := strconv.ParseInt(string(m[1]), 10, 64); err == nil {
+			a.tokens = fleet.Cost(n)
+		}
+	}
+}
+
+// recorded returns the answer as the ledger keeps it.
+func (a *answer) recorded() *fleet.RecordedAnswer {
+	return &fleet.RecordedAnswer{Status: a.status, ContentType: a.contentType, Body: a.kept, Truncated: a.over}
+}
--- /dev/null
+++ b/router/internal/target/exchange.go
@@ -0,0 +1,256 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+)
+
+// Request is a request as it is sent to a target.
+type Request struct {
+	ID     fleet.RequestID
+	Method string
+	// Path is the escaped path below the service's root, Query the raw query.
+	Path  string
+	Query string
+	// Header holds end-to-end headers only.
+	Header   http.Header
+	Body     []byte
+	Protocol fleet.Protocol
+}
+
+// Sink takes the answer of an exchange, and passes it to the caller.
+type Sink interface {
+	// Header takes the status and end-to-end headers. The length is -1 when unknown.
+	Header(status int, h http.Header, length int64) error
+	// Write takes the next part of the body and passes it on at once.
+	Write(p []byte) (int, error)
+	// Progress takes the cost so far, from time to time.
+	Progress(spent fleet.Cost, firstToken time.Duration)
+}
+
+// Exchange sends one request to targets, one attempt after another, and passes the
+// answer to a Sink. Only Abort may be called concurrently.
+type Exchange struct {
+	client *Client
+	req    Request
+	sink   Sink
+
+	start routing.StartSend
+	sent  time.Time
+	// wrote says that a byte of the attempt may have reached the target.
+	wrote bool
+	// waiting is a connection on which the first byte of the answer is awaited.
+	waiting *conn
+	patient bool
+	answer  answer
+
+	// writing is closed when a large body has been written; nil when it was written first.
+	writing chan struct{}
+
+	mu      sync.Mutex
+	current []*conn
+	// aborted is the highest attempt that was aborted.
+	aborted int
+	cancel  context.CancelFunc
+}
+
+// NewExchange makes an Exchange.
+func (c *Client) NewExchange(req Request, sink Sink) *Exchange {
+	return &Exchange{client: c, req: req, sink: sink}
+}
+
+// Start sends the request under a grant and passes the answer on. It returns how the
+// attempt ended.
+func (x *Exchange) Start(s routing.StartSend) routing.AttemptEnded {
+	x.start, x.wrote, x.patient, x.sent = s, false, false, time.Time{}
+	x.answer, x.writing = answer{once: s.Once}, nil
+	ctx, err := x.begin()
+	if err != nil {
+		return x.ended(routing.CauseLapsed, err)
+	}
+	c, err := x.connect(ctx, s)
+	if err != nil {
+		return x.ended(routing.CauseConnect, err)
+	}
+	if !x.client.cfg.Clock.Now().Before(s.Until) {
+		x.drop(c)
+		return x.ended(routing.CauseLapsed, nil)
+	}
+	x.sent = x.client.cfg.Clock.Now()
+	writeErr := x.write(c)
+	if !x.wrote {
+		x.drop(c)
+		return x.ended(routing.CauseConnect, writeErr)
+	}
+	return x.receive(c, x.request(s.Address))
+}
+
+// begin returns the context that Abort ends, unless the attempt was aborted already.
+func (x *Exchange) begin() (context.Context, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.start.Attempt <= x.aborted {
+		return nil, context.Canceled
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	if x.cancel != nil {
+		x.cancel()
+	}
+	x.cancel = cancel
+	return ctx, nil
+}
+
+// Abort closes the connections of an attempt, which then returns.
+func (x *Exchange) Abort(attempt int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.aborted = max(x.aborted, attempt)
+	if x.cancel != nil {
+		x.cancel()
+	}
+	for _, c := range x.current {
+		discard(c)
+	}
+	x.current = nil
+}
+
+// Close releases what the exchange still holds.
+func (x *Exchange) Close() { x.Abort(x.start.Attempt) }
+
+// connect opens a connection. Calls that may run once get one of their own, since a
+// used connection may have been closed or gone silent without a sign of it.
+func (x *Exchange) connect(ctx context.Context, s routing.StartSend) (*conn, error) {
+	if !s.Once {
+		if c := x.client.pool.get(s.Address, x.client.cfg.Clock.Now()); c != nil {
+			c.wrote.Store(0)
+			return c, x.hold(c)
+		}
+	}
+	c, err := dial(ctx, s.Address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return c, x.hold(c)
+}
+
+// hold registers a connection for Abort.
+func (x *Exchange) hold(c *conn) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.start.Attempt <= x.aborted {
+		discard(c)
+		return context.Canceled
+	}
+	x.current = append(x.current, c)
+	return nil
+}
+
+// let forgets a connection without closing it.
+func (x *Exchange) let(c *conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i := range x.current {
+		if x.current[i] == c {
+			x.current = append(x.current[:i], x.current[i+1:]...)
+			return
+		}
+	}
+}
+
+func (x *Exchange) drop(c *conn) {
+	x.let(c)
+	discard(c)
+}
+
+func (x *Exchange) request(addr netip.AddrPort) *http.Request {
+	h := x.req.Header.Clone()
+	h.Set(headerRequestID, string(x.req.ID))
+	if h.Get("User-Agent") == "" {
+		h["User-Agent"] = []string{""}
+	}
+	r := &http.Request{
+		Method: x.req.Method,
+		URL:    &url.URL{Scheme: "http", Host: addr.String(), Opaque: x.req.Path, RawQuery: x.req.Query},
+		Host:   addr.String(), Header: h,
+		ContentLength: int64(len(x.req.Body)), Body: http.NoBody,
+	}
+	if len(x.req.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(x.req.Body))
+	}
+	return r
+}
+
+// inlineBody is the largest body that is written before the answer is read, in bytes.
+const inlineBody = 16 << 10
+
+// write sends the request. A large body is sent while the answer is read already, for
+// a target may answer before it has read all of it.
+func (x *Exchange) write(c *conn) error {
+	until := time.Now().Add(x.start.IdleTimeout)
+	if err := c.SetWriteDeadline(until); err != nil {
+		return err
+	}
+	req := x.request(x.start.Address)
+	if len(x.req.Body) <= inlineBody {
+		err := writeRequest(c, req)
+		x.wrote = c.wrote.Load() > 0
+		return err
+	}
+	x.wrote = true
+	written := make(chan struct{})
+	x.writing = written
+	go func() {
+		defer close(written)
+		if err := writeRequest(c, req); err != nil {
+			// The reader sees the close and reports the end of the attempt.
+			discard(c)
+		}
+	}()
+	return nil
+}
+
+// written says whether the request has been written completely.
+func (x *Exchange) written() bool {
+	if x.writing == nil {
+		return true
+	}
+	select {
+	case <-x.writing:
+		return true
+	default:
+		return false
+	}
+}
+
+// ended describes the end of an attempt.
+func (x *Exchange) ended(cause routing.Cause, err error) routing.AttemptEnded {
+	ev := routing.AttemptEnded{
+		Request: x.req.ID, Attempt: x.start.Attempt, Cause: cause, Wrote: x.wrote,
+		Answered: x.answer.begun, Offset: x.answer.offset, Spent: x.spent(), FirstToken: x.answer.firstToken,
+	}
+	if err != nil {
+		ev.Detail = fmt.Sprintf("target %s: %v", x.start.Target, err)
+	}
+	return ev
+}
+
+// spent returns the cost so far: tokens for a model, milliseconds for a plain service.
+func (x *Exchange) spent() fleet.Cost {
+	if x.req.Protocol == fleet.ProtocolModel {
+		return x.answer.tokens
+	}
+	if x.sent.IsZero() {
+		return 0
+	}
+	return fleet.Cost(x.client.cfg.Clock.Now().Sub(x.sent).Milliseconds())
+}
