--- a/fleet/configsync/configsync.go
+++ b/fleet/configsync/configsync.go
@@ -46,6 +46,7 @@
 	current  fleet.Confirmed
 	notAfter time.Time
 	hosts    []fleet.HostState
+	hostsAt  fleet.Sequence
 }
 
 // New makes a Follower; Start begins to follow.
@@ -121,8 +122,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := f.cfg.Clock.Now()
+	heartbeat := f.cfg.Heartbeat()
+	heartbeat.HostsSeen = f.hostsSeen()
 	var state fleet.StateReply
-	if err := f.cfg.Control.Call(ctx, fleet.MethodState, f.cfg.Heartbeat(), &state); err != nil {
+	if err := f.cfg.Control.Call(ctx, fleet.MethodState, heartbeat, &state); err != nil {
 		return err
 	}
 	next, err := f.resolve(ctx, state)
@@ -136,6 +139,12 @@
 	return nil
 }
 
+func (f *Follower) hostsSeen() fleet.Sequence {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hostsAt
+}
+
 // resolve returns the configuration of the state, fetching its text when it is new.
 func (f *Follower) resolve(ctx context.Context, state fleet.StateReply) (fleet.Confirmed, error) {
 	f.mu.Lock()
@@ -182,7 +191,9 @@
 	changed := next.Version > f.current.Version
 	f.current = next
 	f.notAfter = asked.Add(fleet.ShortenLease(state.Validity))
-	f.hosts = state.Hosts
+	if state.HostsVersion == 0 || state.HostsVersion != f.hostsAt {
+		f.hosts, f.hostsAt = state.Hosts, state.HostsVersion
+	}
 	f.mu.Unlock()
 	if changed {
 		f.cfg.Log.Info("ConfigInForce", "version", uint64(next.Version), "hash", next.Hash)
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -49,6 +49,8 @@
 	Version Version
 	// Stopping says that the process takes no new requests.
 	Stopping bool `json:",omitempty"`
+	// HostsSeen is the newest HostsVersion that the process has the hosts of.
+	HostsSeen Sequence `json:",omitempty"`
 }
 
 // Role is what a process does.
@@ -82,7 +84,10 @@
 	DataCentresOut []DataCentreName `json:",omitempty"`
 	// Leases lists the leases with their epochs.
 	Leases []LeaseState `json:",omitempty"`
-	// Hosts lists the processes heard of within HostForgottenAfter.
+	// HostsVersion grows whenever a process appears, is forgotten, or begins to stop.
+	// Hosts is left out when it equals the request's HostsSeen.
+	HostsVersion Sequence `json:",omitempty"`
+	// Hosts lists the processes heard of lately.
 	Hosts []HostState `json:",omitempty"`
 	// Validity is how long the reply may be relied on, from the moment it was asked for.
 	Validity time.Duration
