Router: request path test with fakes of control, dispatcher and target

Before: nothing ran the whole path. After: TestRequestPath passes a call through, records and replays a call that may run once, and refuses a key used twice.

--- a/fleet/routing/hosts.go
+++ b/fleet/routing/hosts.go
@@ -9,7 +9,7 @@
 )
 
 // HostStaleAfter is the time without a heartbeat after which a host leaves the hosts answer.
-const HostStaleAfter = 3 * time.Second
+const HostStaleAfter = 5 * time.Second
 
 // Host is one entry of the hosts answer.
 type Host struct {
--- /dev/null
+++ b/router/internal/routercmd/path_test.go
@@ -0,0 +1,59 @@
+package routercmd
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func newReader(r io.Reader) *bufio.Reader { return bufio.NewReader(r) }
+
+// plainAnswer answers with a body and the request's id.
+func plainAnswer(body string) script {
+	return func(_ *fakeTarget, c net.Conn, r *http.Request, _ string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nFuchsiashed-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
+			r.Header.Get("Fuchsiashed-Request-Id"), len(body), body)
+	}
+}
+
+func TestRequestPath(t *testing.T) {
+	w := startWorld(t)
+	defer w.end(t)
+	target := newFakeTarget(t, plainAnswer("filed"))
+	w.dispatcher.mu.Lock()
+	w.dispatcher.targets["desk"] = []netip.AddrPort{target.addr}
+	w.dispatcher.mu.Unlock()
+	convey.Convey("A call passes through and its grant is ended", t, func() {
+		a := w.call("GET", "/services/desk/status/7?x=1", "")
+		convey.So(a.err, convey.ShouldBeNil)
+		convey.So(a.status, convey.ShouldEqual, 200)
+		convey.So(a.body, convey.ShouldEqual, "filed")
+		convey.So(a.header.Get("Fuchsiashed-Request-Id"), convey.ShouldNotBeBlank)
+		convey.So(target.saw("GET /status/7?x=1"), convey.ShouldBeTrue)
+		time.Sleep(50 * time.Millisecond)
+		convey.So(fmt.Sprint(w.dispatcher.outcomes()), convey.ShouldEqual, "[Completed]")
+	})
+	convey.Convey("A call that may run once is recorded and replayed", t, func() {
+		before := target.runs()
+		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "k1")
+		convey.So(a.status, convey.ShouldEqual, 200)
+		time.Sleep(50 * time.Millisecond)
+		b := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "k1")
+		convey.So(b.status, convey.ShouldEqual, 200)
+		convey.So(b.body, convey.ShouldEqual, "filed")
+		convey.So(b.header.Get("Fuchsiashed-Replayed"), convey.ShouldEqual, "true")
+		convey.So(target.runs(), convey.ShouldEqual, before+1)
+		c := w.call("POST", "/services/desk/filings", "other form", "Idempotency-Key", "k1")
+		convey.So(c.status, convey.ShouldEqual, 422)
+		d := w.call("POST", "/services/desk/filings", "form")
+		convey.So(d.reason(), convey.ShouldEqual, "IdempotencyKeyRequired")
+		convey.So(d.verdict(), convey.ShouldEqual, "NotRun")
+	})
+}
