Router: answers whole over faults of targets and streams

Before: faults of targets were not tested. After: resets at each phase, short, crossed, repeated, late and missing answers end with a true verdict or the whole answer; broken and silent streams are resumed; callers that leave free their slot.

--- a/fleet/routing/accept.go
+++ b/fleet/routing/accept.go
@@ -52,7 +52,7 @@
 	if !q.Deadline.IsZero() && !now.Before(q.Deadline) {
 		return fleet.ReasonDeadline, 0, "the deadline passed before the request was read"
 	}
-	if r.cutOff(now) && !r.standing.usable(now, q.Service, r) {
+	if r.CutOff(now) && !r.standing.usable(now, q.Service, r) {
 		return fleet.ReasonNoDispatcher, retryAfterQueue, "no dispatcher answers; use another host"
 	}
 	return r.queueFull(q)
@@ -75,7 +75,8 @@
 	if !q.Deadline.IsZero() && q.Deadline.Before(q.deadline) {
 		q.deadline = q.Deadline
 	}
-	q.queueUntil = now.Add(s.QueueTimeout)
+	q.patience = s.QueueTimeout
+	q.queueUntil = now.Add(q.patience)
 	q.idle = s.IdleTimeout
 	q.detach = !q.Idempotent && s.Protocol == fleet.ProtocolPlain
 }
--- a/fleet/routing/attempts.go
+++ b/fleet/routing/attempts.go
@@ -27,6 +27,12 @@
 	}
 }
 
+func (r *Router) answerBegun(ev AnswerBegun) {
+	if q := r.requests[ev.Request]; q != nil {
+		q.answered = true
+	}
+}
+
 // completed ends a request whose whole answer was passed on.
 func (r *Router) completed(now time.Time, q *request, ev AttemptEnded) {
 	a := q.attempt
@@ -87,7 +93,8 @@
 		return
 	}
 	q.mayHaveRun = true
-	if ev.Answered || !q.Idempotent {
+	q.answered = q.answered || ev.Answered
+	if q.answered || !q.Idempotent {
 		r.release(q, fleet.OutcomeBroken)
 		r.fail(now, q, reason, 0, "%s", ev.Detail)
 		return
--- a/fleet/routing/events.go
+++ b/fleet/routing/events.go
@@ -53,6 +53,12 @@
 		Message fleet.DispatcherGrants
 	}
 
+	// AnswerBegun tells that the first part of an answer is about to reach the caller.
+	AnswerBegun struct {
+		Request fleet.RequestID
+		Attempt int
+	}
+
 	// AttemptProgressed tells the cost of a running attempt so far.
 	AttemptProgressed struct {
 		Request    fleet.RequestID
@@ -160,6 +166,9 @@
 // EventName implements fleet.Event.
 func (GrantsReceived) EventName() string { return "GrantsReceived" }
 
+// EventName implements fleet.Event.
+func (AnswerBegun) EventName() string { return "AnswerBegun" }
+
 // EventName implements fleet.Event.
 func (AttemptProgressed) EventName() string { return "AttemptProgressed" }
 
--- a/fleet/routing/grants.go
+++ b/fleet/routing/grants.go
@@ -16,7 +16,8 @@
 	if m.Epoch > r.epoch {
 		r.newEpoch(m.Epoch)
 	}
-	r.contact, r.holder = now, m.Dispatcher
+	r.contact, r.holder, r.active = now, m.Dispatcher, p
+	p.acked = max(p.acked, min(m.Ack, p.sequence))
 	if m.Version > r.config.Version {
 		r.emit(VersionSeen{Version: m.Version})
 	}
@@ -142,6 +143,18 @@
 	r.fail(now, q, ref.Reason, ref.RetryAfter, "%s", ref.Detail)
 }
 
+// withdrawAttempt stops an attempt; a call that may be repeated gets another one.
+func (r *Router) withdrawAttempt(now time.Time, q *request) {
+	q.mayHaveRun = true
+	r.release(q, fleet.OutcomeCancelled)
+	if !q.Idempotent || q.answered {
+		r.fail(now, q, fleet.ReasonSuspectWithdrawn, retryAfterTarget, "the dispatcher withdrew the request from its target")
+		return
+	}
+	q.retryCause, q.retryAfter = fleet.ReasonSuspectWithdrawn, 0
+	r.setState(q, stateReleasing, q.deadline)
+}
+
 // cancelGrant ends an attempt that the dispatcher wants stopped.
 func (r *Router) cancelGrant(now time.Time, id fleet.GrantID) {
 	for _, rid := range r.requestIDs() {
@@ -149,9 +162,7 @@
 		if q.attempt == nil || q.attempt.grant != id {
 			continue
 		}
-		q.mayHaveRun = true
-		r.release(q, fleet.OutcomeCancelled)
-		r.fail(now, q, fleet.ReasonSuspectWithdrawn, retryAfterTarget, "the dispatcher withdrew the request from its target")
+		r.withdrawAttempt(now, q)
 		return
 	}
 }
--- a/fleet/routing/hosts.go
+++ b/fleet/routing/hosts.go
@@ -25,18 +25,12 @@
 }
 
 // ChooseHosts returns the hosts that take requests, in an order that spreads the
-// customers over them; the rotation spreads the callers of one customer.
+// customers over them; the rotation spreads the callers of one customer. Hosts that
+// stop or are cut off are named only when there is no other.
 func ChooseHosts(known []fleet.HostState, out map[fleet.DataCentreName]bool, c fleet.CustomerName, s fleet.ServiceName, rotation uint64) []Host {
-	type ranked struct {
-		Host
-		rank uint64
-	}
-	var list []ranked
-	for _, h := range known {
-		if h.Role != fleet.RoleRouter || h.Stopping || h.Age > HostStaleAfter || out[h.DataCentre] {
-			continue
-		}
-		list = append(list, ranked{Host{h.Address, h.DataCentre}, rank(string(c), string(s), string(h.Host))})
+	list := rankHosts(known, out, c, s, false)
+	if len(list) == 0 {
+		list = rankHosts(known, out, c, s, true)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].rank < list[j].rank })
 	hosts := make([]Host, 0, len(list))
@@ -46,6 +40,22 @@
 	return hosts
 }
 
+type rankedHost struct {
+	Host
+	rank uint64
+}
+
+func rankHosts(known []fleet.HostState, out map[fleet.DataCentreName]bool, c fleet.CustomerName, s fleet.ServiceName, stopping bool) []rankedHost {
+	var list []rankedHost
+	for _, h := range known {
+		if h.Role != fleet.RoleRouter || h.Stopping != stopping || h.Age > HostStaleAfter || out[h.DataCentre] {
+			continue
+		}
+		list = append(list, rankedHost{Host{h.Address, h.DataCentre}, rank(string(c), string(s), string(h.Host))})
+	}
+	return list
+}
+
 func rank(parts ...string) uint64 {
 	h := fnv.New64a()
 	for _, p := range parts {
--- a/fleet/routing/report.go
+++ b/fleet/routing/report.go
@@ -20,6 +20,8 @@
 	dirty    bool
 	sequence fleet.Sequence
 	lastSent time.Time
+	// acked is the newest report that the dispatcher answered.
+	acked fleet.Sequence
 	// sent holds the times of the newest reports, by sequence modulo sentKept.
 	sent    []time.Time
 	pending fleet.RouterReport
@@ -63,6 +65,7 @@
 func (r *Router) dispatcherDown(name Peer) {
 	if p := r.peer(name); p != nil {
 		p.connected = false
+		p.pending = fleet.RouterReport{}
 	}
 }
 
@@ -75,7 +78,7 @@
 // report adds a change to the next report of every dispatcher.
 func (r *Router) report(change func(rep *fleet.RouterReport)) {
 	for _, p := range r.peers {
-		if p.connected && !p.full {
+		if p.connected {
 			change(&p.pending)
 			p.dirty = true
 		}
@@ -121,12 +124,18 @@
 	r.report(func(rep *fleet.RouterReport) { rep.Progress = append(rep.Progress, p) })
 }
 
-func (r *Router) targetAnnounced(a fleet.Announcement) {
+// knownTarget is the newest announcement of a target and when it arrived.
+type knownTarget struct {
+	fleet.Announcement
+	heard time.Time
+}
+
+func (r *Router) targetAnnounced(now time.Time, a fleet.Announcement) {
 	old, known := r.targets[a.Target]
 	if known && (old.Incarnation > a.Incarnation || old.Incarnation == a.Incarnation && old.Sequence >= a.Sequence) {
 		return
 	}
-	r.targets[a.Target] = a
+	r.targets[a.Target] = knownTarget{Announcement: a, heard: now}
 	r.report(func(rep *fleet.RouterReport) { rep.Targets = append(rep.Targets, a) })
 }
 
@@ -146,7 +155,8 @@
 func (r *Router) sendReport(now time.Time, p *peer) {
 	rep := p.pending
 	if p.full {
-		rep = r.fullReport()
+		rep = r.fullReport(now)
+		rep.Ended = p.pending.Ended
 	}
 	p.recordSent(now)
 	rep.Router, rep.Incarnation, rep.DataCentre = r.cfg.Host, r.cfg.Incarnation, r.cfg.DataCentre
@@ -157,7 +167,7 @@
 }
 
 // fullReport lists everything that a dispatcher has to know.
-func (r *Router) fullReport() fleet.RouterReport {
+func (r *Router) fullReport(now time.Time) fleet.RouterReport {
 	var rep fleet.RouterReport
 	for _, id := range r.requestIDs() {
 		q := r.requests[id]
@@ -172,14 +182,28 @@
 		rep.Running = append(rep.Running, a.running())
 	}
 	sort.Slice(rep.Running, func(i, j int) bool { return rep.Running[i].Grant < rep.Running[j].Grant })
-	for _, a := range r.targets {
-		rep.Targets = append(rep.Targets, a)
+	for _, t := range r.targets {
+		if now.Sub(t.heard) <= 2*fleet.AnnounceInterval {
+			rep.Targets = append(rep.Targets, t.Announcement)
+		}
 	}
+	r.forgetTargets(now)
 	sort.Slice(rep.Targets, func(i, j int) bool { return rep.Targets[i].Target < rep.Targets[j].Target })
 	rep.Served = r.servedTotals()
 	return rep
 }
 
+// targetForgottenAfter is how long a silent target is remembered.
+const targetForgottenAfter = time.Minute
+
+func (r *Router) forgetTargets(now time.Time) {
+	for id, t := range r.targets {
+		if now.Sub(t.heard) > targetForgottenAfter {
+			delete(r.targets, id)
+		}
+	}
+}
+
 func (r *Router) requestIDs() []fleet.RequestID {
 	ids := make([]fleet.RequestID, 0, len(r.requests))
 	for id := range r.requests {
--- a/fleet/routing/request.go
+++ b/fleet/routing/request.go
@@ -46,6 +46,7 @@
 	// deadline ends the request, queueUntil its wait for a grant.
 	deadline   time.Time
 	queueUntil time.Time
+	patience   time.Duration
 	idle       time.Duration
 	// detach says that an attempt goes on for the ledger when the caller leaves.
 	detach bool
@@ -60,6 +61,8 @@
 	// recorded says that the ledger granted the call to this request.
 	recorded bool
 	ledger   fleet.AttemptID
+	// answered says that a part of an answer may have reached the caller.
+	answered bool
 	// mayHaveRun says that an earlier attempt may have run.
 	mayHaveRun bool
 	retries    int
--- a/fleet/routing/retry.go
+++ b/fleet/routing/retry.go
@@ -81,16 +81,21 @@
 		r.abandon(q)
 		return
 	}
-	if !at.Before(q.deadline) || !at.Before(q.queueUntil) {
+	if q.answered {
+		r.fail(now, q, reason, 0, "the answer broke off: %s", ev.Detail)
+		return
+	}
+	if !at.Before(q.deadline) {
 		r.fail(now, q, reason, retryAfterTarget, "the target failed and no time is left for another: %s", ev.Detail)
 		return
 	}
-	if !r.budget.take(r.config.Fleet) {
+	if reason != fleet.ReasonSuspectWithdrawn && !r.budget.take(r.config.Fleet) {
 		r.decide(now, q, EventNotRetried, fleet.ReasonRetryBudget, "")
 		r.fail(now, q, reason, retryAfterTarget, "the target failed and the retry budget is spent: %s", ev.Detail)
 		return
 	}
 	q.retries++
+	q.queueUntil = at.Add(q.patience)
 	r.decide(now, q, EventRetried, reason, ev.Detail)
 	r.setState(q, stateBackingOff, at)
 }
--- a/fleet/routing/router.go
+++ b/fleet/routing/router.go
@@ -49,15 +49,19 @@
 	budget   retryBudget
 	attempts fleet.Sequence
 
-	// epoch is the highest lease epoch seen, contact the last message of its holder.
+	// epoch is the highest lease epoch seen; holder, contact and active tell which host
+	// holds the lease, when it answered last, and on which connection.
 	epoch    fleet.Epoch
 	holder   fleet.HostID
 	contact  time.Time
+	active   *peer
 	peers    []*peer
 	standing standingGrants
+	// standingStarts numbers the attempts started on standing grants.
+	standingStarts uint64
 	// releasing holds attempts that are over for the caller but may run on.
 	releasing map[fleet.GrantID]*attempt
-	targets   map[fleet.TargetID]fleet.Announcement
+	targets   map[fleet.TargetID]knownTarget
 	served    map[servedKey]fleet.Cost
 
 	stopping  bool
@@ -79,7 +83,7 @@
 		requests:  map[fleet.RequestID]*request{},
 		waiting:   waitingCount{perCustomer: map[fleet.CustomerName]int{}},
 		releasing: map[fleet.GrantID]*attempt{},
-		targets:   map[fleet.TargetID]fleet.Announcement{},
+		targets:   map[fleet.TargetID]knownTarget{},
 		served:    map[servedKey]fleet.Cost{},
 	}
 	for _, p := range cfg.Dispatchers {
@@ -112,6 +116,8 @@
 		r.reportLost(ev.Peer)
 	case GrantsReceived:
 		r.grantsReceived(now, ev)
+	case AnswerBegun:
+		r.answerBegun(ev)
 	case AttemptProgressed:
 		r.attemptProgressed(ev)
 	case AttemptEnded:
@@ -121,7 +127,7 @@
 	case CallerGone:
 		r.callerGone(now, ev.Request)
 	case TargetAnnounced:
-		r.targetAnnounced(ev.Announcement)
+		r.targetAnnounced(now, ev.Announcement)
 	case ConfigConfirmed:
 		r.configConfirmed(ev)
 	case StopRequested:
--- a/fleet/routing/standing.go
+++ b/fleet/routing/standing.go
@@ -12,8 +12,6 @@
 	fleet.StandingGrant
 	until time.Time
 	used  fleet.Slots
-	// starts numbers the attempts started on it.
-	starts int
 }
 
 // standingGrants are the standing grants of the newest message that set them.
@@ -36,7 +34,7 @@
 // usable says whether a standing grant of a service has not lapsed.
 func (s *standingGrants) usable(now time.Time, service fleet.ServiceName, r *Router) bool {
 	for _, g := range s.grants {
-		if g.Service == service && now.Before(g.until) && r.mayUse(g) {
+		if g.Service == service && now.Before(g.until) && r.mayUse(now, g) {
 			return true
 		}
 	}
@@ -45,17 +43,14 @@
 
 // setStanding replaces the standing grants, or prolongs those that were kept.
 func (r *Router) setStanding(m fleet.DispatcherGrants, until time.Time, current bool) {
-	if !current {
-		return
-	}
-	if !m.StandingSet {
+	if !current || !m.StandingSet {
 		return
 	}
 	var next []*standingGrant
 	for _, g := range m.Standing {
 		old := r.standing.find(g.ID)
 		if old == nil {
-			old = &standingGrant{}
+			old = &standingGrant{used: r.standingUsed(g.ID)}
 		}
 		old.StandingGrant, old.until = g, until
 		next = append(next, old)
@@ -64,42 +59,101 @@
 }
 
 // mayUse says whether the target of a standing grant may get new work.
-func (r *Router) mayUse(g *standingGrant) bool {
+func (r *Router) mayUse(now time.Time, g *standingGrant) bool {
 	t, known := r.targets[g.Target]
 	if !known {
 		return len(r.config.DataCentresOut) == 0
 	}
+	if now.Sub(t.heard) > fleet.TargetMissingAfter {
+		return false
+	}
 	return t.Incarnation == g.Incarnation && t.State == fleet.TargetServing && !r.config.DataCentresOut[t.DataCentre]
 }
 
-// silent says whether the dispatcher has not answered for the contact timeout.
-func (r *Router) silent(now time.Time) bool {
-	return now.Sub(r.contact) >= ContactTimeout
+// silence returns how long the dispatcher has left a report unanswered.
+func (r *Router) silence(now time.Time) time.Duration {
+	p := r.active
+	switch {
+	case p == nil:
+		return CutOffAfter
+	case !p.connected:
+		return now.Sub(r.contact)
+	case p.acked >= p.sequence:
+		return 0
+	}
+	sent, known := p.sentAt(p.acked + 1)
+	if !known {
+		return now.Sub(r.contact)
+	}
+	return now.Sub(sent)
 }
 
-// cutOff says whether the dispatcher has not answered for so long that nothing is to
+// CutOff says whether the dispatcher has not answered for so long that nothing is to
 // be expected of it.
-func (r *Router) cutOff(now time.Time) bool {
-	return now.Sub(r.contact) >= CutOffAfter
-}
+func (r *Router) CutOff(now time.Time) bool { return r.silence(now) >= CutOffAfter }
 
 // useStanding starts waiting requests on standing grants while no dispatcher answers.
 func (r *Router) useStanding(now time.Time) {
-	if !r.silent(now) || len(r.standing.grants) == 0 {
+	if len(r.standing.grants) == 0 || r.silence(now) < ContactTimeout {
 		return
 	}
 	r.compactQueued()
+	for {
+		q, g := r.nextStanding(now)
+		if q == nil {
+			return
+		}
+		r.sendStanding(now, q, g)
+	}
+}
+
+// nextStanding returns the request to be started next on a standing grant: the
+// earliest of the customer with the fewest requests started that way.
+func (r *Router) nextStanding(now time.Time) (*request, *standingGrant) {
+	use := r.standingUse()
+	var best *request
+	var grant *standingGrant
 	for _, id := range r.queued {
 		q := r.requests[id]
+		if q == nil || q.state != stateQueued || best != nil && use[q.Customer] >= use[best.Customer] {
+			continue
+		}
 		if g := r.freeStanding(now, q.Service); g != nil {
-			r.sendStanding(now, q, g)
+			best, grant = q, g
+		}
+	}
+	return best, grant
+}
+
+func (r *Router) standingUse() map[fleet.CustomerName]int {
+	use := map[fleet.CustomerName]int{}
+	for _, q := range r.requests {
+		if q.attempt != nil && q.attempt.standing != "" {
+			use[q.Customer]++
+		}
+	}
+	return use
+}
+
+// standingUsed counts the attempts that use a standing grant.
+func (r *Router) standingUsed(id fleet.GrantID) fleet.Slots {
+	var n fleet.Slots
+	for _, q := range r.requests {
+		if q.attempt != nil && q.attempt.standing == id {
+			n++
+		}
+	}
+	for _, a := range r.releasing {
+		if a.standing == id {
+			n++
 		}
 	}
+	return n
 }
 
 func (r *Router) freeStanding(now time.Time, service fleet.ServiceName) *standingGrant {
 	for _, g := range r.standing.grants {
-		if g.Service == service && g.used < g.Slots && now.Before(g.until) && r.mayUse(g) {
+		if g.Service == service && g.used < g.Slots && now.Before(g.until) && r.mayUse(now, g) {
 			return g
 		}
 	}
@@ -108,9 +162,9 @@
 
 func (r *Router) sendStanding(now time.Time, q *request, g *standingGrant) {
 	g.used++
-	g.starts++
+	r.standingStarts++
 	a := &attempt{
-		grant:    fleet.GrantID(fmt.Sprintf("%s/%d", g.ID, g.starts)),
+		grant:    fleet.GrantID(fmt.Sprintf("%s/%d", g.ID, r.standingStarts)),
 		standing: g.ID, epoch: r.standing.epoch, target: g.Target, incarnation: g.Incarnation,
 		address: g.Address, until: g.until,
 	}
@@ -148,13 +202,13 @@
 	if len(r.queued) > 2*len(r.requests)+queuedSlack {
 		r.compactQueued()
 	}
-	if !r.cutOff(now) || len(r.queued) == 0 {
+	if len(r.queued) == 0 || !r.CutOff(now) {
 		return
 	}
 	r.compactQueued()
 	for _, id := range append([]fleet.RequestID(nil), r.queued...) {
 		q := r.requests[id]
-		if now.Sub(q.accepted) >= CutOffAfter && !r.standing.usable(now, q.Service, r) {
+		if !r.standing.usable(now, q.Service, r) {
 			r.fail(now, q, fleet.ReasonNoDispatcher, retryAfterQueue, "no dispatcher has answered for %s; use another host", CutOffAfter)
 		}
 	}
--- a/router/internal/caller/call.go
+++ b/router/internal/caller/call.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -92,6 +93,11 @@
 
 func (c *call) post(ev routing.AttemptEnded) { c.server.cfg.Events.Post(ev) }
 
+// Begin implements target.Sink.
+func (c *call) Begin() {
+	c.server.cfg.Events.Post(routing.AnswerBegun{Request: c.id, Attempt: c.attempt})
+}
+
 // Header implements target.Sink.
 func (c *call) Header(status int, h http.Header, length int64) error {
 	c.begun = true
@@ -100,10 +106,10 @@
 		out[name] = values
 	}
 	out.Set(headerRequestID, string(c.id))
-	if length >= 0 {
+	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
 		out.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	c.events = len(out.Get("Content-Type")) >= len(eventStream) && out.Get("Content-Type")[:len(eventStream)] == eventStream
+	c.events = strings.HasPrefix(out.Get("Content-Type"), eventStream)
 	c.w.WriteHeader(status)
 	return nil
 }
@@ -125,8 +131,8 @@
 }
 
 func (c *call) write(p []byte) error {
-	if err := c.rc.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout)); err != nil {
-		return errors.Wrap(err, "write to caller")
+	if err := c.allowWrite(); err != nil {
+		return err
 	}
 	if _, err := c.w.Write(p); err != nil {
 		return errors.Wrap(err, "write to caller")
@@ -134,6 +140,11 @@
 	return errors.Wrap(c.rc.Flush(), "write to caller")
 }
 
+// allowWrite gives the caller another write timeout to take what is written next.
+func (c *call) allowWrite() error {
+	return errors.Wrap(c.rc.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout)), "write to caller")
+}
+
 // Progress implements target.Sink.
 func (c *call) Progress(spent fleet.Cost, firstToken time.Duration) {
 	c.server.cfg.Events.Post(routing.AttemptProgressed{Request: c.id, Attempt: c.attempt, Spent: spent, FirstToken: firstToken})
@@ -146,7 +157,9 @@
 		if others := c.server.otherHosts(c.customer, c.service); others != "" && f.RetryAfter > 0 {
 			c.w.Header().Set(headerHosts, others)
 		}
-		writeFailure(c.w, c.id, f)
+		if c.allowWrite() == nil {
+			writeFailure(c.w, c.id, f)
+		}
 		return
 	}
 	if c.events && !c.left {
@@ -159,6 +172,9 @@
 
 // replay ends the call with the answer that the ledger kept.
 func (c *call) replay(a fleet.RecordedAnswer) {
+	if c.allowWrite() != nil {
+		return
+	}
 	h := c.w.Header()
 	if a.ContentType != "" {
 		h.Set("Content-Type", a.ContentType)
--- a/router/internal/caller/handler.go
+++ b/router/internal/caller/handler.go
@@ -24,6 +24,10 @@
 func (s *Server) serve(gc *gin.Context) {
 	w, r := gc.Writer, gc.Request
 	id := fleet.RequestID(s.prefix + strconv.FormatUint(s.sequence.Add(1), 36))
+	if s.cfg.Stopping() {
+		// The caller asks for other hosts before its next request.
+		w.Header().Set("Connection", "close")
+	}
 	in, f := s.admit(id, r)
 	if f != nil {
 		s.refuseFailure(w, id, *f)
@@ -101,7 +105,7 @@
 	}
 	in := &incoming{limit: cfg.Fleet.Policy.ConnectionsPerCustomer, maxBody: cfg.Fleet.Policy.MaxBody}
 	in.accepted = routing.RequestAccepted{
-		Request: id, Customer: customer, Service: service, Random: rand.Uint64(), //nolint:gosec // jitter needs no secrecy
+		Request: id, Customer: customer, Service: service, Random: rand.Uint64(),
 		Idempotent: fleettext.IsIdempotent(svc, r.Method, plain),
 	}
 	in.request = target.Request{
--- a/router/internal/caller/server.go
+++ b/router/internal/caller/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,7 +88,7 @@
 	}
 	return &Server{
 		cfg:    cfg,
-		prefix: string(cfg.Host) + "-" + strconv.FormatUint(uint64(cfg.Incarnation), 36) + "-",
+		prefix: strings.ReplaceAll(string(cfg.Host), "/", "-") + "-" + strconv.FormatUint(uint64(cfg.Incarnation), 36) + "-",
 		conns:  connections{open: map[fleet.CustomerName]int{}},
 		calls:  map[fleet.RequestID]*call{},
 	}
@@ -102,7 +103,8 @@
 	e.NoRoute(s.serve)
 	return &http.Server{
 		Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: parsedHeader,
-		ErrorLog: slog.NewLogLogger(s.cfg.Log.Handler(), slog.LevelDebug),
+		WriteTimeout: s.cfg.WriteTimeout,
+		ErrorLog:     slog.NewLogLogger(s.cfg.Log.Handler(), slog.LevelDebug),
 	}
 }
 
--- a/router/internal/engine/engine.go
+++ b/router/internal/engine/engine.go
@@ -103,16 +103,28 @@
 		return
 	}
 	e.busy = true
-	for len(e.queue) > 0 {
+	e.mu.Unlock()
+	e.work()
+}
+
+// handOver is how many events a goroutine reduces for others before it hands over.
+const handOver = 32
+
+// work empties the queue.
+func (e *Engine) work() {
+	for range handOver {
+		e.mu.Lock()
+		if len(e.queue) == 0 {
+			e.queue, e.busy = nil, false
+			e.mu.Unlock()
+			return
+		}
 		next := e.queue[0]
 		e.queue = e.queue[1:]
 		e.mu.Unlock()
 		next()
-		e.mu.Lock()
 	}
-	e.queue = nil
-	e.busy = false
-	e.mu.Unlock()
+	go e.work()
 }
 
 func (e *Engine) reduce(ev fleet.Event) {
--- /dev/null
+++ b/router/internal/routercmd/faults_test.go
@@ -0,0 +1,217 @@
+package routercmd
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// reset closes a connection so that the peer sees a reset.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+func send(c net.Conn, format string, args ...any) { _, _ = fmt.Fprintf(c, format, args...) }
+
+func idOf(r *http.Request) string { return r.Header.Get("Fuchsiashed-Request-Id") }
+
+func about(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/v1/streams/") }
+
+func notFound(c net.Conn) { send(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n") }
+
+// once performs a fault on the first request, and answers well after it. It knows no streams.
+func once(fault script) script {
+	var mu sync.Mutex
+	done := false
+	well := plainAnswer("filed")
+	return func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+		if about(r) {
+			notFound(c)
+			return
+		}
+		mu.Lock()
+		first := !done
+		done = true
+		mu.Unlock()
+		if first {
+			fault(t, c, r, body)
+			return
+		}
+		well(t, c, r, body)
+	}
+}
+
+// faults are the ways in which a plain target fails a request.
+var faults = []struct {
+	name  string
+	fault script
+	// ran says whether the target may have run the request.
+	ran bool
+	// cut says that a part of the answer reaches the caller before the fault.
+	cut    bool
+	reason fleet.Reason
+}{
+	{"reset before the answer", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) { reset(c) }, true, false, fleet.ReasonTargetReset},
+	{"reset within the header", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+		send(c, "HTTP/1.1 200 OK\r\nContent-Le")
+		time.Sleep(20 * time.Millisecond)
+		reset(c)
+	}, true, false, fleet.ReasonTargetReset},
+	{"closed before the answer", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) { _ = c.Close() }, true, false, fleet.ReasonTargetReset},
+	{"not HTTP", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) { send(c, "hello\r\n\r\n"); _ = c.Close() }, true, false, fleet.ReasonTargetReset},
+	{"short body", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+		send(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfil")
+		_ = c.Close()
+	}, true, true, fleet.ReasonTargetShortAnswer},
+	{"chunks without the last", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+		send(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfil\r\n")
+		_ = c.Close()
+	}, true, true, fleet.ReasonTargetShortAnswer},
+	{"no framing", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+		send(c, "HTTP/1.0 200 OK\r\n\r\nfil")
+		_ = c.Close()
+	}, true, true, fleet.ReasonTargetShortAnswer},
+	{"reset within the body", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+		send(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfil")
+		time.Sleep(20 * time.Millisecond)
+		reset(c)
+	}, true, true, fleet.ReasonTargetReset},
+	{"silent within the body", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+		send(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfil")
+		time.Sleep(time.Second)
+	}, true, true, fleet.ReasonTargetReset},
+	{"answer of another request", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+		send(c, "HTTP/1.1 200 OK\r\nFuchsiashed-Request-Id: other\r\nContent-Length: 5\r\n\r\nother")
+	}, true, false, fleet.ReasonTargetWrongAnswer},
+	{"refused before any work", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+		send(c, "HTTP/1.1 503 Busy\r\nFuchsiashed-Not-Run: true\r\nContent-Length: 0\r\n\r\n")
+	}, false, false, fleet.ReasonTargetRefused},
+}
+
+func TestTargetFaults(t *testing.T) {
+	w := startWorld(t)
+	defer w.end(t)
+	for i, f := range faults {
+		target := newFakeTarget(t, once(f.fault))
+		w.dispatcher.setTargets("desk", target.addr)
+		convey.Convey(f.name+", a call that may be repeated", t, func() {
+			a := w.call("GET", fmt.Sprintf("/services/desk/status/%d", i), "")
+			if f.cut {
+				convey.So(a.err, convey.ShouldNotBeNil)
+				return
+			}
+			convey.So(a.err, convey.ShouldBeNil)
+			convey.So(a.status, convey.ShouldEqual, 200)
+			convey.So(a.body, convey.ShouldEqual, "filed")
+		})
+		target = newFakeTarget(t, once(f.fault))
+		w.dispatcher.setTargets("desk", target.addr)
+		convey.Convey(f.name+", a call that may run once", t, func() {
+			key := fmt.Sprintf("fault-%d", i)
+			a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", key)
+			switch {
+			case f.cut:
+				convey.So(a.err, convey.ShouldNotBeNil)
+			case f.ran:
+				convey.So(a.err, convey.ShouldBeNil)
+				convey.So(a.verdict(), convey.ShouldEqual, "MayHaveRun")
+				convey.So(a.reason(), convey.ShouldEqual, string(f.reason))
+			default:
+				convey.So(a.status, convey.ShouldEqual, 200)
+				return
+			}
+			convey.So(target.runs(), convey.ShouldEqual, 1)
+			time.Sleep(30 * time.Millisecond)
+			b := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", key)
+			convey.So(b.reason(), convey.ShouldEqual, "EarlierRunInDoubt")
+			convey.So(b.verdict(), convey.ShouldEqual, "MayHaveRun")
+			convey.So(target.runs(), convey.ShouldEqual, 1)
+		})
+	}
+}
+
+func (f *fakeDispatcher) setTargets(s fleet.ServiceName, addrs ...netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets[s] = addrs
+}
+
+func TestUnreachableTarget(t *testing.T) {
+	w := startWorld(t)
+	defer w.end(t)
+	w.dispatcher.setTargets("desk", freeAddr(t))
+	convey.Convey("A request that reached no target ends as not run, and its key is free", t, func() {
+		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "k", "Fuchsiashed-Deadline", "500ms")
+		convey.So(a.verdict(), convey.ShouldEqual, "NotRun")
+		convey.So(a.reason(), convey.ShouldEqual, "TargetConnect")
+		convey.So(a.header.Get("Retry-After"), convey.ShouldEqual, "1")
+		target := newFakeTarget(t, plainAnswer("filed"))
+		w.dispatcher.setTargets("desk", target.addr)
+		time.Sleep(50 * time.Millisecond)
+		b := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "k")
+		convey.So(b.status, convey.ShouldEqual, 200)
+	})
+	convey.Convey("A service without targets is refused at once", t, func() {
+		w.dispatcher.setTargets("desk")
+		began := time.Now()
+		a := w.call("GET", "/services/desk/status/1", "")
+		convey.So(a.verdict(), convey.ShouldEqual, "NotRun")
+		convey.So(a.reason(), convey.ShouldEqual, "NoTarget")
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 500*time.Millisecond)
+	})
+}
+
+func TestLateAndRepeatedAnswers(t *testing.T) {
+	w := startWorld(t)
+	defer w.end(t)
+	convey.Convey("An answer later than the idle timeout arrives from a target that resumes nothing", t, func() {
+		target := newFakeTarget(t, once(func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+			time.Sleep(900 * time.Millisecond)
+			plainAnswer("late")(t, c, r, body)
+		}))
+		w.dispatcher.setTargets("desk", target.addr)
+		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "late")
+		convey.So(a.status, convey.ShouldEqual, 200)
+		convey.So(a.body, convey.ShouldEqual, "late")
+		convey.So(target.runs(), convey.ShouldEqual, 1)
+	})
+	convey.Convey("A target that never answers ends at the deadline", t, func() {
+		target := newFakeTarget(t, once(func(*fakeTarget, net.Conn, *http.Request, string) { time.Sleep(2 * time.Second) }))
+		w.dispatcher.setTargets("desk", target.addr)
+		began := time.Now()
+		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "never", "Fuchsiashed-Deadline", "700ms")
+		convey.So(a.reason(), convey.ShouldEqual, "Deadline")
+		convey.So(a.verdict(), convey.ShouldEqual, "MayHaveRun")
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 1500*time.Millisecond)
+	})
+	convey.Convey("A second answer on a connection reaches no other caller", t, func() {
+		target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+			if about(r) {
+				notFound(c)
+				return
+			}
+			answer := plainAnswer("for " + r.URL.Path)
+			answer(t, c, r, body)
+			time.Sleep(2 * time.Millisecond)
+			answer(t, c, r, body)
+		})
+		w.dispatcher.setTargets("desk", target.addr)
+		for i := range 20 {
+			path := fmt.Sprintf("/status/%d", i)
+			a := w.call("GET", "/services/desk"+path, "")
+			convey.So(a.status, convey.ShouldEqual, 200)
+			convey.So(a.body, convey.ShouldEqual, "for "+path)
+			time.Sleep(time.Duration(i%4) * time.Millisecond)
+		}
+	})
+}
--- a/router/internal/routercmd/modules.go
+++ b/router/internal/routercmd/modules.go
@@ -65,6 +65,7 @@
 	f = configsync.New(configsync.Config{
 		Control: c, Clock: clock, Log: log,
 		Heartbeat: func() fleet.StateRequest {
+			st.checkContact(e, clock)
 			cfg, _ := f.Current()
 			return fleet.StateRequest{
 				Host: id.Host, Incarnation: id.incarnation, Role: fleet.RoleRouter, Address: s.Router.Callers.String(),
--- a/router/internal/routercmd/stopper.go
+++ b/router/internal/routercmd/stopper.go
@@ -21,6 +21,7 @@
 	limit    time.Duration
 	force    program.Force
 	stopping atomic.Bool
+	cutOff   atomic.Bool
 	once     sync.Once
 	drained  chan struct{}
 }
@@ -29,8 +30,14 @@
 	return &stopper{limit: s.Router.StopLimit, force: force, drained: make(chan struct{})}
 }
 
-// leavesHosts says whether callers are not to be sent here any more.
-func (s *stopper) leavesHosts() bool { return s.stopping.Load() }
+// leavesHosts says whether callers are not to be sent here, because the host stops or
+// no dispatcher answers it.
+func (s *stopper) leavesHosts() bool { return s.stopping.Load() || s.cutOff.Load() }
+
+// checkContact notes whether a dispatcher answers.
+func (s *stopper) checkContact(e *engine.Engine, clock fleet.Clock) {
+	e.Inspect(func(r *routing.Router) { s.cutOff.Store(r.CutOff(clock.Now())) })
+}
 
 // Perform implements engine.Performer for Drained.
 func (s *stopper) Perform(fleet.Effect) { s.once.Do(func() { close(s.drained) }) }
--- /dev/null
+++ b/router/internal/routercmd/stream_test.go
@@ -0,0 +1,187 @@
+package routercmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+const chat = "/services/drafter/v1/chat/completions"
+
+// engineStream is a stream of a fake model engine, which can be resumed by its id.
+type engineStream struct {
+	body string
+	// breakAt lists the offsets at which the connection breaks, one after another.
+	breakAt []int
+	// silent makes a break a silence instead.
+	silent bool
+	// unknown makes the target forget the stream.
+	unknown bool
+	// pause is the time between two events.
+	pause time.Duration
+
+	mu        sync.Mutex
+	cancelled chan struct{}
+}
+
+func newEngineStream(tokens int) *engineStream {
+	var b strings.Builder
+	for i := range tokens {
+		fmt.Fprintf(&b, "data: {\"token\":%d}\n\n", i)
+	}
+	return &engineStream{body: b.String() + "data: [DONE]\n\n", cancelled: make(chan struct{})}
+}
+
+func (e *engineStream) script(_ *fakeTarget, c net.Conn, r *http.Request, _ string) {
+	offset := 0
+	switch {
+	case r.Method == http.MethodDelete:
+		close(e.cancelled)
+		send(c, "HTTP/1.1 204 No Content\r\n\r\n")
+		return
+	case about(r) && e.unknown:
+		notFound(c)
+		return
+	case about(r):
+		offset, _ = strconv.Atoi(r.URL.Query().Get("Offset"))
+	}
+	send(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nFuchsiashed-Request-Id: %s\r\n\r\n", idOf(r))
+	e.stream(c, offset)
+}
+
+func (e *engineStream) stream(c net.Conn, offset int) {
+	end := len(e.body)
+	e.mu.Lock()
+	broken := len(e.breakAt) > 0
+	if broken {
+		end, e.breakAt = e.breakAt[0], e.breakAt[1:]
+	}
+	e.mu.Unlock()
+	for offset < end {
+		n := min(19, end-offset)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", n, e.body[offset:offset+n]); err != nil {
+			return
+		}
+		offset += n
+		time.Sleep(e.pause)
+	}
+	switch {
+	case broken && e.silent:
+		time.Sleep(time.Second)
+	case broken:
+		time.Sleep(10 * time.Millisecond)
+		reset(c)
+	default:
+		send(c, "0\r\n\r\n")
+	}
+}
+
+func TestStreams(t *testing.T) {
+	w := startWorld(t)
+	defer w.end(t)
+	use := func(e *engineStream) *fakeTarget {
+		target := newFakeTarget(t, e.script)
+		w.dispatcher.setTargets("drafter", target.addr)
+		return target
+	}
+	convey.Convey("A stream that breaks three times is resumed and whole", t, func() {
+		e := newEngineStream(100)
+		e.breakAt = []int{7, 400, 401}
+		target := use(e)
+		a := w.call("POST", chat, `{"stream":true}`)
+		convey.So(a.err, convey.ShouldBeNil)
+		convey.So(a.body == e.body, convey.ShouldBeTrue)
+		convey.So(target.runs(), convey.ShouldEqual, 1)
+	})
+	convey.Convey("A stream that goes silent is resumed on a new connection", t, func() {
+		e := newEngineStream(50)
+		e.breakAt, e.silent = []int{300}, true
+		use(e)
+		a := w.call("POST", chat, `{"stream":true}`)
+		convey.So(a.err, convey.ShouldBeNil)
+		convey.So(a.body == e.body, convey.ShouldBeTrue)
+	})
+	convey.Convey("A stream that breaks before its first byte is resumed", t, func() {
+		e := newEngineStream(50)
+		e.breakAt = []int{0}
+		use(e)
+		a := w.call("POST", chat, `{"stream":true}`)
+		convey.So(a.err, convey.ShouldBeNil)
+		convey.So(a.body == e.body, convey.ShouldBeTrue)
+	})
+	convey.Convey("A stream that cannot be resumed ends with an error event and a cut", t, func() {
+		e := newEngineStream(50)
+		e.breakAt, e.unknown = []int{300}, true
+		use(e)
+		a := w.call("POST", chat, `{"stream":true}`)
+		convey.So(a.err, convey.ShouldNotBeNil)
+		convey.So(strings.HasPrefix(a.body, e.body[:300]), convey.ShouldBeTrue)
+		convey.So(a.body, convey.ShouldContainSubstring, "event: error\ndata: {\"Verdict\":\"MayHaveRun\"")
+		convey.So(a.body, convey.ShouldNotContainSubstring, "[DONE]")
+	})
+	convey.Convey("A stream that ends as framed but without its last event is not whole", t, func() {
+		e := newEngineStream(50)
+		e.body = strings.TrimSuffix(e.body, "data: [DONE]\n\n")
+		e.unknown = true
+		use(e)
+		a := w.call("POST", chat, `{"stream":true}`)
+		convey.So(a.err, convey.ShouldNotBeNil)
+	})
+}
+
+func TestCallerLeaves(t *testing.T) {
+	w := startWorld(t)
+	defer w.end(t)
+	convey.Convey("The stream of a caller that left is cancelled and its slot freed", t, func() {
+		e := newEngineStream(2000)
+		e.pause = 5 * time.Millisecond
+		target := newFakeTarget(t, e.script)
+		w.dispatcher.setTargets("drafter", target.addr)
+		ctx, cancel := context.WithCancel(context.Background())
+		r, err := http.NewRequestWithContext(ctx, "POST", w.url+chat, strings.NewReader(`{"stream":true}`))
+		convey.So(err, convey.ShouldBeNil)
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		resp, err := http.DefaultClient.Do(r)
+		convey.So(err, convey.ShouldBeNil)
+		_, err = io.ReadFull(resp.Body, make([]byte, 100))
+		convey.So(err, convey.ShouldBeNil)
+		cancel()
+		select {
+		case <-e.cancelled:
+		case <-time.After(2 * time.Second):
+			t.Error("the stream was not cancelled")
+		}
+		time.Sleep(100 * time.Millisecond)
+		convey.So(fmt.Sprint(w.dispatcher.outcomes()), convey.ShouldEqual, "[Cancelled]")
+	})
+	convey.Convey("A plain call that may run once goes on for the ledger", t, func() {
+		target := newFakeTarget(t, once(func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+			time.Sleep(200 * time.Millisecond)
+			plainAnswer("filed late")(t, c, r, body)
+		}))
+		w.dispatcher.setTargets("desk", target.addr)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, "POST", w.url+"/services/desk/filings", strings.NewReader("form"))
+		convey.So(err, convey.ShouldBeNil)
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		r.Header.Set("Idempotency-Key", "left")
+		_, err = http.DefaultClient.Do(r)
+		convey.So(err, convey.ShouldNotBeNil)
+		running := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "left")
+		convey.So(running.reason(), convey.ShouldEqual, "StillRunning")
+		time.Sleep(300 * time.Millisecond)
+		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "left")
+		convey.So(a.body, convey.ShouldEqual, "filed late")
+		convey.So(target.runs(), convey.ShouldEqual, 1)
+	})
+}
--- a/router/internal/target/client.go
+++ b/router/internal/target/client.go
@@ -78,7 +78,7 @@
 		return false
 	}
 	discard(resp.Body)
-	return resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusOK
+	return resp.StatusCode == http.StatusNoContent
 }
 
 // streamRequest makes a request about the stream of an earlier request.
--- a/router/internal/target/exchange.go
+++ b/router/internal/target/exchange.go
@@ -30,6 +30,8 @@
 
 // Sink takes the answer of an exchange, and passes it to the caller.
 type Sink interface {
+	// Begin is called before anything of the answer is passed on.
+	Begin()
 	// Header takes the status and end-to-end headers. The length is -1 when unknown.
 	Header(status int, h http.Header, length int64) error
 	// Write takes the next part of the body and passes it on at once.
@@ -124,6 +126,12 @@
 	x.current = nil
 }
 
+func (x *Exchange) isAborted() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.start.Attempt <= x.aborted
+}
+
 // Close releases what the exchange still holds.
 func (x *Exchange) Close() { x.Abort(x.start.Attempt) }
 
@@ -175,6 +183,10 @@
 func (x *Exchange) request(addr netip.AddrPort) *http.Request {
 	h := x.req.Header.Clone()
 	h.Set(headerRequestID, string(x.req.ID))
+	if x.req.Protocol == fleet.ProtocolModel {
+		// Events are counted as they pass, so they must not be compressed.
+		h.Del("Accept-Encoding")
+	}
 	if h.Get("User-Agent") == "" {
 		h["User-Agent"] = []string{""}
 	}
--- a/router/internal/target/receive.go
+++ b/router/internal/target/receive.go
@@ -124,15 +124,22 @@
 	if a.begun {
 		return nil
 	}
+	x.sink.Begin()
+	if x.isAborted() {
+		return errors.New("attempt was ended")
+	}
 	a.status, a.length = resp.StatusCode, resp.ContentLength
 	a.contentType = resp.Header.Get("Content-Type")
 	media, _, err := mime.ParseMediaType(a.contentType)
-	a.events = err == nil && media == "text/event-stream" && x.req.Protocol == fleet.ProtocolModel && resp.StatusCode == http.StatusOK
+	a.events = err == nil && media == "text/event-stream" && resp.Header.Get("Content-Encoding") == "" && x.req.Protocol == fleet.ProtocolModel && resp.StatusCode == http.StatusOK
 	a.firstToken = x.client.cfg.Clock.Now().Sub(x.sent)
 	if x.req.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		a.length = 0
 	}
 	a.begun = true
+	if x.written() {
+		x.req.Body = nil
+	}
 	return x.sink.Header(resp.StatusCode, EndToEnd(resp.Header), resp.ContentLength)
 }
 
@@ -255,7 +262,9 @@
 		x.drop(c)
 		return x.ended(routing.CauseWrong, errors.Errorf("resumed answer belongs to request %s", echo))
 	}
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusPartialContent {
+	// A plain service that knows no streams may answer the path with something else.
+	unnamed := echo == "" && x.req.Protocol != fleet.ProtocolModel
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusPartialContent || unnamed {
 		x.drop(c)
 		return x.ended(routing.CauseUnknownStream, errors.Errorf("target does not resume the answer: %s", resp.Status))
 	}
