Control: replicated log, registry and the control program, first version

Cause: nothing durable stood behind the fleet text, leases and ledger. Now three processes found a quorum, elect a leader, sync log and votes to disk, and answer State, Text, Apply, DataCentre, Lease, LedgerBegin, LedgerEnd, History, Status and Replace. A new quorum is founded only with Bootstrap = true in [Control] of every replica; the incarnations of all hosts are exchanged first, so a storage that is lost later is not taken for a founder.

--- /dev/null
+++ b/control/internal/controlcmd/controlcmd.go
@@ -0,0 +1,120 @@
+// Package controlcmd builds the fuchsiashed-control program.
+package controlcmd
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/pkg/errors"
+	"go.uber.org/fx"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
+	"github.com/fuchsiashed/fuchsiashed/fleet/program"
+	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+
+	"github.com/fuchsiashed/fuchsiashed/control/internal/clients"
+	"github.com/fuchsiashed/fuchsiashed/control/internal/disk"
+	"github.com/fuchsiashed/fuchsiashed/control/internal/replicas"
+	"github.com/fuchsiashed/fuchsiashed/control/internal/shell"
+)
+
+const example = `  fuchsiashed-control --settings control-1.ini
+  fuchsiashed-control --settings control-1.ini --check`
+
+// Main runs the program and returns its exit code.
+func Main(io *iostreams.IOStreams, args []string) int {
+	var cfg settingsFile
+	return program.Main(program.Spec{
+		Name:     "fuchsiashed-control",
+		Summary:  "fuchsiashed-control runs one replica of the control quorum.",
+		Example:  example,
+		Settings: &cfg,
+		Identity: func() program.Identity {
+			return program.Identity{Host: cfg.Host.Host, DataCentre: cfg.Host.DataCentre}
+		},
+		Modules: func() fx.Option { return modules(&cfg) },
+	}, io, args)
+}
+
+func modules(cfg *settingsFile) fx.Option {
+	return fx.Options(
+		fx.Supply(cfg),
+		fx.Provide(
+			func() *rpc.Traffic { return &rpc.Traffic{} },
+			newStorage,
+			newTransport,
+			newShell,
+			newServer,
+		),
+		fx.Invoke(publishTraffic, serveAdmin, func(*rpc.Server) {}),
+	)
+}
+
+func newStorage(lc fx.Lifecycle, cfg *settingsFile, log *slog.Logger) (fleet.Storage, error) {
+	l, err := disk.Open(cfg.Control.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	if l.Cut > 0 {
+		log.Warn("TornTailCut", "bytes", l.Cut)
+	}
+	lc.Append(fx.StopHook(l.Close))
+	return l, nil
+}
+
+func newTransport(lc fx.Lifecycle, cfg *settingsFile, traffic *rpc.Traffic, log *slog.Logger) *replicas.Transport {
+	t := replicas.New(replicas.Config{
+		Addresses: cfg.Replicas.others(cfg.Host.Host), Traffic: traffic, Log: log,
+	})
+	lc.Append(fx.StartStopHook(t.Start, t.Stop))
+	return t
+}
+
+func newShell(lc fx.Lifecycle, cfg *settingsFile, storage fleet.Storage, t *replicas.Transport, clock fleet.Clock,
+	log *slog.Logger, down fx.Shutdowner,
+) (*shell.Shell, error) {
+	if _, isReplica := cfg.Replicas.find(cfg.Host.Host); !isReplica {
+		return nil, errors.Errorf("host %q is not among the Members of [Replicas]", cfg.Host.Host)
+	}
+	s, err := shell.New(shell.Config{
+		Quorum: quorum.Config{
+			Host:            cfg.Host.Host,
+			Incarnation:     fleet.Incarnation(time.Now().UnixNano()),
+			Hosts:           cfg.Replicas.hosts(),
+			Bootstrap:       cfg.Control.Bootstrap,
+			SnapshotEntries: cfg.Control.SnapshotEntries,
+		},
+		Storage: storage, Sender: t, Clock: clock, Log: log,
+		SyncEach: cfg.Control.Sync == syncEach,
+		Failed: func(error) {
+			// The log has the error; a shutdown that has begun already needs no second.
+			_ = down.Shutdown(fx.ExitCode(program.ExitError))
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.StartStopHook(s.Start, s.Stop))
+	return s, nil
+}
+
+func newServer(lc fx.Lifecycle, cfg *settingsFile, s *shell.Shell, traffic *rpc.Traffic, log *slog.Logger) *rpc.Server {
+	srv := rpc.NewServer(rpc.ServerConfig{
+		Address: cfg.Control.Listen, Handler: &clients.Handler{Replica: s}, Traffic: traffic, Log: log,
+	})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return srv.Start() },
+		OnStop:  func(context.Context) error { srv.Stop(); return nil },
+	})
+	return srv
+}
+
+func serveAdmin(lc fx.Lifecycle, cfg *settingsFile, s *shell.Shell) {
+	program.ServeAdmin(lc, cfg.Host.Admin, func(r gin.IRouter) {
+		r.GET(fleet.PathStatus, func(c *gin.Context) { c.JSON(200, processStatus(cfg, s)) })
+	})
+}
--- /dev/null
+++ b/control/internal/shell/counters.go
@@ -0,0 +1,66 @@
+package shell
+
+import (
+	"expvar"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
+)
+
+var (
+	counters = expvar.NewMap("Control")
+	refusals = expvar.NewMap("ControlRefusals")
+)
+
+func count(reason string) { refusals.Add(reason, 1) }
+
+// countAnswer counts answers, and refusals by their reason.
+func countAnswer(a registry.Answer) {
+	counters.Add("Answers", 1)
+	if a.Failure != nil {
+		countFailure(a.Failure)
+		return
+	}
+	switch r := a.Reply.(type) {
+	case *fleet.ChangeReply:
+		countChange(r)
+	case *fleet.LeaseReply:
+		if !r.Granted {
+			count("LeaseNotGranted")
+		}
+	case *fleet.LedgerBeginReply:
+		if r.State != fleet.LedgerGranted {
+			count("Ledger" + string(r.State))
+		}
+	case *fleet.LedgerEndReply:
+		if !r.Recorded {
+			count("LedgerEndNotRecorded")
+		}
+	case *fleet.ReplaceReply:
+		if !r.Accepted {
+			count("ReplaceInvalid")
+		}
+	}
+}
+
+func countFailure(f *registry.Failure) {
+	switch f.Code {
+	case fleet.CodeNotLeader:
+		count("NotLeader")
+	case fleet.CodeUnavailable:
+		count("Unavailable")
+	default:
+		count("Invalid")
+	}
+}
+
+func countChange(r *fleet.ChangeReply) {
+	switch {
+	case r.Conflict != nil:
+		count("ChangeConflict")
+	case r.Invalid != "":
+		count("ChangeInvalid")
+	case r.Accepted:
+		counters.Add("ChangesAccepted", 1)
+	}
+}
--- /dev/null
+++ b/control/internal/shell/shell.go
@@ -0,0 +1,247 @@
+// Package shell runs the reducer of a control replica: it feeds it events one at a
+// time and performs the effects that it returns.
+package shell
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
+	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
+)
+
+// eventQueue is how many events wait for the reducer.
+const eventQueue = 1024
+
+// Sender sends messages to other replicas.
+type Sender interface {
+	// Send queues a message; it may be lost.
+	Send(m quorum.Message)
+}
+
+// Config configures a Shell.
+type Config struct {
+	Quorum  quorum.Config
+	Storage fleet.Storage
+	Sender  Sender
+	Clock   fleet.Clock
+	Log     *slog.Logger
+	// SyncEach syncs every record by itself rather than all that wait together.
+	SyncEach bool
+	// Failed is called once when the storage fails; the replica must end then.
+	Failed func(error)
+}
+
+// ErrStopped is returned for requests to a replica that has stopped.
+var ErrStopped = errors.New("the replica has stopped")
+
+// Shell runs one replica.
+type Shell struct {
+	cfg    Config
+	server *registry.Server
+	events chan fleet.Event
+	writer *writer
+	stop   chan struct{}
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex
+	calls map[registry.CallID]chan registry.Answer
+	last  registry.CallID
+}
+
+// inspect is a shell event that calls a function between two events of the reducer.
+type inspect func(*registry.Server)
+
+// EventName implements fleet.Event.
+func (inspect) EventName() string { return "Inspect" }
+
+// New restores a replica from its storage; Start runs it.
+func New(cfg Config) (*Shell, error) {
+	records, err := load(cfg.Storage)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Quorum.Records = records
+	server, err := registry.NewServer(cfg.Clock.Now(), cfg.Quorum)
+	if err != nil {
+		return nil, err
+	}
+	s := &Shell{
+		cfg: cfg, server: server,
+		events: make(chan fleet.Event, eventQueue),
+		stop:   make(chan struct{}),
+		calls:  map[registry.CallID]chan registry.Answer{},
+	}
+	s.writer = newWriter(cfg.Storage, cfg.SyncEach, s.written)
+	return s, nil
+}
+
+func load(storage fleet.Storage) ([]quorum.Record, error) {
+	raw, err := storage.Records()
+	if err != nil {
+		return nil, err
+	}
+	records := make([]quorum.Record, len(raw))
+	for i := range raw {
+		if records[i], err = quorum.DecodeRecord(raw[i]); err != nil {
+			return nil, errors.Wrapf(err, "record %d of the storage", i)
+		}
+	}
+	return records, nil
+}
+
+// Start runs the replica until Stop.
+func (s *Shell) Start() {
+	s.wg.Add(3)
+	go s.run()
+	go s.tick()
+	go s.write()
+}
+
+// Stop ends the replica. Requests that wait get ErrStopped.
+func (s *Shell) Stop() {
+	close(s.stop)
+	s.writer.close()
+	s.wg.Wait()
+}
+
+// Ask implements clients.Replica.
+func (s *Shell) Ask(ctx context.Context, r registry.Request) (registry.Answer, error) {
+	id, ch := s.newCall()
+	defer s.dropCall(id)
+	if !s.post(registry.Asked{ID: id, Request: r}) {
+		return registry.Answer{}, ErrStopped
+	}
+	select {
+	case a := <-ch:
+		return a, nil
+	case <-ctx.Done():
+		return registry.Answer{}, errors.Wrap(ctx.Err(), "wait for the replica")
+	case <-s.stop:
+		return registry.Answer{}, ErrStopped
+	}
+}
+
+// Deliver implements clients.Replica.
+func (s *Shell) Deliver(m quorum.Message) { s.post(quorum.Received{Message: m}) }
+
+// Inspect calls f between two events and returns when it has ended.
+func (s *Shell) Inspect(f func(*registry.Server)) {
+	done := make(chan struct{})
+	if !s.post(inspect(func(server *registry.Server) { f(server); close(done) })) {
+		return
+	}
+	select {
+	case <-done:
+	case <-s.stop:
+	}
+}
+
+// post queues an event and says whether the replica still runs.
+func (s *Shell) post(ev fleet.Event) bool {
+	select {
+	case s.events <- ev:
+		return true
+	case <-s.stop:
+		return false
+	}
+}
+
+func (s *Shell) run() {
+	defer s.wg.Done()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case ev := <-s.events:
+			s.handle(ev)
+		}
+	}
+}
+
+func (s *Shell) handle(ev fleet.Event) {
+	if f, ok := ev.(inspect); ok {
+		f(s.server)
+		return
+	}
+	for _, e := range s.server.Reduce(s.cfg.Clock.Now(), ev) {
+		s.perform(e)
+	}
+}
+
+// perform performs one effect. One that rests on a lease is given back when the clock
+// says that it came too late, as after the process was frozen.
+func (s *Shell) perform(e fleet.Effect) {
+	if x, ok := e.(fleet.Expiring); ok && !s.cfg.Clock.Now().Before(x.NotAfter()) {
+		count("LeaseEnded")
+		s.handle(fleet.Expired{Effect: x})
+		return
+	}
+	switch e := e.(type) {
+	case quorum.Send:
+		s.cfg.Sender.Send(e.Message)
+	case quorum.Write:
+		s.writer.add(e)
+	case quorum.StandingChanged:
+		s.cfg.Log.Info("StandingChanged", "standing", string(e.Standing), "term", uint64(e.Term), "leader", string(e.Leader))
+	case registry.Answer:
+		s.deliver(e)
+	case registry.LeasedAnswer:
+		s.deliver(e.Answer)
+	}
+}
+
+func (s *Shell) tick() {
+	defer s.wg.Done()
+	ticker := time.NewTicker(quorum.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+			s.post(quorum.Tick{Random: rand.Uint64()})
+		}
+	}
+}
+
+func (s *Shell) write() {
+	defer s.wg.Done()
+	if err := s.writer.run(); err != nil {
+		s.cfg.Log.Error("StorageFailed", "error", err)
+		s.cfg.Failed(err)
+	}
+}
+
+func (s *Shell) written(seq fleet.Sequence) { s.post(quorum.Written{Sequence: seq}) }
+
+func (s *Shell) newCall() (registry.CallID, chan registry.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	ch := make(chan registry.Answer, 1)
+	s.calls[s.last] = ch
+	return s.last, ch
+}
+
+func (s *Shell) dropCall(id registry.CallID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, id)
+}
+
+func (s *Shell) deliver(a registry.Answer) {
+	countAnswer(a)
+	s.mu.Lock()
+	ch := s.calls[a.ID]
+	s.mu.Unlock()
+	if ch != nil {
+		ch <- a
+	}
+}
--- /dev/null
+++ b/control/internal/shell/writer.go
@@ -0,0 +1,115 @@
+package shell
+
+import (
+	"sync"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
+)
+
+// writer makes Writes durable in order. All that wait go into one sync, unless each
+// record is to be synced by itself.
+type writer struct {
+	storage fleet.Storage
+	each    bool
+	done    func(fleet.Sequence)
+
+	mu      sync.Mutex
+	cond    *sync.Cond
+	waiting []quorum.Write
+	closed  bool
+}
+
+func newWriter(storage fleet.Storage, each bool, done func(fleet.Sequence)) *writer {
+	w := &writer{storage: storage, each: each, done: done}
+	w.cond = sync.NewCond(&w.mu)
+	return w
+}
+
+// add queues a Write.
+func (w *writer) add(e quorum.Write) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting = append(w.waiting, e)
+	w.cond.Signal()
+}
+
+// close ends run.
+func (w *writer) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	w.cond.Signal()
+}
+
+// run writes until close or the first error. After an error nothing is known of what
+// the disk holds, so the replica must not go on.
+func (w *writer) run() error {
+	for {
+		batch := w.next()
+		if batch == nil {
+			return nil
+		}
+		if err := w.write(batch); err != nil {
+			return err
+		}
+		w.done(batch[len(batch)-1].Sequence)
+	}
+}
+
+// next waits for Writes and returns all of them, or nil after close.
+func (w *writer) next() []quorum.Write {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for len(w.waiting) == 0 && !w.closed {
+		w.cond.Wait()
+	}
+	if w.closed {
+		return nil
+	}
+	batch := w.waiting
+	w.waiting = nil
+	return batch
+}
+
+func (w *writer) write(batch []quorum.Write) error {
+	for _, e := range batch {
+		if err := w.append(e); err != nil {
+			return err
+		}
+	}
+	counters.Add("Syncs", 1)
+	return w.storage.Sync()
+}
+
+func (w *writer) append(e quorum.Write) error {
+	raw := make([][]byte, len(e.Records))
+	for i := range e.Records {
+		var err error
+		if raw[i], err = quorum.EncodeRecord(&e.Records[i]); err != nil {
+			return err
+		}
+	}
+	counters.Add("Records", int64(len(raw)))
+	if e.Replace {
+		counters.Add("Rewrites", 1)
+		return w.storage.Replace(raw...)
+	}
+	if !w.each {
+		return w.storage.Append(raw...)
+	}
+	for i := range raw {
+		if err := w.appendSynced(raw[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *writer) appendSynced(record []byte) error {
+	if err := w.storage.Append(record); err != nil {
+		return err
+	}
+	counters.Add("Syncs", 1)
+	return w.storage.Sync()
+}
--- /dev/null
+++ b/fleet/quorum/status.go
@@ -0,0 +1,39 @@
+package quorum
+
+import "github.com/fuchsiashed/fuchsiashed/fleet"
+
+// Standing returns what the replica is at the moment.
+func (r *Replica) Standing() Standing {
+	switch {
+	case r.leading:
+		return Leader
+	case !r.isVoter():
+		return Learner
+	case r.campaign.active:
+		return Candidate
+	}
+	return Follower
+}
+
+// KnownLeader returns the leader that the replica follows, or "".
+func (r *Replica) KnownLeader() fleet.HostID { return r.leader }
+
+// Status returns the replica's view of the quorum.
+func (r *Replica) Status() fleet.StatusReply {
+	s := fleet.StatusReply{
+		Host: r.identity.Host, Incarnation: r.identity.Incarnation,
+		Standing: string(r.Standing()), Leader: r.leader, Term: r.vote.Term,
+		Last: r.log.last(), Commit: r.commit, Snapshot: r.log.snapshot.Index,
+	}
+	for _, m := range r.members() {
+		state := fleet.MemberState{Host: m.Host, Incarnation: m.Incarnation, Voter: m.Voter}
+		switch {
+		case r.isSelf(m):
+			state.Match = r.storage.index
+		case r.leading:
+			state.Match = r.progressOf(m).match
+		}
+		s.Members = append(s.Members, state)
+	}
+	return s
+}
--- /dev/null
+++ b/fleet/registry/command.go
@@ -0,0 +1,95 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// LogTime is the time that has passed under active leaders since the log began.
+type LogTime time.Duration
+
+// Command is one change of the State; exactly one of its pointers is set.
+type Command struct {
+	// At is the proposer's wall clock, for the history.
+	At time.Time
+	// Now is the log time at the proposer.
+	Now     LogTime
+	Text    *TextCommand              `json:",omitempty"`
+	Centre  *fleet.DataCentreRequest  `json:",omitempty"`
+	Lease   *LeaseCommand             `json:",omitempty"`
+	Begin   *fleet.LedgerBeginRequest `json:",omitempty"`
+	End     *fleet.LedgerEndRequest   `json:",omitempty"`
+	Abandon *AbandonCommand           `json:",omitempty"`
+	Expire  *ExpireCommand            `json:",omitempty"`
+}
+
+// TextCommand proposes a fleet text that the proposer has parsed.
+type TextCommand struct {
+	fleet.ApplyRequest
+	// DataCentres lists the data centres of the text.
+	DataCentres []fleet.DataCentreName
+	// Retention is how long the text wants ends of ledger calls to be kept.
+	Retention time.Duration
+}
+
+// LeaseCommand gives a lease to a holder, or gives it up when Holder is empty. It has
+// no effect unless the lease's epoch is still Epoch.
+type LeaseCommand struct {
+	Name        fleet.LeaseName
+	Epoch       fleet.Epoch
+	Holder      fleet.HostID
+	Incarnation fleet.Incarnation
+	Duration    time.Duration
+}
+
+// AbandonCommand closes the running calls of a router's incarnations up to one that
+// is known to be gone: nobody will report their ends.
+type AbandonCommand struct {
+	Router      fleet.HostID
+	Incarnation fleet.Incarnation
+}
+
+// ExpireCommand drops the records of calls that ended before a log time.
+type ExpireCommand struct {
+	Before LogTime
+	// Most bounds how many are dropped at once.
+	Most int
+}
+
+var (
+	encoding = must(encodingOptions().EncMode())
+	decoding = must(cbor.DecOptions{MaxArrayElements: maxDecoded, MaxMapPairs: maxDecoded}.DecMode())
+)
+
+// maxDecoded bounds the arrays and maps of one snapshot.
+const maxDecoded = 64 << 20
+
+func encodingOptions() cbor.EncOptions {
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeRFC3339NanoUTC
+	return opts
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// Encode returns the command as CBOR.
+func (c *Command) Encode() ([]byte, error) {
+	data, err := encoding.Marshal(c)
+	return data, errors.Wrap(err, "encode command")
+}
+
+// DecodeCommand parses a command.
+func DecodeCommand(data []byte) (Command, error) {
+	var c Command
+	err := decoding.Unmarshal(data, &c)
+	return c, errors.Wrap(err, "decode command")
+}
--- /dev/null
+++ b/fleet/registry/snapshot.go
@@ -0,0 +1,80 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// snapshotData is the encoded form of a State.
+type snapshotData struct {
+	State stateData
+	// Calls lists the calls of the ledger, the running ones by key, then the ended
+	// ones in the order of their ends.
+	Calls []*call
+}
+
+// Snapshot implements quorum.StateMachine.
+func (s *State) Snapshot() []byte {
+	return must(encoding.Marshal(snapshotData{State: s.data, Calls: s.ledger.list()}))
+}
+
+// Restore implements quorum.StateMachine.
+func (s *State) Restore(snapshot []byte) error {
+	var d snapshotData
+	if err := decoding.Unmarshal(snapshot, &d); err != nil {
+		return errors.Wrap(err, "decode snapshot")
+	}
+	s.reset()
+	operations, leases := s.data.Operations, s.data.Leases
+	s.data = d.State
+	if s.data.Operations == nil {
+		s.data.Operations = operations
+	}
+	if s.data.Leases == nil {
+		s.data.Leases = leases
+	}
+	for _, c := range d.Calls {
+		s.ledger.put(c)
+	}
+	return nil
+}
+
+// list returns all calls in the order that restores the ledger.
+func (l *ledger) list() []*call {
+	calls := make([]*call, 0, len(l.calls))
+	for _, host := range sortedHosts(l.running) {
+		for _, key := range sortedKeys(l.running[host]) {
+			calls = append(calls, l.calls[key])
+		}
+	}
+	for _, e := range l.ended {
+		if c := l.calls[e.key]; c != nil && c.State != callRunning && c.Index == e.index {
+			calls = append(calls, c)
+		}
+	}
+	return calls
+}
+
+func sortedHosts(m map[fleet.HostID]map[fleet.LedgerKey]bool) []fleet.HostID {
+	hosts := make([]fleet.HostID, 0, len(m))
+	for h := range m {
+		hosts = append(hosts, h)
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+func sortedKeys(m map[fleet.LedgerKey]bool) []fleet.LedgerKey {
+	keys := make([]fleet.LedgerKey, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b fleet.LedgerKey) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Key, b.Key))
+	})
+	return keys
+}
--- /dev/null
+++ b/fleet/registry/state.go
@@ -0,0 +1,135 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
+)
+
+// Bounds of what the state keeps.
+const (
+	maxChanges    = 1000
+	maxTexts      = 16
+	maxOperations = 4096
+)
+
+// DefaultRetention is how long the end of a ledger call is kept before a fleet text
+// says so.
+const DefaultRetention = 24 * time.Hour
+
+// State is the durable state of the fleet. It implements quorum.StateMachine.
+type State struct {
+	data   stateData
+	ledger ledger
+}
+
+// stateData is what a snapshot holds besides the ledger.
+type stateData struct {
+	Now         LogTime
+	Index       fleet.Index
+	Version     fleet.Version
+	Hash        string
+	Out         []fleet.DataCentreName
+	DataCentres []fleet.DataCentreName
+	Retention   time.Duration
+	// Texts holds the newest texts, oldest first.
+	Texts []keptText
+	// Changes holds the newest accepted changes, oldest first.
+	Changes []fleet.Change
+	// Operations holds the newest results of operations, Order their age.
+	Operations map[fleet.OperationID]operation
+	Order      []fleet.OperationID
+	Leases     map[fleet.LeaseName]lease
+}
+
+// keptText is the text and data centres in force from a version on.
+type keptText struct {
+	Version fleet.Version
+	Hash    string
+	Text    string
+}
+
+// operation is the first result of an operation.
+type operation struct {
+	// Content identifies what was asked for.
+	Content uint64
+	Reply   fleet.ChangeReply
+}
+
+// lease is a lease as the log has it.
+type lease struct {
+	Holder      fleet.HostID
+	Incarnation fleet.Incarnation
+	Epoch       fleet.Epoch
+	Duration    time.Duration
+}
+
+// NewState makes an empty state.
+func NewState() *State {
+	s := &State{}
+	s.reset()
+	return s
+}
+
+// Version returns the version of the accepted configuration.
+func (s *State) Version() fleet.Version { return s.data.Version }
+
+func (s *State) reset() {
+	s.data = stateData{
+		Retention:  DefaultRetention,
+		Operations: map[fleet.OperationID]operation{},
+		Leases:     map[fleet.LeaseName]lease{},
+	}
+	s.ledger = newLedger()
+}
+
+// Apply implements quorum.StateMachine. The result is a fleet.ChangeReply, a
+// fleet.LeaseState, a fleet.LedgerBeginReply, a fleet.LedgerEndReply or nil.
+func (s *State) Apply(index fleet.Index, command []byte) any {
+	c, err := DecodeCommand(command)
+	if !invariant.Check(err == nil, "CommandDecoded", "entry %d: %v", index, err) {
+		return nil
+	}
+	if !invariant.Check(index > s.data.Index, "AppliedInOrder", "entry %d after entry %d", index, s.data.Index) {
+		return nil
+	}
+	s.data.Index = index
+	s.data.Now = max(s.data.Now, c.Now)
+	return s.execute(&c)
+}
+
+func (s *State) execute(c *Command) any {
+	switch {
+	case c.Text != nil:
+		return s.applyText(c)
+	case c.Centre != nil:
+		return s.applyDataCentre(c)
+	case c.Lease != nil:
+		return s.applyLease(c.Lease)
+	case c.Begin != nil:
+		return s.ledger.begin(c.Begin)
+	case c.End != nil:
+		return s.ledger.end(c.End, s.moment())
+	case c.Abandon != nil:
+		s.ledger.abandon(c.Abandon, s.moment())
+	case c.Expire != nil:
+		s.ledger.expire(c.Expire)
+	}
+	return nil
+}
+
+// applyLease exchanges the holder; the proposer has waited out the former one.
+func (s *State) applyLease(c *LeaseCommand) fleet.LeaseState {
+	l := s.data.Leases[c.Name]
+	if l.Epoch == c.Epoch {
+		if c.Holder != "" {
+			l.Epoch++
+		}
+		l.Holder, l.Incarnation, l.Duration = c.Holder, c.Incarnation, c.Duration
+		s.data.Leases[c.Name] = l
+	}
+	return fleet.LeaseState{Name: c.Name, Holder: l.Holder, Epoch: l.Epoch}
+}
+
+func (s *State) moment() moment { return moment{index: s.data.Index, now: s.data.Now} }
--- /dev/null
+++ b/fleet/registry/text.go
@@ -0,0 +1,153 @@
+package registry
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/fleettext"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
+)
+
+// Kinds of changes in the history.
+const (
+	kindApply = "Apply"
+	kindOut   = "DataCentreOut"
+	kindIn    = "DataCentreIn"
+)
+
+// change is a compare-and-set of the configuration.
+type change struct {
+	operation fleet.OperationID
+	content   uint64
+	base      fleet.Version
+	operator  string
+	kind      string
+	subject   string
+	// invalid returns why the change is not allowed, make performs it.
+	invalid func() string
+	make    func()
+}
+
+func (s *State) applyText(c *Command) fleet.ChangeReply {
+	t := c.Text
+	return s.change(c.At, change{
+		operation: t.Operation, content: textContent(&t.ApplyRequest), base: t.Base,
+		operator: t.Operator, kind: kindApply,
+		invalid: func() string { return "" },
+		make:    func() { s.adoptText(t) },
+	})
+}
+
+func (s *State) adoptText(t *TextCommand) {
+	s.data.Hash = fleettext.Hash(t.Text)
+	s.data.DataCentres = t.DataCentres
+	s.data.Retention = t.Retention
+	s.data.Out = slices.DeleteFunc(slices.Clone(s.data.Out), func(n fleet.DataCentreName) bool {
+		return !slices.Contains(t.DataCentres, n)
+	})
+	s.data.Texts = append(s.data.Texts, keptText{Version: s.data.Version, Hash: s.data.Hash, Text: t.Text})
+	if n := len(s.data.Texts); n > maxTexts {
+		s.data.Texts = slices.Clone(s.data.Texts[n-maxTexts:])
+	}
+}
+
+func (s *State) applyDataCentre(c *Command) fleet.ChangeReply {
+	d := c.Centre
+	kind := kindIn
+	if d.Out {
+		kind = kindOut
+	}
+	return s.change(c.At, change{
+		operation: d.Operation, content: dataCentreContent(d), base: d.Base,
+		operator: d.Operator, kind: kind, subject: string(d.DataCentre),
+		invalid: func() string { return s.invalidDataCentre(d) },
+		make:    func() { s.setDataCentre(d) },
+	})
+}
+
+func (s *State) invalidDataCentre(d *fleet.DataCentreRequest) string {
+	switch {
+	case !slices.Contains(s.data.DataCentres, d.DataCentre):
+		return fmt.Sprintf("data centre %q does not exist in the fleet text", d.DataCentre)
+	case d.Out == slices.Contains(s.data.Out, d.DataCentre) && d.Out:
+		return fmt.Sprintf("data centre %q is out of service already", d.DataCentre)
+	case d.Out == slices.Contains(s.data.Out, d.DataCentre):
+		return fmt.Sprintf("data centre %q is in service already", d.DataCentre)
+	}
+	return ""
+}
+
+func (s *State) setDataCentre(d *fleet.DataCentreRequest) {
+	out := slices.DeleteFunc(slices.Clone(s.data.Out), func(n fleet.DataCentreName) bool { return n == d.DataCentre })
+	if d.Out {
+		out = append(out, d.DataCentre)
+		slices.Sort(out)
+	}
+	s.data.Out = out
+}
+
+// change makes a change unless its operation has a result already, its base is not
+// the current version, or it is not allowed.
+func (s *State) change(at time.Time, c change) fleet.ChangeReply {
+	if reply, known := s.operationReply(c.operation, c.content); known {
+		return reply
+	}
+	reply := fleet.ChangeReply{Version: s.data.Version}
+	if c.base != s.data.Version {
+		reply.Conflict = &fleet.Conflict{Base: c.base, Current: s.data.Version}
+		return s.remember(c, reply)
+	}
+	if reply.Invalid = c.invalid(); reply.Invalid != "" {
+		return s.remember(c, reply)
+	}
+	s.data.Version++
+	reply.Accepted, reply.Version = true, s.data.Version
+	c.make()
+	s.data.Changes = append(s.data.Changes, fleet.Change{
+		Version: s.data.Version, Operation: c.operation, Operator: c.operator,
+		Kind: c.kind, Subject: c.subject, At: at,
+	})
+	if n := len(s.data.Changes); n > maxChanges {
+		s.data.Changes = slices.Clone(s.data.Changes[n-maxChanges:])
+	}
+	return s.remember(c, reply)
+}
+
+// operationReply returns the first result of an operation. Its id must not be used
+// for anything else.
+func (s *State) operationReply(id fleet.OperationID, content uint64) (fleet.ChangeReply, bool) {
+	op, known := s.data.Operations[id]
+	if known && op.Content != content {
+		return fleet.ChangeReply{
+			Version: s.data.Version,
+			Invalid: fmt.Sprintf("operation %q was used for another change", id),
+		}, true
+	}
+	return op.Reply, known
+}
+
+func (s *State) remember(c change, reply fleet.ChangeReply) fleet.ChangeReply {
+	_, known := s.data.Operations[c.operation]
+	if !invariant.Check(!known, "OneResultPerOperation", "operation %q got a second result", c.operation) {
+		return reply
+	}
+	s.data.Operations[c.operation] = operation{Content: c.content, Reply: reply}
+	s.data.Order = append(s.data.Order, c.operation)
+	if n := len(s.data.Order); n > maxOperations {
+		delete(s.data.Operations, s.data.Order[0])
+		s.data.Order = slices.Clone(s.data.Order[1:])
+	}
+	return reply
+}
+
+func textContent(r *fleet.ApplyRequest) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s %d %s", kindApply, r.Base, r.Text))
+}
+
+func dataCentreContent(r *fleet.DataCentreRequest) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("DataCentre %d %s %t", r.Base, r.DataCentre, r.Out))
+}
