Stand-in targets: model engine, plain service, announcements, and the verb call

Cause: the demo and the tests need targets with known answers and known faults. An answer is a function of the request alone, so that a caller can check every byte. Before: no target existed.

--- /dev/null
+++ b/standin/internal/app/app.go
@@ -0,0 +1,175 @@
+// Package app is the stand-in program: a target, or a caller that sends requests.
+package app
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"go.uber.org/fx"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
+	"github.com/fuchsiashed/fuchsiashed/fleet/program"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/engine"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/fault"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/record"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/router"
+)
+
+const example = `  # run a stand-in target
+  fuchsiashed-standin --settings engine-1.ini
+
+  # send one request like a caller
+  fuchsiashed-standin call --help`
+
+const (
+	// exitCrashed is the exit code after a crash by fault or request.
+	exitCrashed = 9
+	// drainPoll is the time between two looks at whether all work has ended.
+	drainPoll = 20 * time.Millisecond
+	// headerTimeout bounds reading a request header.
+	headerTimeout = 5 * time.Second
+)
+
+// Main runs the program with the arguments of the command line and returns its exit code.
+func Main(io *iostreams.IOStreams, args []string) int {
+	if len(args) > 0 && args[0] == "call" {
+		return callMain(io, args[1:])
+	}
+	var cfg Settings
+	return program.Main(program.Spec{
+		Name:     "fuchsiashed-standin",
+		Summary:  "A stand-in target: a model engine or a plain service.",
+		Example:  example,
+		Settings: &cfg,
+		Identity: func() program.Identity {
+			return program.Identity{Host: fleet.HostID(cfg.Target.Target), DataCentre: cfg.Target.DataCentre}
+		},
+		Modules: func() fx.Option { return Modules(cfg) },
+	}, io, args)
+}
+
+// Modules returns the fx options of a stand-in target.
+func Modules(cfg Settings) fx.Option {
+	return fx.Options(
+		fx.Supply(cfg, &fault.State{}),
+		fx.Provide(newRecord, newEngine, newTarget, newAnnouncer),
+		fx.Invoke(serve),
+	)
+}
+
+func newRecord(lc fx.Lifecycle, cfg Settings) (*record.Record, error) {
+	rec, err := record.Open(cfg.Target.Record)
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return rec.Close() }})
+	return rec, nil
+}
+
+func newEngine(cfg Settings, clock fleet.Clock, rec *record.Record, faults *fault.State, log *slog.Logger) *engine.Engine {
+	return engine.New(engine.Config{
+		Clock: clock, Record: rec, Faults: faults, Slots: cfg.Target.Slots, ColdSlots: cfg.Target.ColdSlots,
+		WarmAfter: cfg.Target.WarmAfter, ColdFailure: cfg.Target.ColdFailure, Crash: crash(log),
+	})
+}
+
+// crash returns a function that ends the process like a failure would.
+func crash(log *slog.Logger) func(string) {
+	return func(why string) {
+		log.Error("Crash", "reason", why)
+		os.Exit(exitCrashed)
+	}
+}
+
+// target is what the stand-in announces of itself.
+type target struct {
+	cfg         TargetSection
+	engine      *engine.Engine
+	faults      *fault.State
+	incarnation fleet.Incarnation
+	sequence    atomic.Uint64
+	stopping    atomic.Bool
+}
+
+func newTarget(cfg Settings, clock fleet.Clock, e *engine.Engine, faults *fault.State) *target {
+	return &target{cfg: cfg.Target, engine: e, faults: faults, incarnation: fleet.Incarnation(clock.Now().UnixNano())}
+}
+
+func (t *target) announcement() (fleet.Announcement, bool) {
+	if t.faults.Is(fault.Freeze) {
+		return fleet.Announcement{}, false
+	}
+	state := fleet.TargetServing
+	if t.stopping.Load() || t.faults.Is(fault.Leave) {
+		state = fleet.TargetLeaving
+	}
+	return fleet.Announcement{
+		Target: t.cfg.Target, Incarnation: t.incarnation, Sequence: fleet.Sequence(t.sequence.Add(1)),
+		Service: t.cfg.Service, DataCentre: t.cfg.DataCentre, Address: t.cfg.Listen, Slots: t.cfg.Slots,
+		State: state, Running: t.engine.Running(), Prefixes: t.engine.Prefixes(),
+	}, true
+}
+
+func newAnnouncer(cfg Settings, t *target, log *slog.Logger) *router.Announcer {
+	return router.NewAnnouncer(router.Config{Routers: cfg.Routers.Announce, Announcement: t.announcement, Log: log})
+}
+
+type serveParams struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Settings  Settings
+	Clock     fleet.Clock
+	Engine    *engine.Engine
+	Faults    *fault.State
+	Record    *record.Record
+	Target    *target
+	Announcer *router.Announcer
+	Log       *slog.Logger
+}
+
+func serve(p serveParams) {
+	gin.SetMode(gin.ReleaseMode)
+	r := gin.New()
+	s := p.Settings.Target
+	router.NewHandler(router.HandlerConfig{
+		Clock: p.Clock, Protocol: s.Protocol, Engine: p.Engine, Faults: p.Faults, Record: p.Record,
+		FirstToken: s.FirstToken, TokenInterval: s.TokenInterval, ServiceTime: s.ServiceTime, Crash: crash(p.Log),
+		Ordered: func(o fault.Order) {
+			p.Log.Info("FaultOrdered", "fault", string(o.Fault), "count", o.Count, "phase", string(o.Phase))
+			p.Announcer.Now()
+		},
+	}).Register(r)
+	program.ServeHTTP(p.Lifecycle, s.Listen, &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout})
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			p.Announcer.Start()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			leave(ctx, p)
+			p.Announcer.Stop()
+			return nil
+		},
+	})
+}
+
+// leave announces that the target leaves and waits until it runs nothing, at least
+// for as long as routers may still send it work.
+func leave(ctx context.Context, p serveParams) {
+	p.Target.stopping.Store(true)
+	p.Announcer.Now()
+	for end := p.Clock.Now().Add(fleet.TargetMissingAfter); p.Clock.Now().Before(end) || len(p.Engine.Running()) > 0; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(drainPoll):
+		}
+	}
+}
--- /dev/null
+++ b/standin/internal/caller/hosts.go
@@ -0,0 +1,173 @@
+// Package caller sends requests to the fleet like one of its callers: it asks any
+// host for the addresses to use and sends the request to one of them.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// Host is one address that a caller may use.
+type Host struct {
+	Address    netip.AddrPort
+	DataCentre fleet.DataCentreName
+}
+
+// Hosts is the answer to which hosts to use.
+type Hosts struct {
+	Hosts        []Host
+	ValidSeconds float64
+}
+
+// Check implements fleet.Checker.
+func (h *Hosts) Check() error {
+	if len(h.Hosts) == 0 {
+		return errors.New("Hosts is empty; no host takes requests")
+	}
+	return nil
+}
+
+// maxAnswer is the largest answer in bytes that a caller reads.
+const maxAnswer = 64 << 20
+
+// AskHosts asks the given addresses in turn for the hosts to use.
+func AskHosts(ctx context.Context, client *http.Client, entry []netip.AddrPort, customer fleet.CustomerName, service fleet.ServiceName) (Hosts, error) {
+	var last error
+	for _, addr := range entry {
+		hosts, err := askHost(ctx, client, addr, customer, service)
+		if err == nil {
+			return hosts, nil
+		}
+		last = err
+	}
+	return Hosts{}, errors.Wrapf(last, "none of %d hosts told which hosts to use", len(entry))
+}
+
+func askHost(ctx context.Context, client *http.Client, addr netip.AddrPort, customer fleet.CustomerName, service fleet.ServiceName) (Hosts, error) {
+	var hosts Hosts
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	q := url.Values{"Customer": {string(customer)}, "Service": {string(service)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/hosts?%s", addr, q.Encode()), nil)
+	if err != nil {
+		return hosts, errors.Wrap(err, "make request")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return hosts, errors.Wrapf(err, "ask %s for hosts", addr)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return hosts, errors.Wrapf(err, "read hosts from %s", addr)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return hosts, errors.Errorf("host %s answered %s: %s", addr, resp.Status, raw)
+	}
+	if err := fleet.Decode(raw, &hosts); err != nil {
+		return hosts, err
+	}
+	return hosts, nil
+}
+
+// Request is a request to a service.
+type Request struct {
+	Customer fleet.CustomerName
+	// Key is the customer's bearer key.
+	Key     string
+	Service fleet.ServiceName
+	Method  string
+	// Path is the path below the service's root.
+	Path string
+	Body []byte
+	// IdempotencyKey is set on calls that run at most once.
+	IdempotencyKey fleet.IdempotencyKey
+	// Hint is a rough estimate of the cost; 0 for none.
+	Hint fleet.Cost
+}
+
+// Answer is the answer to a request.
+type Answer struct {
+	Status    int
+	RequestID fleet.RequestID
+	Body      []byte
+	// Failure is set when the system failed the request.
+	Failure *Failure
+	// FirstByte and Whole are the times until the first byte and the end of the answer.
+	FirstByte time.Duration
+	Whole     time.Duration
+}
+
+// Failure is the body of a failed request.
+type Failure struct {
+	Verdict           fleet.Verdict
+	Reason            fleet.Reason
+	Detail            string
+	RequestID         fleet.RequestID `json:"RequestId"`
+	RetryAfterSeconds float64
+}
+
+// Headers of requests and answers.
+const (
+	headerRequestID = "Fuchsiashed-Request-Id"
+	headerVerdict   = "Fuchsiashed-Verdict"
+	headerCostHint  = "Fuchsiashed-Cost-Hint"
+)
+
+// Send sends a request to a host. An error means that no answer came or that it
+// ended early; what did come is returned with it.
+func Send(ctx context.Context, client *http.Client, host netip.AddrPort, r Request) (Answer, error) {
+	var a Answer
+	req, err := r.http(ctx, host)
+	if err != nil {
+		return a, err
+	}
+	start := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return a, errors.Wrapf(err, "send request to %s", host)
+	}
+	defer resp.Body.Close()
+	a.Status, a.RequestID = resp.StatusCode, fleet.RequestID(resp.Header.Get(headerRequestID))
+	err = a.read(resp.Body, start)
+	a.Whole = time.Since(start)
+	if resp.Header.Get(headerVerdict) != "" {
+		a.Failure = &Failure{}
+		if jsonErr := json.Unmarshal(a.Body, a.Failure); jsonErr != nil {
+			return a, errors.Wrap(jsonErr, "decode failure")
+		}
+		return a, nil
+	}
+	if f := streamFailure(a.Body); f != nil {
+		a.Failure = f
+		return a, nil
+	}
+	return a, errors.Wrap(err, "read answer")
+}
+
+func (r Request) http(ctx context.Context, host netip.AddrPort) (*http.Request, error) {
+	u := fmt.Sprintf("http://%s/services/%s%s", host, r.Service, r.Path)
+	req, err := http.NewRequestWithContext(ctx, r.Method, u, bodyOf(r.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Authorization", "Bearer "+r.Key)
+	req.Header.Set("Content-Type", "application/json")
+	if r.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", string(r.IdempotencyKey))
+	}
+	if r.Hint > 0 {
+		req.Header.Set(headerCostHint, fmt.Sprint(r.Hint))
+	}
+	return req, nil
+}
--- /dev/null
+++ b/standin/internal/caller/read.go
@@ -0,0 +1,57 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// errorEvent starts the last event of a stream that failed.
+var errorEvent = []byte("event: error\n")
+
+func bodyOf(body []byte) io.Reader {
+	if body == nil {
+		return nil
+	}
+	return bytes.NewReader(body)
+}
+
+// read reads the answer to its end.
+func (a *Answer) read(body io.Reader, start time.Time) error {
+	buf := make([]byte, 16<<10)
+	for len(a.Body) < maxAnswer {
+		n, err := body.Read(buf)
+		if n > 0 && a.FirstByte == 0 {
+			a.FirstByte = time.Since(start)
+		}
+		a.Body = append(a.Body, buf[:n]...)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return errors.Errorf("answer is larger than %d bytes", maxAnswer)
+}
+
+// streamFailure returns the failure with which a stream ended, or nil.
+func streamFailure(body []byte) *Failure {
+	i := bytes.LastIndex(body, errorEvent)
+	if i < 0 || i > 0 && body[i-1] != '\n' {
+		return nil
+	}
+	_, data, ok := bytes.Cut(body[i:], []byte("data: "))
+	if !ok {
+		return nil
+	}
+	data, _, _ = bytes.Cut(data, []byte("\n"))
+	var f Failure
+	if json.Unmarshal(data, &f) != nil {
+		return nil
+	}
+	return &f
+}
--- /dev/null
+++ b/standin/internal/record/record.go
@@ -0,0 +1,113 @@
+// Package record keeps what a stand-in target ran. With a file, the record
+// outlives a crash of the process.
+package record
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// Run is one run of a request on the target.
+type Run struct {
+	RequestID   fleet.RequestID `json:"RequestId"`
+	Key         fleet.IdempotencyKey
+	ContentHash fleet.ContentHash
+	Started     time.Time
+	// Ended is zero until the run ended, and for good if the target crashed.
+	Ended time.Time
+}
+
+// Record is the list of all runs. It is safe for concurrent use.
+type Record struct {
+	mu   sync.Mutex
+	runs []Run
+	file *os.File
+}
+
+// line is an entry of the file: run number N started or ended.
+type line struct {
+	N   int
+	Run Run
+}
+
+// Open returns the record kept in the file at path, or an empty one in memory when
+// path is empty.
+func Open(path string) (*Record, error) {
+	r := &Record{}
+	if path == "" {
+		return r, nil
+	}
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "open record")
+	}
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		var l line
+		if json.Unmarshal(lines.Bytes(), &l) != nil {
+			// The last line is incomplete when the process was killed while writing it.
+			continue
+		}
+		r.set(l)
+	}
+	r.file = f
+	return r, nil
+}
+
+func (r *Record) set(l line) {
+	for len(r.runs) <= l.N {
+		r.runs = append(r.runs, Run{})
+	}
+	r.runs[l.N] = l.Run
+}
+
+// Start adds a run and returns its number. The run counts from here on.
+func (r *Record) Start(run Run) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.runs)
+	return n, r.write(line{N: n, Run: run})
+}
+
+// End sets the end of a run.
+func (r *Record) End(n int, at time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run := r.runs[n]
+	run.Ended = at
+	return r.write(line{N: n, Run: run})
+}
+
+func (r *Record) write(l line) error {
+	r.set(l)
+	if r.file == nil {
+		return nil
+	}
+	raw, err := json.Marshal(l)
+	if err != nil {
+		return errors.Wrap(err, "encode run")
+	}
+	_, err = r.file.Write(append(raw, '\n'))
+	return errors.Wrap(err, "write record")
+}
+
+// Runs returns all runs so far.
+func (r *Record) Runs() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run{}, r.runs...)
+}
+
+// Close closes the file.
+func (r *Record) Close() error {
+	if r.file == nil {
+		return nil
+	}
+	return errors.Wrap(r.file.Close(), "close record")
+}
--- /dev/null
+++ b/standin/internal/router/model.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gin-gonic/gin"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/answer"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/engine"
+)
+
+const eventStream = "text/event-stream"
+
+// complete runs a chat completion: one part per token, streamed or whole at the end.
+func (h *Handler) complete(c *gin.Context) {
+	body, ok := readBody(c)
+	if !ok {
+		return
+	}
+	req, err := answer.ParseCompletion(body)
+	if err != nil {
+		c.String(http.StatusBadRequest, "%v\n", err)
+		return
+	}
+	job := engine.Job{
+		Prefix:     prefixOf(req.Prompt()),
+		FirstDelay: h.cfg.FirstToken,
+		Delay:      h.cfg.TokenInterval,
+		Parts:      req.Tokens(),
+	}
+	if req.Stream {
+		h.start(c, body, streamed(job, req), reply{contentType: eventStream, streamed: true})
+		return
+	}
+	h.start(c, body, unary(job, req), reply{contentType: "application/json"})
+}
+
+func streamed(job engine.Job, req answer.Completion) engine.Job {
+	last := job.Parts - 1
+	job.Size = len(req.StreamBody())
+	job.Part = func(i int) string {
+		if i == last {
+			return req.Event(i) + answer.Done
+		}
+		return req.Event(i)
+	}
+	return job
+}
+
+func unary(job engine.Job, req answer.Completion) engine.Job {
+	last := job.Parts - 1
+	whole := req.UnaryBody()
+	job.Size = len(whole)
+	job.Part = func(i int) string {
+		if i == last {
+			return whole
+		}
+		return ""
+	}
+	return job
+}
+
+// prefixOf returns the hash of the leading part of a prompt.
+func prefixOf(prompt string) fleet.PrefixHash {
+	return fleet.PrefixHash(xxhash.Sum64String(prompt[:min(len(prompt), prefixLength)]))
+}
