Operators' command line, example fleet texts and the demo script

Cause: operators need to apply a text, take data centres out and see what happens. The verbs are one package each and take their dependencies from a factory, so that they run without a network. After: both example texts pass `fuchsiashed fleet check`; formatter, linter and vet are clean.

--- /dev/null
+++ b/cli/internal/control/control.go
@@ -0,0 +1,106 @@
+// Package control speaks to the control replicas for the operators' commands.
+package control
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+)
+
+// operatorHost is the host name under which the command line asks for the state.
+const operatorHost fleet.HostID = "operator"
+
+// Replica is one control replica, asked directly.
+type Replica struct {
+	Address netip.AddrPort
+	Caller  fleet.Caller
+}
+
+// Client calls control. Caller finds the leader and resends until it answers.
+type Client struct {
+	Caller   fleet.Caller
+	Replicas []Replica
+}
+
+// call adds to an error what the operator can do next.
+func (c *Client) call(ctx context.Context, method string, params, reply any) error {
+	err := c.Caller.Call(ctx, method, params, reply)
+	var e *rpc.Error
+	if err == nil || errors.As(err, &e) && e.Code == fleet.CodeInvalid {
+		return err
+	}
+	return errors.Wrapf(err, "control at %s gave no answer; see `fuchsiashed control status` and check --control", c.addresses())
+}
+
+func (c *Client) addresses() string {
+	list := make([]string, len(c.Replicas))
+	for i, r := range c.Replicas {
+		list[i] = r.Address.String()
+	}
+	return strings.Join(list, ",")
+}
+
+// State returns the state that the quorum confirmed.
+func (c *Client) State(ctx context.Context) (fleet.StateReply, error) {
+	var reply fleet.StateReply
+	err := c.call(ctx, fleet.MethodState, fleet.StateRequest{Host: operatorHost, Role: fleet.RoleOperator}, &reply)
+	return reply, err
+}
+
+// Text returns the fleet text of a version; 0 means the newest.
+func (c *Client) Text(ctx context.Context, v fleet.Version) (fleet.TextReply, error) {
+	var reply fleet.TextReply
+	err := c.call(ctx, fleet.MethodText, fleet.TextRequest{Version: v}, &reply)
+	return reply, err
+}
+
+// Apply proposes a fleet text.
+func (c *Client) Apply(ctx context.Context, r fleet.ApplyRequest) (fleet.ChangeReply, error) {
+	var reply fleet.ChangeReply
+	err := c.call(ctx, fleet.MethodApply, r, &reply)
+	return reply, c.unanswered(err, r.Operation)
+}
+
+// DataCentre takes a data centre out or brings it back.
+func (c *Client) DataCentre(ctx context.Context, r fleet.DataCentreRequest) (fleet.ChangeReply, error) {
+	var reply fleet.ChangeReply
+	err := c.call(ctx, fleet.MethodDataCentre, r, &reply)
+	return reply, c.unanswered(err, r.Operation)
+}
+
+// Replace admits a replica that came back with an empty disk.
+func (c *Client) Replace(ctx context.Context, r fleet.ReplaceRequest) (fleet.ReplaceReply, error) {
+	var reply fleet.ReplaceReply
+	err := c.call(ctx, fleet.MethodReplace, r, &reply)
+	return reply, c.unanswered(err, r.Operation)
+}
+
+// unanswered tells how to repeat a change whose answer was lost.
+func (c *Client) unanswered(err error, op fleet.OperationID) error {
+	return errors.Wrapf(err, "the change may have been made; repeat the command with --operation %s to learn its result", op)
+}
+
+// History returns the newest changes.
+func (c *Client) History(ctx context.Context, most int) (fleet.HistoryReply, error) {
+	var reply fleet.HistoryReply
+	err := c.call(ctx, fleet.MethodHistory, fleet.HistoryRequest{Most: most}, &reply)
+	return reply, err
+}
+
+// Changed returns nil when a change was accepted, else an error that tells why not
+// and what to do next. The retry is the command that repeats the change.
+func Changed(r fleet.ChangeReply, retry string) error {
+	switch {
+	case r.Accepted:
+		return nil
+	case r.Conflict != nil:
+		return errors.Errorf("conflict: the change is based on version %d, but version %d is in force; look at it with `fuchsiashed fleet history`, then run `%s --base %d`",
+			r.Conflict.Base, r.Conflict.Current, retry, r.Conflict.Current)
+	}
+	return errors.Errorf("the change was refused: %s; correct it and run the command again", r.Invalid)
+}
--- /dev/null
+++ b/cli/internal/datacentre/change/change.go
@@ -0,0 +1,61 @@
+// Package change proposes to control that a data centre leaves or returns.
+package change
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/control"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/table"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// Change is a data centre that leaves or returns.
+type Change struct {
+	Name  fleet.DataCentreName
+	Out   bool
+	Flags factory.ChangeFlags
+}
+
+// Run makes the change and prints its result.
+func Run(ctx context.Context, f *factory.Factory, ch Change) error {
+	c, err := f.Control()
+	if err != nil {
+		return err
+	}
+	begun, err := f.Begin(ctx, c, ch.Flags)
+	if err != nil {
+		return err
+	}
+	reply, err := c.DataCentre(ctx, fleet.DataCentreRequest{
+		Operation: begun.Operation, Base: begun.Base, DataCentre: ch.Name, Out: ch.Out, Operator: f.Operator(),
+	})
+	if err != nil {
+		return err
+	}
+	if err := control.Changed(reply, fmt.Sprintf("fuchsiashed datacentre %s %s", ch.verb(), ch.Name)); err != nil {
+		return err
+	}
+	if f.Globals.JSON {
+		return table.JSON(f.IO, reply)
+	}
+	_, err = fmt.Fprintf(f.IO.Out, "data centre %s is %s as of version %d\n", ch.Name, ch.state(), reply.Version)
+	return errors.Wrap(err, "print")
+}
+
+func (ch Change) verb() string {
+	if ch.Out {
+		return "out"
+	}
+	return "in"
+}
+
+func (ch Change) state() string {
+	if ch.Out {
+		return "out of service"
+	}
+	return "in service"
+}
--- /dev/null
+++ b/cli/internal/datacentre/datacentre.go
@@ -0,0 +1,19 @@
+// Package datacentre groups the verbs on data centres.
+package datacentre
+
+import (
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/datacentre/in"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/datacentre/list"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/datacentre/out"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
+)
+
+// New makes the noun.
+func New(f *factory.Factory) command.Noun {
+	return command.Noun{
+		Name:  "datacentre",
+		Short: "Take data centres out of service and bring them back",
+		Verbs: []command.Verb{out.New(f), in.New(f), list.New(f)},
+	}
+}
--- /dev/null
+++ b/cli/internal/datacentre/out/dryrun.go
@@ -0,0 +1,125 @@
+package out
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/table"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/fleettext"
+)
+
+// stateServing is the state of a target that takes new work.
+const stateServing = "Serving"
+
+// Remaining is what is left of a service without the data centre.
+type Remaining struct {
+	Service  fleet.ServiceName
+	Targets  int
+	Slots    fleet.Slots
+	MinSlots fleet.Slots
+	// Problem is empty when the service is left with enough.
+	Problem string
+}
+
+func dryRun(ctx context.Context, f *factory.Factory, name fleet.DataCentreName) error {
+	parsed, err := fleetInForce(ctx, f)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(parsed.DataCentres, name) {
+		return command.FlagErrorf("data centre %q is not in the fleet text; it lists %v", name, parsed.DataCentres)
+	}
+	a, err := f.Admin()
+	if err != nil {
+		return err
+	}
+	targets, err := a.Targets(ctx)
+	if err != nil {
+		return err
+	}
+	left := Without(parsed, targets, name)
+	if err := printRemaining(f, left); err != nil {
+		return err
+	}
+	for _, r := range left {
+		if r.Problem != "" {
+			return errors.Errorf("without %s, service %s is %s; add targets elsewhere first, or run `fuchsiashed datacentre out %s` anyway", name, r.Service, r.Problem, name)
+		}
+	}
+	return nil
+}
+
+func fleetInForce(ctx context.Context, f *factory.Factory) (*fleet.Fleet, error) {
+	c, err := f.Control()
+	if err != nil {
+		return nil, err
+	}
+	text, err := c.Text(ctx, 0)
+	if err != nil {
+		return nil, err
+	}
+	if text.Version == 0 {
+		return nil, errors.New("no fleet text is in force; apply one with `fuchsiashed fleet apply FILE`")
+	}
+	return fleettext.Parse("fleet text", text.Text)
+}
+
+// Without returns what is left of each service without a data centre, given the
+// targets that serve now.
+func Without(f *fleet.Fleet, targets []fleet.TargetStatus, name fleet.DataCentreName) []Remaining {
+	byService := map[fleet.ServiceName]*Remaining{}
+	var left []*Remaining
+	for _, n := range f.ServiceNames() {
+		r := &Remaining{Service: n, MinSlots: f.Services[n].MinSlots}
+		byService[n] = r
+		left = append(left, r)
+	}
+	for _, t := range targets {
+		if r := byService[t.Service]; r != nil && t.DataCentre != name && t.State == stateServing {
+			r.Targets++
+			r.Slots += t.Slots
+		}
+	}
+	list := make([]Remaining, 0, len(left))
+	for _, r := range left {
+		r.Problem = problem(f, byService, r)
+		list = append(list, *r)
+	}
+	return list
+}
+
+func problem(f *fleet.Fleet, byService map[fleet.ServiceName]*Remaining, r *Remaining) string {
+	if r.Targets == 0 {
+		return "without targets"
+	}
+	for _, dep := range f.Services[r.Service].DependsOn {
+		if byService[dep].Targets == 0 {
+			return fmt.Sprintf("refused for lack of %s", dep)
+		}
+	}
+	if r.Slots < r.MinSlots {
+		return "below MinSlots"
+	}
+	return ""
+}
+
+func printRemaining(f *factory.Factory, left []Remaining) error {
+	if f.Globals.JSON {
+		return table.JSON(f.IO, left)
+	}
+	t := table.New(f.IO, "service", "targets left", "slots left", "minslots", "result")
+	for _, r := range left {
+		result := r.Problem
+		if result == "" {
+			result = "enough"
+		}
+		t.Row(r.Service, r.Targets, r.Slots, r.MinSlots, result)
+	}
+	return t.Print()
+}
--- /dev/null
+++ b/cli/internal/explain/explain.go
@@ -0,0 +1,70 @@
+// Package explain is the verb that tells why a request waited, was refused or was
+// retried, and where it ran.
+package explain
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/table"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// Options are the flags and dependencies of the verb.
+type Options struct {
+	Args struct {
+		Request string `positional-arg-name:"REQUEST-ID" description:"the Fuchsiashed-Request-Id of the answer"`
+	} `positional-args:"yes" required:"yes"`
+
+	Factory *factory.Factory `no-flag:"yes"`
+}
+
+// New makes the verb.
+func New(f *factory.Factory) command.Verb {
+	return command.Verb{
+		Name:  "explain",
+		Short: "Tell what happened to a request",
+		Long: "Collects the decisions about a request from the processes of --admin, oldest first. Each " +
+			"process keeps its newest decisions only.",
+		Example: "  fuchsiashed explain router-1-18f2a-42",
+		Options: &Options{Factory: f},
+	}
+}
+
+// Execute implements flags.Commander.
+func (o *Options) Execute(args []string) error {
+	if err := command.NoMore(args); err != nil {
+		return err
+	}
+	ctx, cancel := o.Factory.Context()
+	defer cancel()
+	return run(ctx, o)
+}
+
+func run(ctx context.Context, o *Options) error {
+	a, err := o.Factory.Admin()
+	if err != nil {
+		return err
+	}
+	decisions, err := a.Explain(ctx, fleet.RequestID(o.Args.Request))
+	if err != nil {
+		return err
+	}
+	if len(decisions) == 0 {
+		return errors.Errorf("no process of --admin knows request %s; list the router that took it, or it was too long ago", o.Args.Request)
+	}
+	slices.SortStableFunc(decisions, func(a, b fleet.Decision) int { return a.At.Compare(b.At) })
+	if o.Factory.Globals.JSON {
+		return table.JSON(o.Factory.IO, decisions)
+	}
+	t := table.New(o.Factory.IO, "after", "host", "customer", "event", "reason", "detail")
+	for _, d := range decisions {
+		t.Row(d.At.Sub(decisions[0].At).Round(time.Microsecond), d.Host, d.Customer, d.Event, d.Reason, d.Detail)
+	}
+	return t.Print()
+}
--- /dev/null
+++ b/cli/internal/factory/change.go
@@ -0,0 +1,43 @@
+package factory
+
+import (
+	"context"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/control"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// ChangeFlags are the flags of commands that change the configuration.
+type ChangeFlags struct {
+	Base      *uint64 `long:"base" value-name:"VERSION" description:"version that the change is based on (default: the one in force)"`
+	Operation string  `long:"operation" value-name:"ID" description:"operation id of a change whose answer was lost; give the same --base, if any"`
+}
+
+// Change is the identity of a change and the version it is based on.
+type Change struct {
+	Operation fleet.OperationID
+	Base      fleet.Version
+}
+
+// Begin completes the flags: it reads the version in force unless one is given.
+func (f *Factory) Begin(ctx context.Context, c *control.Client, flags ChangeFlags) (Change, error) {
+	ch := Change{Operation: fleet.OperationID(flags.Operation)}
+	if ch.Operation == "" {
+		op, err := f.NewOperation()
+		if err != nil {
+			return ch, err
+		}
+		ch.Operation = op
+	}
+	if err := fleet.CheckName("--operation", string(ch.Operation)); err != nil {
+		return ch, command.FlagErrorf("%s", err)
+	}
+	if flags.Base != nil {
+		ch.Base = fleet.Version(*flags.Base)
+		return ch, nil
+	}
+	state, err := c.State(ctx)
+	ch.Base = state.Version
+	return ch, err
+}
--- /dev/null
+++ b/cli/internal/factory/factory.go
@@ -0,0 +1,188 @@
+// Package factory makes the dependencies of commands when they are first needed.
+package factory
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/admin"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/control"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+	"github.com/fuchsiashed/fuchsiashed/fleet/settings"
+)
+
+// Environment variables that stand in for flags.
+const (
+	envControl = "FUCHSIASHED_CONTROL"
+	envAdmin   = "FUCHSIASHED_ADMIN"
+)
+
+// settingsFile is the default settings file below the user's configuration folder.
+const settingsFile = "fuchsiashed/cli.ini"
+
+// Globals are the flags that all commands take.
+type Globals struct {
+	Control  string        `long:"control" value-name:"IP:PORT,..." description:"control replicas; else $FUCHSIASHED_CONTROL, else the settings file"`
+	Admin    string        `long:"admin" value-name:"IP:PORT,..." description:"operators' addresses of routers and dispatchers; else $FUCHSIASHED_ADMIN, else the settings file"`
+	Settings string        `long:"settings" value-name:"FILE" description:"settings file (default: fuchsiashed/cli.ini in the user's configuration folder)"`
+	JSON     bool          `long:"json" description:"print JSON"`
+	Timeout  time.Duration `long:"timeout" default:"10s" description:"bound on the whole command"`
+	Version  func() error  `long:"version" description:"print the version and exit"`
+}
+
+// fileSettings is the settings file of the command line.
+type fileSettings struct {
+	Control struct {
+		Replicas []netip.AddrPort `default:""`
+	}
+	Admin struct {
+		Addresses []netip.AddrPort `default:""`
+	}
+}
+
+// Factory holds the dependencies of commands. Tests fill it with fakes.
+type Factory struct {
+	IO      *iostreams.IOStreams
+	Globals *Globals
+	Clock   fleet.Clock
+	// Control connects to the control replicas.
+	Control func() (*control.Client, error)
+	// Admin finds the operators' addresses.
+	Admin func() (*admin.Client, error)
+	// NewOperation returns an operation id that was never used.
+	NewOperation func() (fleet.OperationID, error)
+	// Operator names who makes a change, for the history.
+	Operator func() string
+
+	cleanup []func()
+}
+
+// New makes the factory of the program.
+func New(io *iostreams.IOStreams) *Factory {
+	f := &Factory{IO: io, Globals: &Globals{}, Clock: fleet.SystemClock{}, NewOperation: newOperation, Operator: operator}
+	f.Control = f.connect
+	f.Admin = f.findAdmin
+	return f
+}
+
+// Close releases what was made.
+func (f *Factory) Close() {
+	for _, c := range f.cleanup {
+		c()
+	}
+	f.cleanup = nil
+}
+
+// Context returns the context of a command: bounded by --timeout, ended by a signal.
+func (f *Factory) Context() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithTimeout(ctx, f.Globals.Timeout)
+	return ctx, func() {
+		cancel()
+		stop()
+	}
+}
+
+func (f *Factory) connect() (*control.Client, error) {
+	replicas, err := f.addresses("--control", f.Globals.Control, envControl, func(s fileSettings) []netip.AddrPort { return s.Control.Replicas })
+	if err != nil {
+		return nil, err
+	}
+	c := rpc.NewControl(rpc.ControlConfig{Replicas: replicas})
+	c.Start()
+	f.cleanup = append(f.cleanup, c.Stop)
+	client := &control.Client{Caller: c}
+	for i, addr := range replicas {
+		client.Replicas = append(client.Replicas, control.Replica{Address: addr, Caller: c.Replica(i)})
+	}
+	return client, nil
+}
+
+func (f *Factory) findAdmin() (*admin.Client, error) {
+	addresses, err := f.addresses("--admin", f.Globals.Admin, envAdmin, func(s fileSettings) []netip.AddrPort { return s.Admin.Addresses })
+	if err != nil {
+		return nil, err
+	}
+	return &admin.Client{HTTP: &http.Client{}, Addresses: addresses}, nil
+}
+
+// addresses takes a list of addresses from a flag, a variable or the settings file.
+func (f *Factory) addresses(flag, value, env string, fromFile func(fileSettings) []netip.AddrPort) ([]netip.AddrPort, error) {
+	source := flag
+	if value == "" {
+		source, value = "$"+env, os.Getenv(env)
+	}
+	if value != "" {
+		return parseAddresses(source, value)
+	}
+	s, path, err := f.file()
+	if err != nil {
+		return nil, err
+	}
+	if list := fromFile(s); len(list) > 0 {
+		return list, nil
+	}
+	return nil, command.FlagErrorf("no addresses given; use %s IP:PORT,..., or $%s, or the settings file %s", flag, env, path)
+}
+
+// file reads the settings file; the default one may be missing.
+func (f *Factory) file() (s fileSettings, path string, err error) {
+	path = f.Globals.Settings
+	if path == "" {
+		dir, err := os.UserConfigDir()
+		if err != nil {
+			return s, settingsFile, nil
+		}
+		path = filepath.Join(dir, settingsFile)
+		if _, err := os.Stat(path); err != nil {
+			return s, path, nil
+		}
+	}
+	if err := settings.Load(path, &s); err != nil {
+		return s, path, command.FlagErrorf("%s", err)
+	}
+	return s, path, nil
+}
+
+func parseAddresses(source, value string) ([]netip.AddrPort, error) {
+	var list []netip.AddrPort
+	for _, text := range strings.Split(value, ",") {
+		addr, err := netip.ParseAddrPort(strings.TrimSpace(text))
+		if err != nil {
+			return nil, command.FlagErrorf("%s: %q is not an IP address and port such as 127.0.0.1:7100", source, text)
+		}
+		list = append(list, addr)
+	}
+	return list, nil
+}
+
+func newOperation() (fleet.OperationID, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return "", errors.Wrap(err, "draw an operation id")
+	}
+	return fleet.OperationID("op-" + hex.EncodeToString(b[:])), nil
+}
+
+func operator() string {
+	for _, env := range []string{"FUCHSIASHED_OPERATOR", "USER", "LOGNAME"} {
+		if name := os.Getenv(env); name != "" {
+			return name
+		}
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/cli/internal/fleet/fleet.go
@@ -0,0 +1,21 @@
+// Package fleet groups the verbs on the fleet text.
+package fleet
+
+import (
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/fleet/apply"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/fleet/check"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/fleet/diff"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/fleet/history"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/fleet/show"
+)
+
+// New makes the noun.
+func New(f *factory.Factory) command.Noun {
+	return command.Noun{
+		Name:  "fleet",
+		Short: "Change and show the fleet text",
+		Verbs: []command.Verb{apply.New(f), check.New(f), diff.New(f), show.New(f), history.New(f)},
+	}
+}
--- /dev/null
+++ b/cli/internal/fleet/history/history.go
@@ -0,0 +1,61 @@
+// Package history is the verb that lists the changes of the configuration.
+package history
+
+import (
+	"context"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/table"
+)
+
+// Options are the flags and dependencies of the verb.
+type Options struct {
+	Most int `long:"most" short:"n" default:"20" description:"number of changes; 0 for all that are kept"`
+
+	Factory *factory.Factory `no-flag:"yes"`
+}
+
+// New makes the verb.
+func New(f *factory.Factory) command.Verb {
+	return command.Verb{
+		Name:    "history",
+		Short:   "List the newest changes of the configuration",
+		Long:    "Lists accepted changes, newest first: fleet texts and data centres taken out or brought back.",
+		Example: "  fuchsiashed fleet history\n  fuchsiashed fleet history --most 0 --json",
+		Options: &Options{Factory: f},
+	}
+}
+
+// Execute implements flags.Commander.
+func (o *Options) Execute(args []string) error {
+	if err := command.NoMore(args); err != nil {
+		return err
+	}
+	ctx, cancel := o.Factory.Context()
+	defer cancel()
+	return run(ctx, o)
+}
+
+func run(ctx context.Context, o *Options) error {
+	if o.Most < 0 {
+		return command.FlagErrorf("--most is %d; it is at least 0", o.Most)
+	}
+	c, err := o.Factory.Control()
+	if err != nil {
+		return err
+	}
+	reply, err := c.History(ctx, o.Most)
+	if err != nil {
+		return err
+	}
+	if o.Factory.Globals.JSON {
+		return table.JSON(o.Factory.IO, reply.Changes)
+	}
+	t := table.New(o.Factory.IO, "version", "at", "kind", "subject", "operator", "operation")
+	for _, ch := range reply.Changes {
+		t.Row(ch.Version, ch.At.UTC().Format(time.RFC3339), ch.Kind, ch.Subject, ch.Operator, ch.Operation)
+	}
+	return t.Print()
+}
--- /dev/null
+++ b/cli/internal/status/status.go
@@ -0,0 +1,122 @@
+// Package status is the verb that shows all processes.
+package status
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/table"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// Options are the flags and dependencies of the verb.
+type Options struct {
+	Factory *factory.Factory `no-flag:"yes"`
+}
+
+// New makes the verb.
+func New(f *factory.Factory) command.Verb {
+	return command.Verb{
+		Name:  "status",
+		Short: "Show the configuration in force and all processes",
+		Long: "Shows the version in force, the leases, and every process that control heard of. With --admin " +
+			"each process listed there is asked as well. The exit code is 1 if a process runs under another " +
+			"version or one of --admin gives no answer.",
+		Example: "  fuchsiashed status\n  fuchsiashed status --admin 127.0.0.1:7114,127.0.0.1:7121 --json",
+		Options: &Options{Factory: f},
+	}
+}
+
+// Execute implements flags.Commander.
+func (o *Options) Execute(args []string) error {
+	if err := command.NoMore(args); err != nil {
+		return err
+	}
+	ctx, cancel := o.Factory.Context()
+	defer cancel()
+	return run(ctx, o)
+}
+
+// Status is what the verb prints.
+type Status struct {
+	State fleet.StateReply
+	// Processes lists what the processes of --admin tell of themselves.
+	Processes []fleet.ProcessStatus
+	// Problems lists what needs attention.
+	Problems []string
+}
+
+func run(ctx context.Context, o *Options) error {
+	s, err := gather(ctx, o.Factory)
+	if err != nil {
+		return err
+	}
+	if o.Factory.Globals.JSON {
+		err = table.JSON(o.Factory.IO, s)
+	} else {
+		err = printStatus(o.Factory, s)
+	}
+	if err == nil && len(s.Problems) > 0 {
+		return command.ErrSilent
+	}
+	return err
+}
+
+func gather(ctx context.Context, f *factory.Factory) (Status, error) {
+	var s Status
+	c, err := f.Control()
+	if err != nil {
+		return s, err
+	}
+	if s.State, err = c.State(ctx); err != nil {
+		return s, err
+	}
+	for _, h := range s.State.Hosts {
+		if h.Version != s.State.Version && h.Role != fleet.RoleOperator {
+			s.Problems = append(s.Problems, fmt.Sprintf("%s runs under version %d, not %d; look at its log for ConfigUnconfirmed", h.Host, h.Version, s.State.Version))
+		}
+	}
+	a, err := f.Admin()
+	if err != nil {
+		// Without operators' addresses the heartbeats that control heard must do.
+		return s, nil
+	}
+	for _, answer := range a.Statuses(ctx) {
+		if answer.Err != nil {
+			s.Problems = append(s.Problems, fmt.Sprintf("%s; check that the process runs", answer.Err))
+			continue
+		}
+		s.Processes = append(s.Processes, answer.Value)
+	}
+	return s, nil
+}
+
+func printStatus(f *factory.Factory, s Status) error {
+	fmt.Fprintf(f.IO.Err, "version %d, hash %s, data centres out %v\n", s.State.Version, s.State.Hash, s.State.DataCentresOut)
+	for _, l := range s.State.Leases {
+		fmt.Fprintf(f.IO.Err, "lease %s: %s, epoch %d\n", l.Name, l.Holder, l.Epoch)
+	}
+	t := table.New(f.IO, "host", "role", "data centre", "address", "version", "waiting", "running", "stopping", "age")
+	for _, h := range s.State.Hosts {
+		if h.Role == fleet.RoleOperator {
+			continue
+		}
+		waiting, running := "-", "-"
+		for _, p := range s.Processes {
+			if p.Host == h.Host {
+				waiting, running = fmt.Sprint(p.Waiting), fmt.Sprint(p.Running)
+			}
+		}
+		t.Row(h.Host, h.Role, h.DataCentre, h.Address, h.Version, waiting, running, h.Stopping, h.Age.Round(time.Millisecond))
+	}
+	if err := t.Print(); err != nil {
+		return err
+	}
+	for _, p := range s.Problems {
+		fmt.Fprintln(f.IO.Err, "problem:", p)
+	}
+	return nil
+}
--- /dev/null
+++ b/cli/internal/target/target.go
@@ -0,0 +1,17 @@
+// Package target groups the verbs on targets.
+package target
+
+import (
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/target/list"
+)
+
+// New makes the noun.
+func New(f *factory.Factory) command.Noun {
+	return command.Noun{
+		Name:  "target",
+		Short: "Show targets",
+		Verbs: []command.Verb{list.New(f)},
+	}
+}
