Load verb of the stand-in, with a checker of answers and records; tests of the stand-in

Cause: the tests of real processes need a caller that compares every byte of every answer, counts the runs of each run-once key and checks each NotRun against the targets' records.

--- a/standin/internal/app/app.go
+++ b/standin/internal/app/app.go
@@ -24,8 +24,9 @@
 const example = `  # run a stand-in target
   fuchsiashed-standin --settings engine-1.ini
 
-  # send one request like a caller
-  fuchsiashed-standin call --help`
+  # send one request like a caller, or a load of many
+  fuchsiashed-standin call --help
+  fuchsiashed-standin load --help`
 
 const (
 	// exitCrashed is the exit code after a crash by fault or request.
@@ -38,8 +39,15 @@
 
 // Main runs the program with the arguments of the command line and returns its exit code.
 func Main(io *iostreams.IOStreams, args []string) int {
-	if len(args) > 0 && args[0] == "call" {
-		return callMain(io, args[1:])
+	if len(args) > 0 {
+		switch args[0] {
+		case "call":
+			var opts CallOptions
+			return verb(io, "call", callExample, &opts, args[1:], func() error { return runCall(io, opts) })
+		case "load":
+			var opts LoadOptions
+			return verb(io, "load", loadExample, &opts, args[1:], func() error { return runLoad(io, opts) })
+		}
 	}
 	var cfg Settings
 	return program.Main(program.Spec{
--- a/standin/internal/app/call.go
+++ b/standin/internal/app/call.go
@@ -7,21 +7,19 @@
 	"net/netip"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
-	"github.com/fuchsiashed/fuchsiashed/fleet/program"
 	"github.com/fuchsiashed/fuchsiashed/standin/internal/caller"
 )
 
 const callExample = `Sends one request like a caller and prints the answer.
 
 Examples:
-  fuchsiashed-standin call --host 127.0.0.1:7120 --customer cafe-1 --key KEY --service drafter \
+  fuchsiashed-standin call --host 127.0.0.1:7121 --customer cafe-1 --key KEY --service drafter \
     --body '{"messages":[{"role":"user","content":"hello"}],"stream":true}'
-  fuchsiashed-standin call --host 127.0.0.1:7120 --customer cafe-1 --key KEY --service permit-desk \
+  fuchsiashed-standin call --host 127.0.0.1:7121 --customer cafe-1 --key KEY --service permit-desk \
     --path /filings --idempotency-key filing-1 --body '{"Terrace":7}'`
 
 // CallOptions are the flags of the verb call.
@@ -37,35 +35,10 @@
 	Timeout        time.Duration `long:"timeout" default:"60s" description:"bound on the whole call"`
 }
 
-func callMain(io *iostreams.IOStreams, args []string) int {
-	var opts CallOptions
-	parser := flags.NewNamedParser("fuchsiashed-standin call", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = callExample
-	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
-		fmt.Fprintln(io.Err, err)
-		return program.ExitError
-	}
-	_, err := parser.ParseArgs(args)
-	var fe *flags.Error
-	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
-		fmt.Fprintln(io.Out, fe.Message)
-		return program.ExitOK
-	}
-	if err != nil {
-		fmt.Fprintln(io.Err, err)
-		return program.ExitUsage
-	}
-	if err := runCall(io, opts); err != nil {
-		fmt.Fprintln(io.Err, err)
-		return program.ExitError
-	}
-	return program.ExitOK
-}
-
 func runCall(io *iostreams.IOStreams, opts CallOptions) error {
 	ctx, cancel := context.WithTimeout(context.Background(), opts.Timeout)
 	defer cancel()
-	entry, err := parseHosts(opts.Hosts)
+	entry, err := parseHosts("--host", opts.Hosts)
 	if err != nil {
 		return err
 	}
@@ -97,12 +70,12 @@
 	return errors.Wrap(err, "write answer")
 }
 
-func parseHosts(texts []string) ([]netip.AddrPort, error) {
+func parseHosts(flag string, texts []string) ([]netip.AddrPort, error) {
 	hosts := make([]netip.AddrPort, 0, len(texts))
 	for _, text := range texts {
 		addr, err := netip.ParseAddrPort(text)
 		if err != nil {
-			return nil, errors.Errorf("--host %q is not an IP address and port such as 127.0.0.1:7120", text)
+			return nil, errors.Errorf("%s %q is not an IP address and port such as 127.0.0.1:7121", flag, text)
 		}
 		hosts = append(hosts, addr)
 	}
--- /dev/null
+++ b/standin/internal/load/load_test.go
@@ -0,0 +1,138 @@
+package load_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/answer"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/load"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/record"
+)
+
+// host is a router and its targets in one, which may misbehave.
+type host struct {
+	*httptest.Server
+	rec *record.Record
+
+	mu   sync.Mutex
+	made int
+	// corrupt changes an answer; forget keeps a call out of the record; double
+	// records it twice; refuse answers NotRun although it ran.
+	corrupt func(body string) string
+	forget  bool
+	double  bool
+	refuse  bool
+}
+
+func newHost(t *testing.T) *host {
+	rec, err := record.Open("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &host{rec: rec, corrupt: func(s string) string { return s }}
+	h.Server = httptest.NewServer(h)
+	t.Cleanup(h.Close)
+	return h
+}
+
+func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	h.made++
+	id := fleet.RequestID(fmt.Sprint("request-", h.made))
+	h.mu.Unlock()
+	if r.URL.Path == "/v1/hosts" {
+		fmt.Fprintf(w, `{"Hosts":[{"Address":%q,"DataCentre":"a"}],"ValidSeconds":5}`, h.Listener.Addr())
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	run := record.Run{RequestID: id, Key: fleet.IdempotencyKey(r.Header.Get("Idempotency-Key")), Started: time.Now()}
+	if !h.forget {
+		h.run(run)
+	}
+	if h.double {
+		h.run(run)
+	}
+	w.Header().Set("Fuchsiashed-Request-Id", string(id))
+	if h.refuse {
+		w.Header().Set("Fuchsiashed-Verdict", "NotRun")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprintf(w, `{"Verdict":"NotRun","Reason":"NoTarget","RequestId":%q}`, id)
+		return
+	}
+	fmt.Fprint(w, h.corrupt(answerTo(r, body)))
+}
+
+func (h *host) run(r record.Run) {
+	if _, err := h.rec.Start(r); err != nil {
+		panic(err)
+	}
+}
+
+func answerTo(r *http.Request, body []byte) string {
+	if path, ok := strings.CutPrefix(r.URL.Path, "/services/desk"); ok {
+		return answer.Plain(r.Method, path, body)
+	}
+	c, err := answer.ParseCompletion(body)
+	if err != nil {
+		panic(err)
+	}
+	if c.Stream {
+		return c.StreamBody()
+	}
+	return c.UnaryBody()
+}
+
+func (h *host) load(ctx context.Context) (*load.Result, error) {
+	return load.Run(ctx, load.Config{
+		Clock: fleet.SystemClock{}, Log: slog.New(slog.DiscardHandler), Client: h.Client(),
+		Hosts:     []netip.AddrPort{netip.MustParseAddrPort(h.Listener.Addr().String())},
+		Customers: []load.Customer{{Name: "large", Key: "k1", Workers: 3}, {Name: "small", Key: "k2", Workers: 1}},
+		Model:     "drafter", Plain: "desk", PlainPercent: 50, Tokens: 5, Duration: 100 * time.Millisecond,
+		Pause: 2 * time.Millisecond, RequestTimeout: time.Second, Attempts: 1, Seed: 1,
+		Records: func() ([]load.TargetRecord, error) {
+			return []load.TargetRecord{{Target: "t", Runs: h.rec.Runs()}}, nil
+		},
+	})
+}
+
+func TestRunFindsWhatMustNotHappen(t *testing.T) {
+	tests := []struct {
+		name      string
+		misbehave func(*host)
+		want      string
+	}{
+		{"right", func(*host) {}, ""},
+		{"a changed byte", func(h *host) { h.corrupt = func(s string) string { return s[:len(s)-1] + "x" } }, "had a wrong byte"},
+		{"a short answer", func(h *host) { h.corrupt = func(s string) string { return s[:len(s)/2] } }, "had a wrong byte"},
+		{"a call that ran twice", func(h *host) { h.double = true }, "ran more than once"},
+		{"a call that never ran", func(h *host) { h.forget = true }, "was answered but never ran"},
+		{"a false NotRun", func(h *host) { h.refuse = true }, "ran although its failure said NotRun"},
+	}
+	for _, tt := range tests {
+		convey.Convey(tt.name, t, func() {
+			h := newHost(t)
+			tt.misbehave(h)
+			res, err := h.load(context.Background())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(res.Requests, convey.ShouldBeGreaterThan, 10)
+			if tt.want == "" {
+				convey.So(res.Violations(), convey.ShouldBeEmpty)
+				convey.So(res.Answered, convey.ShouldEqual, res.Requests)
+				return
+			}
+			convey.So(strings.Join(res.Violations(), "\n"), convey.ShouldContainSubstring, tt.want)
+		})
+	}
+}
--- /dev/null
+++ b/standin/internal/load/result.go
@@ -0,0 +1,173 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/caller"
+)
+
+// maxLatency is the largest latency that the histograms tell apart.
+const maxLatency = time.Hour
+
+// Result is what a run saw.
+type Result struct {
+	// Requests counts requests, Attempts what was sent for them, Resent the run-once
+	// calls sent again after success.
+	Requests int
+	Attempts int
+	Resent   int
+	// Answered counts whole and right answers, Wrong those with a wrong byte.
+	Answered int
+	Wrong    int
+	// Unanswered counts requests given up; InDoubt the run-once calls among them that
+	// may have run.
+	Unanswered int
+	InDoubt    int
+	// Cut counts answers that ended early without a failure event, ConnectionErrors
+	// attempts without any answer, NoHosts questions for hosts without an answer.
+	Cut              int
+	ConnectionErrors int
+	NoHosts          int
+	// Verdicts and Reasons count the failures.
+	Verdicts map[string]int
+	Reasons  map[fleet.Reason]int
+	// RanTwice lists run-once keys that ran more than once, FalseNotRun the requests
+	// that ran although a failure said NotRun, Lost the answered keys that never ran.
+	RanTwice    []fleet.IdempotencyKey
+	FalseNotRun []fleet.RequestID
+	Lost        []fleet.IdempotencyKey
+	// Served counts answers per customer.
+	Served map[fleet.CustomerName]int
+
+	mu        sync.Mutex
+	notRun    []fleet.RequestID
+	keys      map[fleet.IdempotencyKey]bool
+	firstByte *hdrhistogram.Histogram
+	whole     *hdrhistogram.Histogram
+}
+
+func newResult() *Result {
+	return &Result{
+		Verdicts: map[string]int{}, Reasons: map[fleet.Reason]int{}, Served: map[fleet.CustomerName]int{},
+		keys: map[fleet.IdempotencyKey]bool{}, firstByte: newHistogram(), whole: newHistogram(),
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), 3)
+}
+
+func (r *Result) add(n *int, by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*n += by
+}
+
+func (r *Result) failed(id fleet.RequestID, f caller.Failure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Verdicts[f.Verdict.String()]++
+	r.Reasons[f.Reason]++
+	if f.Verdict == fleet.NotRun {
+		r.notRun = append(r.notRun, id)
+	}
+}
+
+func (r *Result) answered(req request, a caller.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Answered++
+	r.Served[req.Customer]++
+	if req.runOnce {
+		r.keys[req.IdempotencyKey] = true
+	}
+	// Latencies above the largest are not worth telling apart.
+	_ = r.firstByte.RecordValue(min(a.FirstByte, maxLatency).Microseconds())
+	_ = r.whole.RecordValue(min(a.Whole, maxLatency).Microseconds())
+}
+
+// Violations says what must never happen but did; it is empty when all is well.
+func (r *Result) Violations() []string {
+	var list []string
+	if r.Wrong > 0 {
+		list = append(list, fmt.Sprintf("%d answers had a wrong byte", r.Wrong))
+	}
+	for _, k := range r.RanTwice {
+		list = append(list, fmt.Sprintf("call %s ran more than once", k))
+	}
+	for _, id := range r.FalseNotRun {
+		list = append(list, fmt.Sprintf("request %s ran although its failure said NotRun", id))
+	}
+	for _, k := range r.Lost {
+		list = append(list, fmt.Sprintf("call %s was answered but never ran", k))
+	}
+	return list
+}
+
+// Figure is one measured value.
+type Figure struct {
+	Name  string
+	Value float64
+	Unit  string
+}
+
+// Figures returns the measured values in a fixed order.
+func (r *Result) Figures() []Figure {
+	counts := []struct {
+		name  string
+		value int
+	}{
+		{"requests", r.Requests},
+		{"attempts", r.Attempts},
+		{"resent", r.Resent},
+		{"answered", r.Answered},
+		{"wrong", r.Wrong},
+		{"unanswered", r.Unanswered},
+		{"in_doubt", r.InDoubt},
+		{"cut", r.Cut},
+		{"connection_errors", r.ConnectionErrors},
+		{"no_hosts", r.NoHosts},
+		{"ran_twice", len(r.RanTwice)},
+		{"false_not_run", len(r.FalseNotRun)},
+		{"lost", len(r.Lost)},
+	}
+	var list []Figure
+	for _, c := range counts {
+		list = append(list, Figure{c.name, float64(c.value), "1"})
+	}
+	for _, name := range sorted(r.Verdicts) {
+		list = append(list, Figure{"verdict_" + name, float64(r.Verdicts[name]), "1"})
+	}
+	for _, name := range sorted(r.Reasons) {
+		list = append(list, Figure{"reason_" + string(name), float64(r.Reasons[name]), "1"})
+	}
+	for _, q := range []float64{50, 95, 99} {
+		list = append(list,
+			Figure{fmt.Sprintf("first_byte_p%.0f", q), float64(r.firstByte.ValueAtQuantile(q)) / 1000, "ms"},
+			Figure{fmt.Sprintf("whole_p%.0f", q), float64(r.whole.ValueAtQuantile(q)) / 1000, "ms"})
+	}
+	return list
+}
+
+func sorted[K ~string, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Print prints one line per figure: name, value, unit.
+func (r *Result) Print(w io.Writer) {
+	for _, f := range r.Figures() {
+		fmt.Fprintf(w, "%s %g %s\n", f.Name, f.Value, f.Unit)
+	}
+}
--- /dev/null
+++ b/standin/internal/load/verify.go
@@ -0,0 +1,66 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/record"
+)
+
+// TargetRecord is the record of one target.
+type TargetRecord struct {
+	Target string
+	Runs   []record.Run
+}
+
+// FetchRecord reads the record of a target from the address where it listens.
+func FetchRecord(ctx context.Context, client *http.Client, addr netip.AddrPort) (TargetRecord, error) {
+	rec := TargetRecord{Target: addr.String()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/standin/record", addr), nil)
+	if err != nil {
+		return rec, errors.Wrap(err, "make request")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return rec, errors.Wrapf(err, "read the record of target %s", addr)
+	}
+	defer resp.Body.Close()
+	return rec, errors.Wrapf(json.NewDecoder(resp.Body).Decode(&rec.Runs), "decode the record of target %s", addr)
+}
+
+// verify compares what callers were told with what the targets ran.
+func (r *Result) verify(records []TargetRecord) {
+	runs := map[fleet.IdempotencyKey]int{}
+	ran := map[fleet.RequestID]bool{}
+	for _, rec := range records {
+		for _, run := range rec.Runs {
+			ran[run.RequestID] = true
+			if run.Key != "" {
+				runs[run.Key]++
+			}
+		}
+	}
+	for _, k := range sorted(runs) {
+		if runs[k] > 1 {
+			r.RanTwice = append(r.RanTwice, k)
+		}
+	}
+	for _, k := range sorted(r.keys) {
+		if runs[k] == 0 {
+			r.Lost = append(r.Lost, k)
+		}
+	}
+	for _, id := range r.notRun {
+		if ran[id] {
+			r.FalseNotRun = append(r.FalseNotRun, id)
+		}
+	}
+	slices.Sort(r.FalseNotRun)
+}
--- a/standin/internal/record/record.go
+++ b/standin/internal/record/record.go
@@ -48,16 +48,26 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open record")
 	}
+	if err := r.load(f); err != nil {
+		return nil, err
+	}
+	r.file = f
+	return r, nil
+}
+
+// load reads the file and cuts off the last line if the process was killed while
+// writing it.
+func (r *Record) load(f *os.File) error {
+	var whole int64
 	for lines := bufio.NewScanner(f); lines.Scan(); {
 		var l line
 		if json.Unmarshal(lines.Bytes(), &l) != nil {
-			// The last line is incomplete when the process was killed while writing it.
-			continue
+			break
 		}
 		r.set(l)
+		whole += int64(len(lines.Bytes())) + 1
 	}
-	r.file = f
-	return r, nil
+	return errors.Wrap(f.Truncate(whole), "cut record")
 }
 
 func (r *Record) set(l line) {
--- /dev/null
+++ b/standin/internal/router/handler_test.go
@@ -0,0 +1,214 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/answer"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/engine"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/fault"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/record"
+	"github.com/fuchsiashed/fuchsiashed/standin/internal/router"
+)
+
+const (
+	streamed = `{"messages":[{"role":"user","content":"hello"}],"stream":true,"max_tokens":20}`
+	unary    = `{"messages":[{"role":"user","content":"hello"}],"max_tokens":20}`
+)
+
+// standin is a stand-in target in this process.
+type standin struct {
+	*httptest.Server
+	rec     *record.Record
+	engine  *engine.Engine
+	crashed chan string
+}
+
+func newStandin(t *testing.T, p fleet.Protocol, change func(*engine.Config)) *standin {
+	gin.SetMode(gin.ReleaseMode)
+	rec, err := record.Open("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standin{rec: rec, crashed: make(chan string, 1)}
+	crash := func(why string) {
+		s.crashed <- why
+		panic(http.ErrAbortHandler)
+	}
+	faults := &fault.State{}
+	cfg := engine.Config{Clock: fleet.SystemClock{}, Record: rec, Faults: faults, Slots: 2, ColdSlots: 1, ColdFailure: engine.ColdOverloaded, Crash: crash}
+	if change != nil {
+		change(&cfg)
+	}
+	s.engine = engine.New(cfg)
+	h := router.NewHandler(router.HandlerConfig{
+		Clock: cfg.Clock, Protocol: p, Engine: s.engine, Faults: faults, Record: rec, FirstToken: 5 * time.Millisecond,
+		TokenInterval: 2 * time.Millisecond, ServiceTime: 5 * time.Millisecond, Crash: crash, Ordered: func(fault.Order) {},
+	})
+	r := gin.New()
+	h.Register(r)
+	s.Server = httptest.NewServer(r)
+	t.Cleanup(s.Close)
+	return s
+}
+
+// client opens a connection for every request: on a used one it would repeat a request
+// with an Idempotency-Key by itself after a reset.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// send sends a request; err is that of reading the answer.
+func (s *standin) send(method, path, id, body string) (status int, header http.Header, got string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, s.URL+path, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, "", err
+	}
+	req.Header.Set("Fuchsiashed-Request-Id", id)
+	req.Header.Set("Idempotency-Key", "key-"+id)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(raw), err
+}
+
+func (s *standin) complete(id, body string) (int, http.Header, string, error) {
+	return s.send(http.MethodPost, "/v1/chat/completions", id, body)
+}
+
+func (s *standin) order(text string) {
+	status, _, got, err := s.send(http.MethodPost, "/standin/fault", "", text)
+	if err != nil || status != http.StatusNoContent {
+		panic(fmt.Sprintf("order %s: %d %s %v", text, status, got, err))
+	}
+}
+
+func want(body string) string {
+	c, err := answer.ParseCompletion([]byte(body))
+	if err != nil {
+		panic(err)
+	}
+	if c.Stream {
+		return c.StreamBody()
+	}
+	return c.UnaryBody()
+}
+
+func TestAnswers(t *testing.T) {
+	s := newStandin(t, fleet.ProtocolModel, nil)
+	plain := newStandin(t, fleet.ProtocolPlain, nil)
+	convey.Convey("Answers are whole and a function of the request", t, func() {
+		_, _, got, err := s.complete("r1", streamed)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(got, convey.ShouldEqual, want(streamed))
+		convey.So(strings.Count(got, "data: "), convey.ShouldEqual, 21)
+		_, _, got, err = s.complete("r2", unary)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(got, convey.ShouldEqual, want(unary))
+		convey.So(got, convey.ShouldContainSubstring, `"completion_tokens":20`)
+		_, _, got, _ = plain.send(http.MethodPost, "/filings", "r3", "{}")
+		convey.So(got, convey.ShouldEqual, answer.Plain(http.MethodPost, "/filings", []byte("{}")))
+		convey.So(plain.rec.Runs()[0].Key, convey.ShouldEqual, fleet.IdempotencyKey("key-r3"))
+		convey.So(plain.rec.Runs()[0].Ended.IsZero(), convey.ShouldBeFalse)
+	})
+	convey.Convey("A stream is resumed from an offset", t, func() {
+		_, _, got, err := s.send(http.MethodGet, "/v1/streams/r1?Offset=100", "", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(got, convey.ShouldEqual, want(streamed)[100:])
+		status, _, _, _ := s.send(http.MethodGet, "/v1/streams/unknown", "", "")
+		convey.So(status, convey.ShouldEqual, http.StatusNotFound)
+	})
+}
+
+func TestFaults(t *testing.T) {
+	convey.Convey("Broken answers end visibly on the connection and can be resumed", t, func() {
+		s := newStandin(t, fleet.ProtocolModel, nil)
+		for i, order := range []string{
+			`{"Fault":"Reset","Count":1}`, `{"Fault":"Reset","Count":1,"Phase":"Headers"}`, `{"Fault":"Silent","Count":1}`,
+		} {
+			id := fmt.Sprintf("r%d", i)
+			s.order(order)
+			_, _, got, err := s.complete(id, streamed)
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(strings.HasPrefix(want(streamed), got), convey.ShouldBeTrue)
+			_, _, rest, err := s.send(http.MethodGet, fmt.Sprintf("/v1/streams/%s?Offset=%d", id, len(got)), "", "")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(got+rest, convey.ShouldEqual, want(streamed))
+		}
+		convey.So(len(s.rec.Runs()), convey.ShouldEqual, 3)
+	})
+	convey.Convey("A short answer ends regularly without its last event", t, func() {
+		s := newStandin(t, fleet.ProtocolModel, nil)
+		s.order(`{"Fault":"ShortAnswer","Count":1}`)
+		_, _, got, err := s.complete("r1", streamed)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(got, convey.ShouldEqual, want(streamed)[:len(want(streamed))/2])
+	})
+	convey.Convey("A reset before the run leaves no record", t, func() {
+		s := newStandin(t, fleet.ProtocolModel, nil)
+		s.order(`{"Fault":"Reset","Count":1,"Phase":"Accept"}`)
+		_, _, _, err := s.complete("r1", streamed)
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(s.rec.Runs(), convey.ShouldBeEmpty)
+	})
+	convey.Convey("A poisoned request crashes the target after it was recorded", t, func() {
+		s := newStandin(t, fleet.ProtocolPlain, nil)
+		_, _, _, err := s.send(http.MethodPost, "/filings", "r1", answer.PoisonMarker)
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(<-s.crashed, convey.ShouldContainSubstring, answer.PoisonMarker)
+		convey.So(len(s.rec.Runs()), convey.ShouldEqual, 1)
+	})
+	convey.Convey("Unknown orders are refused", t, func() {
+		s := newStandin(t, fleet.ProtocolPlain, nil)
+		status, _, got, _ := s.send(http.MethodPost, "/standin/fault", "", `{"Fault":"Rain"}`)
+		convey.So(status, convey.ShouldEqual, http.StatusBadRequest)
+		convey.So(got, convey.ShouldContainSubstring, `Fault "Rain" does not exist`)
+	})
+}
+
+func TestAdmission(t *testing.T) {
+	long := strings.Replace(streamed, "20", "200", 1)
+	tests := []struct {
+		name    string
+		change  func(*engine.Config)
+		running int
+		status  int
+		notRun  string
+		runs    int
+	}{
+		{"full", nil, 2, http.StatusServiceUnavailable, "true", 2},
+		{"cold and overloaded", func(c *engine.Config) { c.WarmAfter = 3 }, 1, http.StatusServiceUnavailable, "true", 1},
+		{"cold and failing", func(c *engine.Config) { c.WarmAfter, c.ColdFailure = 3, engine.ColdError }, 1, http.StatusInternalServerError, "", 2},
+	}
+	for _, tt := range tests {
+		convey.Convey(tt.name, t, func() {
+			s := newStandin(t, fleet.ProtocolModel, tt.change)
+			for i := range tt.running {
+				go s.complete(fmt.Sprint("busy-", i), long)
+			}
+			for len(s.engine.Running()) < tt.running {
+				time.Sleep(time.Millisecond)
+			}
+			status, header, _, err := s.complete("r1", streamed)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(status, convey.ShouldEqual, tt.status)
+			convey.So(header.Get("Fuchsiashed-Not-Run"), convey.ShouldEqual, tt.notRun)
+			convey.So(len(s.rec.Runs()), convey.ShouldEqual, tt.runs)
+			status, _, _, _ = s.send(http.MethodDelete, "/v1/streams/busy-0", "", "")
+			convey.So(status, convey.ShouldEqual, http.StatusNoContent)
+		})
+	}
+}
