--- a/fleet/routing/accept.go
+++ b/fleet/routing/accept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // Times after which a refused caller should come back.
@@ -18,7 +19,7 @@
 
 // accept takes or refuses a new request.
 func (r *Router) accept(now time.Time, ev RequestAccepted) {
-	if !invariant(r.requests[ev.Request] == nil, "request %s was accepted twice", ev.Request) {
+	if !invariant.Check(r.requests[ev.Request] == nil, "AcceptedOnce", "request %s was accepted twice", ev.Request) {
 		return
 	}
 	q := &request{RequestAccepted: ev, accepted: now}
--- a/fleet/routing/attempts.go
+++ b/fleet/routing/attempts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // attemptEnded decides what follows the end of an attempt.
@@ -14,9 +15,20 @@
 	}
 	a := q.attempt
 	a.spent, a.firstToken = max(a.spent, ev.Spent), ev.FirstToken
-	switch ev.Cause {
-	case CauseCompleted:
+	q.answered = q.answered || ev.Answered
+	if ev.Cause == CauseCompleted {
 		r.completed(now, q, ev)
+		return
+	}
+	if a.interrupted && ev.Cause.notRun() {
+		// Only the resumption failed; what it resumes may have run.
+		ev.Cause = CauseReset
+	}
+	if !now.Before(q.deadline) && !ev.Cause.notRun() {
+		r.deadlineReached(now, q)
+		return
+	}
+	switch ev.Cause {
 	case CauseLapsed, CauseConnect, CauseNotRun:
 		r.notRun(now, q, ev)
 	case CauseCaller:
@@ -50,9 +62,12 @@
 
 // notRun deals with an attempt of which no target ran anything.
 func (r *Router) notRun(now time.Time, q *request, ev AttemptEnded) {
+	if !invariant.Check(ev.Cause == CauseNotRun || !ev.Wrote, "NotRunIsTrue", "request %s is called not run after a byte was sent", q.Request) {
+		r.interrupted(now, q, ev)
+		return
+	}
 	a := q.attempt
 	q.attempt = nil
-	invariant(ev.Cause == CauseNotRun || !ev.Wrote, "request %s is called not run after a byte was sent", q.Request)
 	r.freeAttempt(a)
 	switch ev.Cause {
 	case CauseLapsed:
@@ -89,11 +104,11 @@
 // interrupted deals with an attempt that a target may have run, wholly or in part.
 func (r *Router) interrupted(now time.Time, q *request, ev AttemptEnded) {
 	reason := interruptReasons[ev.Cause]
+	q.attempt.interrupted = true
 	if r.resume(now, q, ev, reason) {
 		return
 	}
 	q.mayHaveRun = true
-	q.answered = q.answered || ev.Answered
 	if q.answered || !q.Idempotent {
 		r.release(q, fleet.OutcomeBroken)
 		r.fail(now, q, reason, 0, "%s", ev.Detail)
--- a/fleet/routing/events.go
+++ b/fleet/routing/events.go
@@ -148,6 +148,11 @@
 	CauseCaller Cause = "Caller"
 )
 
+// notRun says whether no target ran anything of an attempt that ended so.
+func (c Cause) notRun() bool {
+	return c == CauseLapsed || c == CauseConnect || c == CauseNotRun
+}
+
 // EventName implements fleet.Event.
 func (RequestAccepted) EventName() string { return "RequestAccepted" }
 
--- a/fleet/routing/grants.go
+++ b/fleet/routing/grants.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // grantsReceived applies a message of a dispatcher, unless it is out of date.
@@ -112,16 +113,16 @@
 	r.queue(now, q)
 }
 
-// send starts an attempt under a grant.
-func (r *Router) send(now time.Time, q *request, a *attempt) {
-	if !invariant(q.state == stateQueued && q.attempt == nil, "request %s is sent while it does not wait", q.Request) {
-		return
+// send starts an attempt under a grant, and says whether it did.
+func (r *Router) send(now time.Time, q *request, a *attempt) bool {
+	if !invariant.Check(q.state == stateQueued && q.attempt == nil, "SentWhileQueued", "request %s is sent while it does not wait", q.Request) {
+		return false
 	}
-	if !invariant(now.Before(a.until), "request %s is sent under a grant that lapsed", q.Request) {
-		return
+	if !invariant.Check(now.Before(a.until), "SentUnderGrant", "request %s is sent under a grant that lapsed", q.Request) {
+		return false
 	}
-	if !invariant(q.Idempotent || q.recorded && !q.mayHaveRun, "request %s is sent without leave of the ledger", q.Request) {
-		return
+	if !invariant.Check(q.Idempotent || q.recorded && !q.mayHaveRun, "SentAsRecorded", "request %s is sent without leave of the ledger", q.Request) {
+		return false
 	}
 	a.number, a.request, a.ticket = q.attempts, q.Request, q.ticket
 	q.attempt = a
@@ -131,6 +132,7 @@
 		Request: q.Request, Attempt: a.number, Grant: a.grant, Target: a.target, Address: a.address,
 		Until: a.until, Deadline: q.deadline, IdleTimeout: q.idle, Once: !q.Idempotent, Detach: q.detach,
 	})
+	return true
 }
 
 // refused ends a request that the dispatcher will not serve.
--- a/fleet/routing/hosts.go
+++ b/fleet/routing/hosts.go
@@ -8,8 +8,10 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 )
 
-// HostStaleAfter is the time without a heartbeat after which a host leaves the hosts answer.
-const HostStaleAfter = 5 * time.Second
+// HostStaleAfter is the time without a heartbeat after which a host leaves the hosts
+// answer. Control forgets a host after the same time; its list is sent only when it
+// changed, so a lower bound could leave out a host that has been heard of since.
+const HostStaleAfter = 10 * time.Second
 
 // Host is one entry of the hosts answer.
 type Host struct {
--- a/fleet/routing/report.go
+++ b/fleet/routing/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // sentKept is how many reports' send times a router remembers for each dispatcher.
@@ -52,7 +53,7 @@
 			return p
 		}
 	}
-	invariant(false, "dispatcher %s is not configured", name)
+	invariant.Check(false, "KnownDispatcher", "dispatcher %s is not configured", name)
 	return nil
 }
 
--- a/fleet/routing/request.go
+++ b/fleet/routing/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // Events of decisions.
@@ -86,6 +87,8 @@
 	firstToken  time.Duration
 	resumes     int
 	offset      int64
+	// interrupted says that the attempt broke off and is being resumed.
+	interrupted bool
 	// silentStart says that the target was silent before its first byte.
 	silentStart bool
 	// outcome is reported once the target confirmed that the attempt ended.
@@ -160,7 +163,7 @@
 	if q.state == stateQueued {
 		r.withdraw(q.ticket.ID)
 	}
-	if !invariant(r.requests[q.Request] == q, "request %s ends twice", q.Request) {
+	if !invariant.Check(r.requests[q.Request] == q, "EndsOnce", "request %s ends twice", q.Request) {
 		return
 	}
 	r.setState(q, 0, time.Time{})
--- a/fleet/routing/router.go
+++ b/fleet/routing/router.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // Timing of the router's decisions.
@@ -139,7 +140,7 @@
 	case Tick:
 		r.tick(now)
 	default:
-		invariant(false, "event %s is not known to the router", ev.EventName())
+		invariant.Check(false, "KnownEvent", "event %s is not known to the router", ev.EventName())
 	}
 }
 
--- a/fleet/routing/standing.go
+++ b/fleet/routing/standing.go
@@ -168,7 +168,9 @@
 		standing: g.ID, epoch: r.standing.epoch, target: g.Target, incarnation: g.Incarnation,
 		address: g.Address, until: g.until,
 	}
-	r.send(now, q, a)
+	if !r.send(now, q, a) {
+		return
+	}
 	use := fleet.StandingUse{Standing: g.ID, Running: a.running()}
 	r.report(func(rep *fleet.RouterReport) { rep.Standing = append(rep.Standing, use) })
 }
