Router: tests of misuse, slow callers, planned and forced stop, and lost control or dispatcher

Before: these paths were untested. After: TestMisuse, TestSmuggling, TestSlowCallers, TestPlannedStop, TestForcedStop, TestCutOffFromDispatcher and TestCutOffFromControl. The timeouts towards callers are settings, so that tests can shorten them.

--- a/router/internal/caller/server.go
+++ b/router/internal/caller/server.go
@@ -29,11 +29,8 @@
 	maxHeader = 32 << 10
 	// parsedHeader is the largest header that is parsed, in bytes.
 	parsedHeader = 256 << 10
-	// writeTimeout bounds the write of one part of an answer.
-	writeTimeout = 10 * time.Second
-	// bodyGrace and bodyRate bound reading a body: the grace, and the bytes a second.
-	bodyGrace = 5 * time.Second
-	bodyRate  = 16 << 10
+	// bodyRate is the least rate at which a body has to come, in bytes a second.
+	bodyRate = 16 << 10
 )
 
 // Configuration is what a Server needs of package configsync.
@@ -60,9 +57,9 @@
 	Refused func(reason fleet.Reason)
 	Clock   fleet.Clock
 	Log     *slog.Logger
-	// WriteTimeout bounds the write of one part of an answer; 0 means the default.
+	// WriteTimeout bounds the write of one part of an answer.
 	WriteTimeout time.Duration
-	// BodyGrace bounds the time before a body's first bytes; 0 means the default.
+	// BodyGrace bounds the wait for a body's first bytes.
 	BodyGrace time.Duration
 }
 
@@ -80,12 +77,6 @@
 
 // New makes a Server.
 func New(cfg Config) *Server {
-	if cfg.WriteTimeout == 0 {
-		cfg.WriteTimeout = writeTimeout
-	}
-	if cfg.BodyGrace == 0 {
-		cfg.BodyGrace = bodyGrace
-	}
 	return &Server{
 		cfg:    cfg,
 		prefix: strings.ReplaceAll(string(cfg.Host), "/", "-") + "-" + strconv.FormatUint(uint64(cfg.Incarnation), 36) + "-",
--- /dev/null
+++ b/router/internal/routercmd/cutoff_test.go
@@ -0,0 +1,105 @@
+package routercmd
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+type netConn = net.Conn
+
+// announce posts one announcement of a target to the router.
+func (w *world) announceTarget(t *testing.T, addr netip.AddrPort, seq fleet.Sequence) int {
+	t.Helper()
+	raw, err := json.Marshal(fleet.Announcement{
+		Target: "target-1", Incarnation: 1, Sequence: seq, Service: "desk", DataCentre: "riga-a",
+		Address: addr, Slots: 4, State: fleet.TargetServing,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post(w.announce+"/v1/targets", "application/json", bytes.NewReader(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestCutOffFromDispatcher(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	defer w.end(t)
+	target := newFakeTarget(t, plainAnswer("filed"))
+	convey.Convey("Announcements are relayed", t, func() {
+		convey.So(w.announceTarget(t, target.addr, 1), convey.ShouldEqual, http.StatusNoContent)
+		time.Sleep(50 * time.Millisecond)
+		w.dispatcher.mu.Lock()
+		defer w.dispatcher.mu.Unlock()
+		found := false
+		for _, r := range w.dispatcher.reports {
+			found = found || len(r.Targets) == 1 && r.Targets[0].Target == "target-1"
+		}
+		convey.So(found, convey.ShouldBeTrue)
+	})
+	convey.Convey("Standing grants serve while the dispatcher is silent, until they lapse", t, func() {
+		w.dispatcher.mu.Lock()
+		w.dispatcher.standing = []fleet.StandingGrant{{ID: "s1", Service: "desk", Target: "target-1", Incarnation: 1, Address: target.addr, Slots: 1}}
+		w.dispatcher.mu.Unlock()
+		time.Sleep(600 * time.Millisecond)
+		w.dispatcher.mu.Lock()
+		w.dispatcher.silent = true
+		w.dispatcher.mu.Unlock()
+		w.announceTarget(t, target.addr, 2)
+		a := w.call("GET", "/services/desk/status/1", "")
+		convey.So(a.status, convey.ShouldEqual, 200)
+		time.Sleep(2 * time.Second)
+		w.announceTarget(t, target.addr, 3)
+		b := w.call("GET", "/services/desk/status/2", "", "Fuchsiashed-Deadline", "800ms")
+		convey.So(b.verdict(), convey.ShouldEqual, "NotRun")
+		convey.So(target.runs(), convey.ShouldEqual, 1)
+	})
+	convey.Convey("Without any grant requests are refused at once", t, func() {
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		a := w.call("GET", "/services/desk/status/3", "")
+		convey.So(a.reason(), convey.ShouldEqual, "NoDispatcher")
+		convey.So(a.verdict(), convey.ShouldEqual, "NotRun")
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 200*time.Millisecond)
+	})
+}
+
+func TestCutOffFromControl(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	defer w.end(t)
+	target := newFakeTarget(t, plainAnswer("filed"))
+	w.dispatcher.setTargets("desk", target.addr)
+	w.control.setDown(true)
+	convey.Convey("A call that may run once is refused while the ledger is away", t, func() {
+		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "away", "Fuchsiashed-Deadline", "1s")
+		convey.So(a.verdict(), convey.ShouldEqual, "NotRun")
+		convey.So(a.reason(), convey.ShouldBeIn, "NoControl", "Deadline")
+		convey.So(target.runs(), convey.ShouldEqual, 0)
+	})
+	convey.Convey("Once its configuration lapsed the router takes nothing", t, func() {
+		time.Sleep(3 * time.Second)
+		a := w.call("GET", "/services/desk/status/1", "")
+		convey.So(a.reason(), convey.ShouldEqual, "ConfigUnconfirmed")
+		convey.So(a.verdict(), convey.ShouldEqual, "NotRun")
+	})
+	convey.Convey("It takes requests again when control is back, and the key is free", t, func() {
+		w.control.setDown(false)
+		time.Sleep(1500 * time.Millisecond)
+		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "away")
+		convey.So(a.status, convey.ShouldEqual, 200)
+	})
+}
--- a/router/internal/routercmd/fakes_test.go
+++ b/router/internal/routercmd/fakes_test.go
@@ -23,6 +23,8 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
 )
 
+const testBodyGrace = 500 * time.Millisecond
+
 const (
 	testKey  = "key-of-riga"
 	testText = `
@@ -325,7 +327,7 @@
 	}
 	var s Settings
 	s.Host = program.HostSection{Host: "router-1", DataCentre: "riga-a", Admin: freeAddr(t)}
-	s.Router = RouterSection{Callers: freeAddr(t), Targets: freeAddr(t), StopLimit: 10 * time.Second}
+	s.Router = RouterSection{Callers: freeAddr(t), Targets: freeAddr(t), StopLimit: 10 * time.Second, BodyGrace: testBodyGrace, WriteTimeout: time.Second}
 	s.Control.Replicas = []netip.AddrPort{w.control.srv.Addr()}
 	s.Dispatchers.Addresses = []netip.AddrPort{w.dispatcher.srv.Addr()}
 	w.url, w.admin, w.announce = "http://"+s.Router.Callers.String(), "http://"+s.Host.Admin.String(), "http://"+s.Router.Targets.String()
--- a/router/internal/routercmd/faults_test.go
+++ b/router/internal/routercmd/faults_test.go
@@ -172,6 +172,7 @@
 }
 
 func TestLateAndRepeatedAnswers(t *testing.T) {
+	t.Parallel()
 	w := startWorld(t)
 	defer w.end(t)
 	convey.Convey("An answer later than the idle timeout arrives from a target that resumes nothing", t, func() {
--- /dev/null
+++ b/router/internal/routercmd/misuse_test.go
@@ -0,0 +1,193 @@
+package routercmd
+
+import (
+	"bufio"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// raw sends bytes on a connection of its own and returns the status and body of the answer.
+func (w *world) raw(t *testing.T, text string) (int, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	send(c, "%s", text)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+// counted returns how many requests were refused for a reason.
+func counted(reason fleet.Reason) int64 {
+	n, ok := refusals.Get(string(reason)).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return n.Value()
+}
+
+const authorized = "Host: x\r\nAuthorization: Bearer " + testKey + "\r\n"
+
+func TestMisuse(t *testing.T) {
+	w := startWorld(t)
+	defer w.end(t)
+	target := newFakeTarget(t, plainAnswer("filed"))
+	w.dispatcher.setTargets("desk", target.addr)
+	get := func(path string) string { return "GET " + path + " HTTP/1.1\r\n" + authorized + "\r\n" }
+	tests := []struct {
+		name, request string
+		status        int
+		reason        string
+	}{
+		{"dot segment", get("/services/desk/status/../filings"), 400, "Malformed"},
+		{"encoded dot segment", get("/services/desk/status/%2e%2e/filings"), 400, "Malformed"},
+		{"encoded slash", get("/services/desk/status%2F..%2Ffilings"), 400, "Malformed"},
+		{"double encoding", get("/services/desk/status/%252e%252e/filings"), 400, "Malformed"},
+		{"empty segment", get("/services/desk//status/1"), 400, "Malformed"},
+		{"reverse slash", get("/services/desk/status/..\\filings"), 400, "Malformed"},
+		{"encoded line feed", get("/services/desk/status/%0a"), 400, "Malformed"},
+		{"another root", get("/standin/record"), 400, "Malformed"},
+		{"unknown service", get("/services/nobody/status/1"), 404, "UnknownService"},
+		{"method that is not passed on", "TRACE /services/desk/status/1 HTTP/1.1\r\n" + authorized + "\r\n", 400, "Malformed"},
+		{"no key", "GET /services/desk/status/1 HTTP/1.1\r\nHost: x\r\n\r\n", 401, "UnknownKey"},
+		{"wrong key", "GET /services/desk/status/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer no\r\n\r\n", 401, "UnknownKey"},
+		{"two keys", "GET /services/desk/status/1 HTTP/1.1\r\n" + authorized + "Authorization: Bearer no\r\n\r\n", 401, "UnknownKey"},
+		{"large header", "GET /services/desk/status/1 HTTP/1.1\r\n" + authorized + "X: " + strings.Repeat("x", 40<<10) + "\r\n\r\n", 431, "HeaderTooLarge"},
+		{"announced body too large", "GET /services/desk/status/1 HTTP/1.1\r\n" + authorized + "Content-Length: 70000\r\n\r\n", 413, "BodyTooLarge"},
+		{"chunked body too large", "GET /services/desk/status/1 HTTP/1.1\r\n" + authorized + "Transfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000) + "\r\n0\r\n\r\n", 413, "BodyTooLarge"},
+		{"broken chunk", "GET /services/desk/status/1 HTTP/1.1\r\n" + authorized + "Transfer-Encoding: chunked\r\n\r\nxx\r\nyy\r\n", 400, "Malformed"},
+		{"two idempotency keys", "GET /services/desk/status/1 HTTP/1.1\r\n" + authorized + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n", 400, "Malformed"},
+		{"bad deadline", "GET /services/desk/status/1 HTTP/1.1\r\n" + authorized + "Fuchsiashed-Deadline: soon\r\n\r\n", 400, "Malformed"},
+		{"conflicting lengths", "POST /services/desk/filings HTTP/1.1\r\n" + authorized + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx", 400, ""},
+		{"folded header", "GET /services/desk/status/1 HTTP/1.1\r\n" + authorized + "X : y\r\n\r\n", 400, ""},
+		{"unknown transfer encoding", "POST /services/desk/filings HTTP/1.1\r\n" + authorized + "Transfer-Encoding: chunked, identity\r\n\r\n", 501, ""},
+		{"not HTTP", "\x16\x03\x01\r\n\r\n", 400, ""},
+	}
+	headers, keys := counted(fleet.ReasonHeaderTooLarge), counted(fleet.ReasonUnknownKey)
+	for _, tt := range tests {
+		convey.Convey(tt.name, t, func() {
+			status, body := w.raw(t, tt.request)
+			convey.So(status, convey.ShouldEqual, tt.status)
+			if tt.reason != "" {
+				convey.So(body, convey.ShouldContainSubstring, `"Verdict":"NotRun","Reason":"`+tt.reason+`"`)
+			}
+		})
+	}
+	convey.Convey("None of them reached the target", t, func() {
+		convey.So(target.runs(), convey.ShouldEqual, 0)
+	})
+	convey.Convey("Each refusal is counted by its reason", t, func() {
+		convey.So(counted(fleet.ReasonHeaderTooLarge)-headers, convey.ShouldEqual, 1)
+		convey.So(counted(fleet.ReasonUnknownKey)-keys, convey.ShouldEqual, 3)
+		convey.So(w.get(t, w.admin+"/debug/vars"), convey.ShouldContainSubstring, `"RouterRefusals": {`)
+	})
+}
+
+func TestSmuggling(t *testing.T) {
+	w := startWorld(t)
+	defer w.end(t)
+	var got *http.Request
+	var gotBody string
+	target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+		got, gotBody = r, body
+		plainAnswer("filed")(t, c, r, body)
+	})
+	w.dispatcher.setTargets("desk", target.addr)
+	convey.Convey("A body with both framings is framed anew, and starts no second request", t, func() {
+		inner := "GET /services/desk/status/2 HTTP/1.1\r\n" + authorized + "\r\n"
+		status, _ := w.raw(t, "GET /services/desk/status/1 HTTP/1.1\r\n"+authorized+
+			fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n", len(inner)+5)+"0\r\n\r\n"+inner)
+		time.Sleep(50 * time.Millisecond)
+		convey.So(status, convey.ShouldBeIn, 200, 400)
+		convey.So(target.saw("GET /status/2"), convey.ShouldBeFalse)
+	})
+	convey.Convey("Headers of the connection, of the fleet and of the key stay behind", t, func() {
+		status, _ := w.raw(t, "GET /services/desk/status/3 HTTP/1.1\r\n"+authorized+
+			"Connection: X-Secret, keep-alive\r\nX-Secret: 1\r\nTe: trailers\r\nUpgrade: websocket\r\nProxy-Authorization: x\r\n"+
+			"Fuchsiashed-Request-Id: forged\r\nFuchsiashed-Not-Run: true\r\nX-Http-Method-Override: POST\r\nX-Kept: 1\r\n"+
+			"Content-Length: 4\r\n\r\nbody")
+		convey.So(status, convey.ShouldEqual, 200)
+		for _, name := range []string{"X-Secret", "Te", "Upgrade", "Proxy-Authorization", "Authorization", "Fuchsiashed-Not-Run", "X-Http-Method-Override"} {
+			convey.So(got.Header.Get(name), convey.ShouldBeBlank)
+		}
+		convey.So(got.Header.Get("X-Kept"), convey.ShouldEqual, "1")
+		convey.So(idOf(got), convey.ShouldStartWith, "router-1-")
+		convey.So(gotBody, convey.ShouldEqual, "body")
+	})
+}
+
+func TestSlowCallers(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	defer w.end(t)
+	convey.Convey("A body that comes too slowly is refused", t, func() {
+		c, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = c.Close() }()
+		send(c, "POST /services/desk/filings HTTP/1.1\r\n%sContent-Length: 100\r\n\r\n", authorized)
+		began := time.Now()
+		go func() {
+			for range 100 {
+				if _, err := c.Write([]byte("x")); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, 408)
+		convey.So(resp.Header.Get("Fuchsiashed-Reason"), convey.ShouldEqual, "SlowCaller")
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 2*testBodyGrace)
+	})
+	convey.Convey("The stream of a caller that stopped reading is cancelled", t, func() {
+		e := newEngineStream(200_000)
+		target := newFakeTarget(t, e.script)
+		w.dispatcher.setTargets("drafter", target.addr)
+		c, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = c.Close() }()
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		send(c, "POST %s HTTP/1.1\r\n%sContent-Length: 2\r\n\r\n{}", chat, authorized)
+		select {
+		case <-e.cancelled:
+		case <-time.After(8 * time.Second):
+			t.Error("the stream was not cancelled")
+		}
+	})
+	convey.Convey("A customer has no more than its share of open requests", t, func() {
+		target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+			time.Sleep(400 * time.Millisecond)
+			plainAnswer("filed")(t, c, r, body)
+		})
+		w.dispatcher.setTargets("desk", target.addr)
+		results := make(chan answerGot, 20)
+		for range 20 {
+			go func() { results <- w.call("GET", "/services/desk/status/1", "") }()
+		}
+		refusedCalls := 0
+		for range 20 {
+			if a := <-results; a.reason() == "TooManyConnections" && a.verdict() == "NotRun" {
+				refusedCalls++
+			}
+		}
+		convey.So(refusedCalls, convey.ShouldEqual, 4)
+	})
+}
--- a/router/internal/routercmd/modules.go
+++ b/router/internal/routercmd/modules.go
@@ -92,10 +92,11 @@
 	return target.NewClient(target.Config{Clock: clock})
 }
 
-func newCallers(id identity, f *configsync.Follower, e *engine.Engine, t *target.Client, st *stopper, clock fleet.Clock, log *slog.Logger) *caller.Server {
+func newCallers(s Settings, id identity, f *configsync.Follower, e *engine.Engine, t *target.Client, st *stopper, clock fleet.Clock, log *slog.Logger) *caller.Server {
 	return caller.New(caller.Config{
 		Host: id.Host, Incarnation: id.incarnation, Configuration: f, Events: e, Targets: t,
 		Stopping: st.leavesHosts, Refused: refused, Clock: clock, Log: log,
+		BodyGrace: s.Router.BodyGrace, WriteTimeout: s.Router.WriteTimeout,
 	})
 }
 
--- /dev/null
+++ b/router/internal/routercmd/stop_test.go
@@ -0,0 +1,88 @@
+package routercmd
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+func (w *world) get(t *testing.T, url string) string {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	return string(body)
+}
+
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	w.control.mu.Lock()
+	w.control.hosts["router-2"] = fleet.HostState{Host: "router-2", Role: fleet.RoleRouter, Address: "127.0.0.1:1", DataCentre: "riga-a"}
+	w.control.mu.Unlock()
+	time.Sleep(1200 * time.Millisecond)
+	e := newEngineStream(700)
+	e.pause = 2 * time.Millisecond
+	target := newFakeTarget(t, e.script)
+	w.dispatcher.setTargets("drafter", target.addr)
+	desk := newFakeTarget(t, plainAnswer("filed"))
+	w.dispatcher.setTargets("desk", desk.addr)
+	convey.Convey("A planned stop cuts nothing and takes requests until old answers lapsed", t, func() {
+		self := strings.TrimPrefix(w.url, "http://")
+		convey.So(w.get(t, w.url+"/v1/hosts"), convey.ShouldContainSubstring, self)
+		long := make(chan answerGot, 1)
+		go func() { long <- w.call("POST", chat, `{"stream":true}`) }()
+		time.Sleep(100 * time.Millisecond)
+		stopped := make(chan error, 1)
+		began := time.Now()
+		go func() { stopped <- w.app.Stop(context.Background()) }()
+		time.Sleep(100 * time.Millisecond)
+		hosts := w.get(t, w.url+"/v1/hosts")
+		convey.So(hosts, convey.ShouldNotContainSubstring, self)
+		convey.So(hosts, convey.ShouldContainSubstring, "127.0.0.1:1")
+		late := w.call("GET", "/services/desk/status/1", "")
+		convey.So(late.status, convey.ShouldEqual, 200)
+		convey.So(w.get(t, w.admin+fleet.PathStatus), convey.ShouldContainSubstring, `"Stopping":true`)
+		a := <-long
+		convey.So(a.err, convey.ShouldBeNil)
+		convey.So(a.body == e.body, convey.ShouldBeTrue)
+		convey.So(<-stopped, convey.ShouldBeNil)
+		convey.So(time.Since(began), convey.ShouldBeGreaterThan, 4*time.Second)
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 8*time.Second)
+	})
+}
+
+func TestForcedStop(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	target := newFakeTarget(t, once(func(*fakeTarget, netConn, *http.Request, string) { time.Sleep(3 * time.Second) }))
+	w.dispatcher.setTargets("desk", target.addr)
+	convey.Convey("A second signal ends what runs with its verdict", t, func() {
+		running := make(chan answerGot, 1)
+		go func() { running <- w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "forced") }()
+		time.Sleep(100 * time.Millisecond)
+		stopped := make(chan error, 1)
+		go func() { stopped <- w.app.Stop(context.Background()) }()
+		time.Sleep(50 * time.Millisecond)
+		close(w.force)
+		a := <-running
+		convey.So(a.err, convey.ShouldBeNil)
+		convey.So(a.verdict(), convey.ShouldEqual, "MayHaveRun")
+		convey.So(a.reason(), convey.ShouldEqual, "Stopping")
+		convey.So(<-stopped, convey.ShouldBeNil)
+		w.control.mu.Lock()
+		defer w.control.mu.Unlock()
+		convey.So(len(w.control.ends), convey.ShouldEqual, 1)
+		convey.So(w.control.ends[0].Verdict, convey.ShouldEqual, fleet.MayHaveRun)
+	})
+}
--- a/router/internal/routercmd/stream_test.go
+++ b/router/internal/routercmd/stream_test.go
@@ -86,6 +86,7 @@
 }
 
 func TestStreams(t *testing.T) {
+	t.Parallel()
 	w := startWorld(t)
 	defer w.end(t)
 	use := func(e *engineStream) *fakeTarget {
@@ -139,6 +140,7 @@
 }
 
 func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
 	w := startWorld(t)
 	defer w.end(t)
 	convey.Convey("The stream of a caller that left is cancelled and its slot freed", t, func() {
