shared: routers remember suspects, quarantines and limits for a take-over

A new lease holder knows no quarantine, no suspect and no target limit. Routers keep what the dispatcher tells them and return it in full reports, beside the counters. The fields are optional; a peer without them is treated as one that remembers nothing.

--- a/fleet/dispatch.go
+++ b/fleet/dispatch.go
@@ -136,6 +136,11 @@
 	// Served lists what each customer was served through this router, for a new
 	// lease holder to rebuild its counters; only in full reports.
 	Served []ServedTotal `json:",omitempty"`
+	// Quarantined, Suspects and Limits return what dispatchers told the router to
+	// remember, for a new lease holder; only in full reports.
+	Quarantined []Quarantine  `json:",omitempty"`
+	Suspects    []Suspect     `json:",omitempty"`
+	Limits      []TargetLimit `json:",omitempty"`
 }
 
 // ServedTotal is the last counter that a router learned for a customer of a service.
@@ -223,8 +228,25 @@
 	Cancel []GrantID `json:",omitempty"`
 	// Served gives counters to remember for a take-over.
 	Served []ServedTotal `json:",omitempty"`
-	// Suspects lists contents that are quarantined, for a take-over.
-	Quarantined []Quarantine `json:",omitempty"`
+	// Quarantined, Suspects and Limits are to be remembered for a take-over. Each entry
+	// replaces the one of the same content or target; routers return them in full reports.
+	Quarantined []Quarantine  `json:",omitempty"`
+	Suspects    []Suspect     `json:",omitempty"`
+	Limits      []TargetLimit `json:",omitempty"`
+}
+
+// Suspect is a request content that ran on a target when that died.
+type Suspect struct {
+	Content ContentHash
+	// For is the remaining time for which it is remembered; 0 means that it was cleared.
+	For time.Duration `json:",omitempty"`
+}
+
+// TargetLimit is the number of requests that a target may run at the same time.
+type TargetLimit struct {
+	Target      TargetID
+	Incarnation Incarnation
+	Limit       Slots
 }
 
 // Quarantine bars a request content from the fleet for some time.
