Dispatcher: grants within limits under a lease

One process holds the lease of the region and grants the slots of all targets. Routers report tickets, running attempts and announcements; the answers go back over the same connection. Customers are served by the least virtual counter, targets start at one request and double after a full round of completions, work of a vanished router stays counted until the target's announcements clear it.

--- /dev/null
+++ b/dispatcher/cmd/fuchsiashed-dispatcher/main.go
@@ -0,0 +1,13 @@
+// Command fuchsiashed-dispatcher grants the slots of targets to waiting requests.
+package main
+
+import (
+	"os"
+
+	"github.com/fuchsiashed/fuchsiashed/dispatcher/internal/dispatchercmd"
+	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
+)
+
+func main() {
+	os.Exit(dispatchercmd.Main(iostreams.System(), os.Args[1:]))
+}
--- /dev/null
+++ b/dispatcher/internal/control/follower.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/dispatcher/internal/loop"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/configsync"
+	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
+)
+
+// FollowerConfig configures a Follower.
+type FollowerConfig struct {
+	Identity Identity
+	Control  fleet.Caller
+	Loop     *loop.Loop
+	Clock    fleet.Clock
+	Log      *slog.Logger
+}
+
+// Follower hands every confirmation of the configuration to the reducer.
+type Follower struct {
+	*configsync.Follower
+	cfg FollowerConfig
+}
+
+// NewFollower makes a Follower; Start begins to follow.
+func NewFollower(cfg FollowerConfig) *Follower {
+	f := &Follower{cfg: cfg}
+	f.Follower = configsync.New(configsync.Config{
+		Control: cfg.Control, Clock: cfg.Clock, Log: cfg.Log, Heartbeat: f.heartbeat, State: f.confirmed,
+	})
+	return f
+}
+
+// Region returns the region of the configuration; empty before there is one.
+func (f *Follower) Region() fleet.RegionName {
+	if cfg, _ := f.Current(); cfg.Fleet != nil {
+		return cfg.Fleet.Region
+	}
+	return ""
+}
+
+func (f *Follower) heartbeat() fleet.StateRequest {
+	cfg, _ := f.Current()
+	id := f.cfg.Identity
+	return fleet.StateRequest{
+		Host: id.Host, Incarnation: id.Incarnation, Role: fleet.RoleDispatcher,
+		Address: id.Address.String(), DataCentre: id.DataCentre, Version: cfg.Version,
+	}
+}
+
+func (f *Follower) confirmed(asked time.Time, s fleet.StateReply) {
+	cfg, _ := f.Current()
+	if cfg.Fleet == nil {
+		return
+	}
+	f.cfg.Loop.Post(dispatch.ConfigConfirmed{Config: cfg, NotAfter: asked.Add(fleet.ShortenLease(s.Validity))})
+}
--- /dev/null
+++ b/dispatcher/internal/dispatchercmd/dispatchercmd_test.go
@@ -0,0 +1,90 @@
+package dispatchercmd
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxtest"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/program"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+)
+
+func startControl(t *testing.T, addr netip.AddrPort) {
+	t.Helper()
+	srv := rpc.NewServer(rpc.ServerConfig{Address: addr, Handler: &fakeControl{}, Log: slog.New(slog.DiscardHandler)})
+	if err := srv.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(srv.Stop)
+}
+
+func startDispatcher(t *testing.T, host fleet.HostID, listen, admin, control netip.AddrPort) *fxtest.App {
+	t.Helper()
+	doc := &document{
+		Host:       program.HostSection{Host: host, DataCentre: "riga-a", Admin: admin},
+		Dispatcher: dispatcherSection{Listen: listen, LeaseDuration: time.Second},
+		Control:    program.ControlSection{Replicas: []netip.AddrPort{control}},
+	}
+	app := fxtest.New(
+		t, fx.NopLogger, fx.Supply(slog.New(slog.DiscardHandler)),
+		fx.Supply(fx.Annotate(fleet.SystemClock{}, fx.As(new(fleet.Clock)))), modules(doc),
+	)
+	app.RequireStart()
+	return app
+}
+
+func localAddress(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+}
+
+func hasGrant(m *fleet.DispatcherGrants) bool { return len(m.Grants) > 0 }
+
+func testTicket(id fleet.TicketID) fleet.Ticket {
+	return fleet.Ticket{
+		ID: id, Request: fleet.RequestID(id), Customer: "riga-centrs", Service: "drafter", DataCentre: "riga-a",
+		Content: "c", Attempt: 1, Patience: time.Minute,
+	}
+}
+
+func TestGrantAndTakeOver(t *testing.T) {
+	startControl(t, localAddress(22001))
+	first := startDispatcher(t, "dispatcher-1", localAddress(22002), localAddress(22003), localAddress(22001))
+	defer first.RequireStop()
+	router := newFakeRouter(t, localAddress(22002))
+
+	convey.Convey("The lease holder grants a ticket on the connection that brought it", t, func() {
+		router.wait(t, 5*time.Second, func(m *fleet.DispatcherGrants) bool { return m.Resync })
+		router.report(fleet.RouterReport{Tickets: []fleet.Ticket{testTicket("t1")}})
+		m := router.wait(t, 5*time.Second, hasGrant)
+		convey.So(m.Grants[0].Target, convey.ShouldEqual, fleet.TargetID("drafter-1"))
+		convey.So(m.Epoch, convey.ShouldEqual, fleet.Epoch(1))
+
+		var targets []fleet.TargetStatus
+		getJSON(t, "http://127.0.0.1:22003"+fleet.PathTargets, &targets)
+		convey.So(len(targets), convey.ShouldEqual, 1)
+		convey.So(targets[0].InUse, convey.ShouldEqual, fleet.Slots(1))
+		var decisions []fleet.Decision
+		getJSON(t, "http://127.0.0.1:22003"+fleet.PathExplain+"t1", &decisions)
+		convey.So(decisions[0].Event, convey.ShouldEqual, "Granted")
+	})
+}
+
+func getJSON(t *testing.T, url string, v any) {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/dispatcher/internal/loop/counters.go
@@ -0,0 +1,21 @@
+package loop
+
+import (
+	"expvar"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+var (
+	decisions  = expvar.NewMap("DispatchDecisions")
+	refusals   = expvar.NewMap("DispatchRefusals")
+	violations = expvar.NewMap("DispatchViolations")
+)
+
+// count counts a decision by its event, and a refusal by its reason.
+func count(d fleet.Decision) {
+	decisions.Add(d.Event, 1)
+	if d.Reason != "" {
+		refusals.Add(string(d.Reason), 1)
+	}
+}
--- /dev/null
+++ b/dispatcher/internal/operator/operator.go
@@ -0,0 +1,80 @@
+// Package operator serves the operators' endpoints of a dispatcher.
+package operator
+
+import (
+	"expvar"
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/fuchsiashed/fuchsiashed/dispatcher/internal/control"
+	"github.com/fuchsiashed/fuchsiashed/dispatcher/internal/loop"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
+	"github.com/fuchsiashed/fuchsiashed/fleet/explain"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+)
+
+// Config configures a Handler.
+type Config struct {
+	Identity control.Identity
+	Loop     *loop.Loop
+	Record   *explain.Record
+}
+
+// Handler answers operators.
+type Handler struct {
+	cfg Config
+}
+
+// New makes a Handler.
+func New(cfg Config) *Handler { return &Handler{cfg: cfg} }
+
+// Routes adds the endpoints.
+func (h *Handler) Routes(r gin.IRouter) {
+	r.GET(fleet.PathStatus, h.status)
+	r.GET(fleet.PathTargets, h.targets)
+	r.GET(fleet.PathCustomers, h.customers)
+	r.GET(fleet.PathExplain+":request", h.explain)
+}
+
+func (h *Handler) status(c *gin.Context) {
+	var st dispatch.Status
+	h.cfg.Loop.View(func(r *dispatch.Reducer) { st = r.Status() })
+	id := h.cfg.Identity
+	out := fleet.ProcessStatus{
+		Host: id.Host, Role: fleet.RoleDispatcher, DataCentre: id.DataCentre, Incarnation: id.Incarnation,
+		Version: st.Version, Confirmed: st.Confirmed, Epoch: st.Epoch, Waiting: st.Waiting, Running: st.Running,
+	}
+	if st.Active {
+		out.Active = id.Host
+	}
+	c.JSON(http.StatusOK, out)
+}
+
+func (h *Handler) targets(c *gin.Context) {
+	var list []fleet.TargetStatus
+	h.cfg.Loop.View(func(r *dispatch.Reducer) { list = r.Targets() })
+	c.JSON(http.StatusOK, list)
+}
+
+func (h *Handler) customers(c *gin.Context) {
+	var list []fleet.CustomerStatus
+	h.cfg.Loop.View(func(r *dispatch.Reducer) { list = r.Customers() })
+	c.JSON(http.StatusOK, list)
+}
+
+func (h *Handler) explain(c *gin.Context) {
+	c.JSON(http.StatusOK, h.cfg.Record.Of(fleet.RequestID(c.Param("request"))))
+}
+
+// Publish adds the process's figures to expvar.
+func Publish(traffic *rpc.Traffic, l *loop.Loop) {
+	expvar.Publish("BytesRead", expvar.Func(func() any { return traffic.Read() }))
+	expvar.Publish("BytesWritten", expvar.Func(func() any { return traffic.Written() }))
+	expvar.Publish("Dispatch", expvar.Func(func() any {
+		var st dispatch.Status
+		l.View(func(r *dispatch.Reducer) { st = r.Status() })
+		return st
+	}))
+}
--- /dev/null
+++ b/dispatcher/internal/router/link.go
@@ -0,0 +1,64 @@
+package router
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
+)
+
+// linkQueue is the number of messages that may wait for a router to read.
+const linkQueue = 1024
+
+// link sends messages over one connection, so that a router which does not read holds
+// up no other one.
+type link struct {
+	cfg   Config
+	peer  fleet.Caller
+	queue chan dispatch.SendGrants
+	quit  chan struct{}
+	once  sync.Once
+}
+
+func newLink(cfg Config, peer fleet.Caller) *link {
+	l := &link{cfg: cfg, peer: peer, queue: make(chan dispatch.SendGrants, linkQueue), quit: make(chan struct{})}
+	go l.run()
+	return l
+}
+
+func (l *link) close() { l.once.Do(func() { close(l.quit) }) }
+
+// send queues a message. A router that leaves too many unread is given up; its next
+// report is then asked to be a full one.
+func (l *link) send(e dispatch.SendGrants) {
+	select {
+	case l.queue <- e:
+	default:
+		l.cfg.Log.Warn("RouterNotReading", "router", string(e.To))
+		go l.cfg.Loop.Post(dispatch.RouterDisconnected{Router: e.To})
+	}
+}
+
+func (l *link) run() {
+	for {
+		select {
+		case <-l.quit:
+			return
+		case e := <-l.queue:
+			l.perform(e)
+		}
+	}
+}
+
+// perform sends one message unless the lease that it rests on has lapsed meanwhile.
+func (l *link) perform(e dispatch.SendGrants) {
+	if l.cfg.Clock.Now().After(e.NotAfter()) {
+		l.cfg.Loop.Post(fleet.Expired{Effect: e})
+		return
+	}
+	if err := l.peer.Notify(context.Background(), fleet.MethodGrants, &e.Message); err != nil {
+		l.cfg.Log.Warn("GrantsNotSent", "router", string(e.To), "error", err)
+		l.cfg.Loop.Post(dispatch.RouterDisconnected{Router: e.To})
+	}
+}
--- /dev/null
+++ b/dispatcher/internal/router/router.go
@@ -0,0 +1,136 @@
+// Package router serves the connections of routers to a dispatcher.
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/netip"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/dispatcher/internal/loop"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+)
+
+// Config configures a Server.
+type Config struct {
+	Address netip.AddrPort
+	Loop    *loop.Loop
+	Clock   fleet.Clock
+	Traffic *rpc.Traffic
+	Log     *slog.Logger
+}
+
+// Server takes reports of routers and sends them grants. It is safe for concurrent use.
+type Server struct {
+	cfg  Config
+	rpc  *rpc.Server
+	seen func(fleet.Version)
+
+	mu      sync.Mutex
+	links   map[fleet.HostID]*link
+	hosts   map[fleet.Caller]fleet.HostID
+	stopped bool
+}
+
+// NewServer makes a Server; Start opens its listener.
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg, links: map[fleet.HostID]*link{}, hosts: map[fleet.Caller]fleet.HostID{}, seen: func(fleet.Version) {}}
+	s.rpc = rpc.NewServer(rpc.ServerConfig{
+		Address: cfg.Address, Handler: rpc.HandlerFunc(s.handle), Gone: s.gone, Traffic: cfg.Traffic, Log: cfg.Log,
+	})
+	return s
+}
+
+// SetSeen sets who is told of the configuration versions that routers run under.
+func (s *Server) SetSeen(f func(fleet.Version)) { s.seen = f }
+
+// Start listens for routers.
+func (s *Server) Start() error { return s.rpc.Start() }
+
+// Stop closes all connections.
+func (s *Server) Stop() {
+	s.rpc.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for host, l := range s.links {
+		l.close()
+		delete(s.links, host)
+	}
+}
+
+// Addr returns the address listened on; valid after Start.
+func (s *Server) Addr() netip.AddrPort { return s.rpc.Addr() }
+
+// Connected returns the number of routers that are connected.
+func (s *Server) Connected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.links)
+}
+
+func (s *Server) handle(_ context.Context, peer fleet.Caller, method string, params json.RawMessage) (any, error) {
+	if method != fleet.MethodReport {
+		return nil, errors.Errorf("method %q does not exist", method)
+	}
+	var report fleet.RouterReport
+	if err := fleet.Decode(params, &report); err != nil {
+		s.cfg.Log.Warn("ReportRefused", "error", err)
+		return nil, err
+	}
+	s.bind(report.Router, peer)
+	s.seen(report.Version)
+	s.cfg.Loop.Post(dispatch.ReportReceived{Report: report})
+	return nil, nil
+}
+
+// bind makes the connection the one over which the router is answered.
+func (s *Server) bind(host fleet.HostID, peer fleet.Caller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.links[host]
+	if ok && l.peer == peer || s.stopped {
+		return
+	}
+	if _, known := s.hosts[peer]; known {
+		// The router has a newer connection; this one still delivers old reports.
+		return
+	}
+	if ok {
+		l.close()
+	}
+	s.hosts[peer] = host
+	s.links[host] = newLink(s.cfg, peer)
+}
+
+// gone forgets a connection that ended.
+func (s *Server) gone(peer fleet.Caller) {
+	s.mu.Lock()
+	host, ok := s.hosts[peer]
+	delete(s.hosts, peer)
+	l := s.links[host]
+	current := ok && l != nil && l.peer == peer
+	if current {
+		l.close()
+		delete(s.links, host)
+	}
+	s.mu.Unlock()
+	if current {
+		s.cfg.Loop.Post(dispatch.RouterDisconnected{Router: host})
+	}
+}
+
+// Send implements loop.Sender.
+func (s *Server) Send(e dispatch.SendGrants) {
+	s.mu.Lock()
+	l := s.links[e.To]
+	s.mu.Unlock()
+	if l != nil {
+		l.send(e)
+	}
+}
--- /dev/null
+++ b/fleet/dispatch/attempt.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// attempt is a granted attempt of a request that may hold a slot of its target.
+type attempt struct {
+	id     fleet.GrantID
+	ticket fleet.Ticket
+	// router is who has it; inDoubt says that this can't be confirmed any more.
+	router      *router
+	incarnation fleet.Incarnation
+	target      *target
+	targetInc   fleet.Incarnation
+	customer    *customer
+	weight      fleet.Weight
+	standing    *standing
+
+	estimate fleet.Cost
+	charged  fleet.Cost
+	spent    fleet.Cost
+
+	// expires is the last moment at which the router may start the request.
+	expires time.Time
+	// firstToken says that the time to the first token was taken in.
+	firstToken bool
+	// unlisted says that a full report of the router did not name the attempt.
+	unlisted bool
+	inDoubt  bool
+	// clearedBy is the least announcement whose list of running requests tells
+	// whether an attempt in doubt still runs.
+	clearedBy fleet.Sequence
+	// bound is when an attempt in doubt has ended in any case.
+	bound time.Time
+	// suspect is the content that the attempt tries again; nil for most attempts.
+	suspect *content
+	// presumed says that only the target's announcement told of the attempt.
+	presumed bool
+
+	targetIndex int
+}
+
+// announcementsToClear is the number of announcements after which one was surely
+// made after the doubt arose, even when a router was slow to relay it.
+const announcementsToClear = 2
+
+// addAttempt makes an attempt count against its target and customer.
+func (r *Reducer) addAttempt(a *attempt) {
+	r.attempts[a.id] = a
+	a.targetIndex = len(a.target.attempts)
+	a.target.attempts = append(a.target.attempts, a)
+	if a.standing == nil {
+		a.target.granted++
+	} else {
+		a.standing.inUse++
+	}
+	if a.suspect != nil {
+		a.target.suspects++
+		a.suspect.running = a
+	}
+	a.customer.attempts++
+	a.customer.service.attempts++
+	a.customer.service.mostAttempts = max(a.customer.service.mostAttempts, a.customer.service.attempts)
+	if a.router != nil {
+		a.router.attempts[a.id] = a
+		a.router.byTicket[a.ticket.ID] = a
+	}
+}
+
+// removeAttempt frees the slot of an attempt that surely does not run.
+func (r *Reducer) removeAttempt(a *attempt) {
+	delete(r.attempts, a.id)
+	t := a.target
+	last := t.attempts[len(t.attempts)-1]
+	t.attempts[a.targetIndex] = last
+	last.targetIndex = a.targetIndex
+	t.attempts = t.attempts[:len(t.attempts)-1]
+	if a.standing == nil {
+		t.granted--
+	} else {
+		a.standing.inUse--
+		r.dropStanding(a.standing)
+	}
+	if a.suspect != nil {
+		t.suspects--
+		a.suspect.running = nil
+		r.parkedMayRun = true
+	}
+	r.leaveRouter(a)
+	a.customer.attempts--
+	a.customer.service.attempts--
+	a.customer.noteIdle(r.now)
+	r.refresh(t)
+}
+
+func (r *Reducer) leaveRouter(a *attempt) {
+	if a.router == nil {
+		return
+	}
+	delete(a.router.attempts, a.id)
+	if a.router.byTicket[a.ticket.ID] == a {
+		delete(a.router.byTicket, a.ticket.ID)
+	}
+}
+
+// doubt keeps the attempt counted although its router can't tell about it.
+func (r *Reducer) doubt(a *attempt) {
+	if a.inDoubt {
+		return
+	}
+	if r.cfg.off.doubt {
+		r.finish(a, a.spent)
+		return
+	}
+	a.inDoubt = true
+	timeout := a.customer.service.spec.RequestTimeout
+	a.bound = later(r.now, a.expires).Add(timeout)
+	a.clearedBy = a.target.last.Sequence + announcementsToClear
+	if a.expires.After(r.now) {
+		a.clearedBy += fleet.Sequence(a.expires.Sub(r.now)/fleet.AnnounceInterval) + 1
+	}
+}
+
+// clearDoubt ends the attempts in doubt that the target's announcement rules out.
+func (r *Reducer) clearDoubt(t *target) {
+	for i := len(t.attempts) - 1; i >= 0; i-- {
+		a := t.attempts[i]
+		if !a.inDoubt || a.targetInc != t.last.Incarnation || t.last.Sequence < a.clearedBy {
+			continue
+		}
+		if contains(t.last.Running, a.ticket.Request) {
+			continue
+		}
+		r.finish(a, a.spent)
+	}
+}
+
+// expireDoubt ends the attempts in doubt whose bound has passed.
+func (r *Reducer) expireDoubt(t *target) {
+	for i := len(t.attempts) - 1; i >= 0; i-- {
+		if a := t.attempts[i]; a.inDoubt && r.now.After(a.bound) {
+			r.finish(a, a.spent)
+		}
+	}
+}
+
+// finish settles the charge of an attempt and frees its slot.
+func (r *Reducer) finish(a *attempt, cost fleet.Cost) {
+	r.charge(a, cost)
+	r.removeAttempt(a)
+}
+
+// progress takes in the cost of a running attempt so far.
+func (r *Reducer) progress(a *attempt, p *fleet.Progress) {
+	a.unlisted = false
+	r.observeFirstToken(a, p.FirstToken)
+	a.spent = max(a.spent, p.Spent)
+	if r.cfg.Charging == ChargeProgressively {
+		r.charge(a, max(a.charged, a.spent))
+	}
+}
+
+// charge changes what an attempt is charged. A cost beyond the largest allowed one is
+// charged in full and widens the bound on the gap.
+func (r *Reducer) charge(a *attempt, cost fleet.Cost) {
+	if a.presumed {
+		return
+	}
+	s := a.customer.service
+	if cost > r.maxCost(s) && a.charged <= r.maxCost(s) {
+		r.overMaxCost++
+		r.decide(a.ticket.Request, a.customer.name, "CostOverMax", "", "")
+	}
+	s.largestCost = max(s.largestCost, cost)
+	a.customer.charge(a, max(cost, 0))
+}
+
+func (r *Reducer) observeFirstToken(a *attempt, d time.Duration) {
+	if d <= 0 || a.firstToken || a.targetInc != a.target.last.Incarnation {
+		return
+	}
+	a.firstToken = true
+	before := a.target.limiter.limit
+	s := a.customer.service
+	a.target.limiter.firstToken(d, s.firstToken)
+	if a.target.limiter.slow == 0 {
+		s.firstToken.add(float64(d))
+	}
+	if a.target.limiter.limit != before {
+		r.limitChanged(a.target)
+		r.refresh(a.target)
+	}
+}
+
+// ended takes in the end of an attempt.
+func (r *Reducer) ended(a *attempt, e *fleet.GrantEnd) {
+	a.spent = max(a.spent, e.Spent)
+	r.decide(a.ticket.Request, a.customer.name, string(e.Outcome), "", string(a.target.id))
+	switch e.Outcome {
+	case fleet.OutcomeCompleted:
+		r.completed(a, e)
+	case fleet.OutcomeUnknown:
+		r.doubt(a)
+		return
+	case fleet.OutcomeOverloaded:
+		r.targetFailed(a)
+	case fleet.OutcomeBroken:
+		r.targetFailed(a)
+		r.blame(a, false)
+		r.doubt(a)
+		return
+	}
+	r.finish(a, a.spent)
+}
+
+func (r *Reducer) completed(a *attempt, e *fleet.GrantEnd) {
+	if a.targetInc == a.target.last.Incarnation {
+		r.observeFirstToken(a, e.FirstToken)
+		before := a.target.limiter.limit
+		a.target.limiter.completed(a.target.last.Slots)
+		if a.target.limiter.limit != before {
+			r.limitChanged(a.target)
+		}
+	}
+	a.customer.estimator.learn(a.ticket.Hint, a.spent)
+	a.customer.service.cost.add(float64(a.spent))
+	r.clearSuspect(a)
+}
+
+// targetFailed lowers the limit of a target that broke or refused an attempt.
+func (r *Reducer) targetFailed(a *attempt) {
+	if a.targetInc != a.target.last.Incarnation {
+		return
+	}
+	before := a.target.limiter.limit
+	a.target.limiter.failed(r.now)
+	if a.target.limiter.limit != before {
+		r.limitChanged(a.target)
+	}
+}
--- /dev/null
+++ b/fleet/dispatch/check.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// violated reports that the reducer broke one of its own rules.
+func (r *Reducer) violated(invariant, format string, args ...any) {
+	detail := fmt.Sprintf(format, args...)
+	if r.cfg.Violated == nil {
+		panic(invariant + ": " + detail)
+	}
+	r.cfg.Violated(invariant, detail)
+}
+
+// Names of the invariants.
+const (
+	invariantLimit    = "InUseWithinLimit"
+	invariantTarget   = "NoGrantToUnfitTarget"
+	invariantOnce     = "TicketGrantedOnce"
+	invariantGap      = "GapWithinBound"
+	invariantWait     = "WaitWithinBound"
+	invariantWork     = "NoFreeSlotBesideTicket"
+	invariantContent  = "OneSuspectPerTarget"
+	invariantAccounts = "SlotsAddUp"
+)
+
+// mayGrant checks a grant just before it is made; a grant that breaks a rule is not made.
+func (r *Reducer) mayGrant(t *ticket, to *target) bool {
+	state, room := r.state(to), to.room(r.rampedSlots(to))
+	switch {
+	case state != string(fleet.TargetServing):
+		r.violated(invariantTarget, "ticket %s for target %s that is %s", t.ID, to.id, state)
+	case room <= 0:
+		r.violated(invariantLimit, "ticket %s for target %s with %d of %d slots granted, %d standing",
+			t.ID, to.id, to.granted, to.limiter.limit, to.standingSlots())
+	case t.router.byTicket[t.ID] != nil:
+		r.violated(invariantOnce, "ticket %s has grant %s", t.ID, t.router.byTicket[t.ID].id)
+	case r.isSuspect(t) && to.suspects > 0:
+		r.violated(invariantContent, "ticket %s for target %s that runs a suspect", t.ID, to.id)
+	default:
+		return true
+	}
+	return false
+}
+
+// checkDispatched checks that no eligible ticket was left beside a free slot.
+func (r *Reducer) checkDispatched(s *service) {
+	if s.freeTargets > 0 && s.backlog.Len() > 0 {
+		r.violated(invariantWork, "service %s has %d free targets and %d waiting customers", s.name, s.freeTargets, s.backlog.Len())
+	}
+}
+
+// checkCounters checks that the counters of backlogged customers differ by no more
+// than the bound, see docs/design/dispatch.md.
+func (r *Reducer) checkCounters(s *service) {
+	if s.backlog.Len() < 2 {
+		return
+	}
+	least, most := s.backlog.Min(), s.backlog.Min()
+	for _, c := range s.backlog.items {
+		if c.counter > most.counter {
+			most = c
+		}
+	}
+	if gap, bound := most.counter-least.counter, r.gapBound(s); gap > bound {
+		r.violated(invariantGap, "customers %s and %s of %s differ by %d; the bound is %d",
+			most.name, least.name, s.name, gap/counterScale, bound/counterScale)
+	}
+}
+
+// gapBound returns the largest difference between the counters of two backlogged
+// customers: each slot may be charged wrongly by the largest cost, once for the one
+// customer and once for the other.
+func (r *Reducer) gapBound(s *service) counter {
+	each := virtual(max(r.maxCost(s), s.largestCost), max(1, s.leastWeight))
+	slack := counter(r.config.Fleet.Policy.PlacementSlack) * counterScale
+	return 2*counter(s.mostAttempts)*each + slack
+}
+
+// checkTarget checks that the counts of a target agree with its attempts.
+func (r *Reducer) checkTarget(t *target) {
+	var granted, inUse fleet.Slots
+	for _, a := range t.attempts {
+		if a.standing == nil {
+			granted++
+		} else {
+			inUse++
+		}
+	}
+	if granted != t.granted {
+		r.violated(invariantAccounts, "target %s counts %d granted attempts and has %d", t.id, t.granted, granted)
+	}
+	for _, s := range t.standing {
+		inUse -= s.inUse
+	}
+	if inUse != 0 {
+		r.violated(invariantAccounts, "target %s has %d more attempts on standing grants than these count", t.id, inUse)
+	}
+}
--- /dev/null
+++ b/fleet/dispatch/estimator.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import "github.com/fuchsiashed/fuchsiashed/fleet"
+
+// estimateWeight is the weight of the newest request in the running means.
+const estimateWeight = 1.0 / 8
+
+// mean is an exponential running mean.
+type mean struct {
+	value float64
+	known bool
+}
+
+func (m *mean) add(x float64) {
+	if !m.known {
+		m.value, m.known = x, true
+		return
+	}
+	m.value += (x - m.value) * estimateWeight
+}
+
+// estimator predicts the cost of a customer's next request from its last ones.
+type estimator struct {
+	// cost is the mean cost of requests; ratio that of cost to hint.
+	cost  mean
+	ratio mean
+}
+
+// estimate returns the predicted cost, from 1 to most.
+func (e *estimator) estimate(hint, most fleet.Cost, fallback mean) fleet.Cost {
+	guess := float64(most) / 2
+	switch {
+	case hint > 0 && e.ratio.known:
+		guess = float64(hint) * e.ratio.value
+	case hint > 0:
+		guess = float64(hint)
+	case e.cost.known:
+		guess = e.cost.value
+	case fallback.known:
+		guess = fallback.value
+	}
+	return min(max(fleet.Cost(guess), 1), most)
+}
+
+// learn takes in the cost of a request that ended.
+func (e *estimator) learn(hint, cost fleet.Cost) {
+	e.cost.add(float64(cost))
+	if hint > 0 {
+		e.ratio.add(float64(cost) / float64(hint))
+	}
+}
--- /dev/null
+++ b/fleet/dispatch/main_test.go
@@ -0,0 +1,20 @@
+package dispatch
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	// The flags set below are those of rapid.
+	_ "pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/fleet/dispatch/retained.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// limitKeepers is the number of routers that remember the limit of a target.
+const limitKeepers = 3
+
+// news collects what routers have to remember for a successor.
+type news struct {
+	contents []*content
+	targets  []*target
+}
+
+// remember lets all routers keep what is known of a content.
+func (r *Reducer) remember(c *content) {
+	if !slices.Contains(r.news.contents, c) {
+		r.news.contents = append(r.news.contents, c)
+	}
+}
+
+// limitChanged lets a few routers keep the limit of a target.
+func (r *Reducer) limitChanged(t *target) {
+	if !slices.Contains(r.news.targets, t) {
+		r.news.targets = append(r.news.targets, t)
+	}
+}
+
+// spread sends the news.
+func (r *Reducer) spread() {
+	collected := r.news
+	r.news = news{}
+	if r.phase != active {
+		return
+	}
+	for _, c := range collected.contents {
+		for _, o := range r.routerList {
+			if o.connected {
+				r.tellContent(o, c)
+			}
+		}
+	}
+	for _, t := range collected.targets {
+		r.tellLimit(t)
+	}
+}
+
+func (r *Reducer) tellContent(o *router, c *content) {
+	box := r.post(o)
+	if left := c.quarantinedUntil.Sub(r.now); left > 0 {
+		box.quarantined = append(box.quarantined, fleet.Quarantine{Content: c.hash, For: left})
+	}
+	suspect := fleet.Suspect{Content: c.hash}
+	if len(c.deaths) > 0 {
+		suspect.For = c.forgottenAt.Sub(r.now)
+	}
+	box.suspects = append(box.suspects, suspect)
+}
+
+func (r *Reducer) tellLimit(t *target) {
+	first := int(xxhash.Sum64String(string(t.id)) % uint64(max(1, len(r.routerList))))
+	for i, told := 0, 0; i < len(r.routerList) && told < limitKeepers; i++ {
+		o := r.routerList[(first+i)%len(r.routerList)]
+		if !o.connected {
+			continue
+		}
+		told++
+		box := r.post(o)
+		box.limits = append(box.limits, fleet.TargetLimit{
+			Target: t.id, Incarnation: t.last.Incarnation, Limit: t.limiter.limit,
+		})
+	}
+}
+
+// applyRemembered takes in what a router kept for a new lease holder.
+func (r *Reducer) applyRemembered(m *fleet.RouterReport) {
+	if r.phase != active && !r.cfg.off.retainedCounters {
+		r.applyServed(m.Served)
+	}
+	for _, q := range m.Quarantined {
+		r.applyQuarantine(q.Content, q.For)
+	}
+	for _, s := range m.Suspects {
+		if s.For > 0 && r.contents[s.Content] == nil && r.phase != active {
+			c := r.suspectOf(s.Content)
+			c.forgottenAt = r.now.Add(s.For)
+			c.deaths = []death{{confirmed: true}}
+		}
+	}
+	if r.phase == active {
+		return
+	}
+	for _, l := range m.Limits {
+		t := r.target(l.Target)
+		if t.known && t.last.Incarnation != l.Incarnation {
+			continue
+		}
+		if t.limiter.retained == 0 || l.Limit < t.limiter.retained {
+			t.limiter.retained = max(1, l.Limit)
+		}
+	}
+}
+
+// applyQuarantine bars a content that an earlier lease holder barred.
+func (r *Reducer) applyQuarantine(hash fleet.ContentHash, left time.Duration) {
+	if left <= 0 || r.cfg.off.suspects {
+		return
+	}
+	c := r.suspectOf(hash)
+	if until := r.now.Add(left); until.After(c.quarantinedUntil) {
+		c.quarantinedUntil = until
+		r.parkedMayRun = true
+	}
+}
+
+func (r *Reducer) applyServed(totals []fleet.ServedTotal) {
+	for _, st := range totals {
+		c := r.customer(r.service(st.Service), st.Customer)
+		c.counter = max(c.counter, counter(st.Counter)*counterScale)
+		c.resort()
+	}
+}
--- /dev/null
+++ b/fleet/dispatch/service.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// service is the state of one service of the region.
+type service struct {
+	name fleet.ServiceName
+	off  mechanisms
+	// spec is that of the confirmed configuration; known is false when it has none.
+	spec  fleet.Service
+	known bool
+
+	customers map[fleet.CustomerName]*customer
+	backlog   indexedHeap[*customer]
+	// virtual is the highest counter at which a customer was granted.
+	virtual counter
+	// cost is the running mean over all customers.
+	cost mean
+	// charged is the sum of what attempts were charged.
+	charged fleet.Cost
+	// attempts counts the attempts that have not ended; mostAttempts is the most ever.
+	attempts     int
+	mostAttempts int
+	// largestCost and leastWeight go into the bound on the gap.
+	largestCost fleet.Cost
+	leastWeight fleet.Weight
+	// presumed stands for the customers of attempts that only a target told of.
+	presumed *customer
+
+	// usable counts the targets that may get new work now or once a slot is free.
+	usable int
+	free   map[fleet.DataCentreName]*indexedHeap[*target]
+	zones  []fleet.DataCentreName
+	// freeTargets counts the targets with a free slot.
+	freeTargets int
+	prefixes    map[fleet.PrefixHash][]*target
+	parked      []*ticket
+	// firstToken is the running mean of the time to the first token over warm targets.
+	firstToken mean
+}
+
+func newService(name fleet.ServiceName, off mechanisms) *service {
+	s := &service{
+		name:      name,
+		off:       off,
+		customers: map[fleet.CustomerName]*customer{},
+		backlog: indexedHeap[*customer]{
+			less:  lessCustomer,
+			place: func(c *customer, i int) { c.backlogIndex = i },
+		},
+		free:     map[fleet.DataCentreName]*indexedHeap[*target]{},
+		prefixes: map[fleet.PrefixHash][]*target{},
+	}
+	s.presumed = newCustomer(s, "", 1)
+	return s
+}
+
+// leastCounter returns the counter at which a customer without credit or debt joins.
+func (s *service) leastCounter() counter {
+	if s.backlog.Len() > 0 {
+		return s.backlog.Min().counter
+	}
+	return s.virtual
+}
+
+// freeIn returns the targets of a data centre with a free slot, emptiest first.
+func (s *service) freeIn(dc fleet.DataCentreName) *indexedHeap[*target] {
+	h, ok := s.free[dc]
+	if !ok {
+		h = &indexedHeap[*target]{less: lessLoaded, place: func(t *target, i int) { t.freeIndex = i }}
+		s.free[dc] = h
+		s.zones = append(s.zones, dc)
+		slices.Sort(s.zones)
+	}
+	return h
+}
+
+func (s *service) noteWeight(w fleet.Weight) {
+	if s.leastWeight == 0 || w < s.leastWeight {
+		s.leastWeight = w
+	}
+}
