shared: log errors by their message, without stacks

Cause: the text handler prints an error with %+v, so every line with an error carried the stack that pkg/errors keeps, about 600 bytes. Before: ConfigUnconfirmed once a second filled the log's tail.

--- a/fleet/program/program.go
+++ b/fleet/program/program.go
@@ -128,7 +128,7 @@
 // second signal ends a planned stop that is still waiting.
 func run(spec Spec, io *iostreams.IOStreams) int {
 	id := spec.Identity()
-	log := slog.New(slog.NewTextHandler(io.Err, nil)).With("program", spec.Name, "host", string(id.Host), "datacentre", string(id.DataCentre))
+	log := slog.New(slog.NewTextHandler(io.Err, &slog.HandlerOptions{ReplaceAttr: errorText})).With("program", spec.Name, "host", string(id.Host), "datacentre", string(id.DataCentre))
 	force := make(chan struct{})
 	app := fx.New(
 		fx.Supply(log, Force(force)),
@@ -161,6 +161,15 @@
 	return stop(app, log, signals, force, ExitOK)
 }
 
+// errorText logs an error by its message alone; the handler would print the stack that
+// errors carry as well.
+func errorText(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
+}
+
 func stop(app *fx.App, log *slog.Logger, signals <-chan os.Signal, force chan<- struct{}, code int) int {
 	log.Info("Stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
