--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -77,6 +77,7 @@
     echo "[Control]"
     echo "Listen = $(address $((n * 2 - 1)))"
     echo "DataFolder = $folder/control-$n"
+    echo "Bootstrap = true"
     echo "[Replicas]"
     echo "Members = control-1@$(address 1), control-2@$(address 3), control-3@$(address 5)"
   } | settings "control-$n"
