Dispatcher: a passive one refuses to list targets and customers

Cause: the operators' command line merged the lists of the active and the passive dispatcher, so each target stood twice and make demo timed out waiting for 6. Ruled out: announcements (both lists were right). Before: 12 rows. Conclusion: only the active dispatcher answers these paths.

--- a/dispatcher/internal/operator/operator.go
+++ b/dispatcher/internal/operator/operator.go
@@ -53,15 +53,27 @@
 }
 
 func (h *Handler) targets(c *gin.Context) {
-	var list []fleet.TargetStatus
-	h.cfg.Loop.View(func(r *dispatch.Reducer) { list = r.Targets() })
-	c.JSON(http.StatusOK, list)
+	h.whileActive(c, func(r *dispatch.Reducer) any { return r.Targets() })
 }
 
 func (h *Handler) customers(c *gin.Context) {
-	var list []fleet.CustomerStatus
-	h.cfg.Loop.View(func(r *dispatch.Reducer) { list = r.Customers() })
-	c.JSON(http.StatusOK, list)
+	h.whileActive(c, func(r *dispatch.Reducer) any { return r.Customers() })
+}
+
+// whileActive answers with a list. A passive dispatcher refuses, since what it knows
+// would stand beside the truth of the active one.
+func (h *Handler) whileActive(c *gin.Context, list func(*dispatch.Reducer) any) {
+	var answer any
+	h.cfg.Loop.View(func(r *dispatch.Reducer) {
+		if r.Status().Active {
+			answer = list(r)
+		}
+	})
+	if answer == nil {
+		c.String(http.StatusServiceUnavailable, "dispatcher %s does not hold the lease; ask the active one", h.cfg.Identity.Host)
+		return
+	}
+	c.JSON(http.StatusOK, answer)
 }
 
 func (h *Handler) explain(c *gin.Context) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,6 +35,8 @@
       echo "== ${names[$i]} (pid ${pids[$i]})"
       tail -n 15 "$folder/${names[$i]}.log"
     done
+    echo "== calls"
+    tail -n 5 "$folder"/filing-* "$folder/last" || true
   fi
   for i in "${!pids[@]}"; do kill -KILL "${pids[$i]}" 2>/dev/null || true; done
   wait
