Tests that run the programs as real processes

Cause: kills, freezes, lost disks and planned stops show themselves only on real processes. The harness builds the programs once, writes their settings, and ends every process by id. Before: the record checker could cut off lines that a running target was still writing; it now reads without writing.

--- /dev/null
+++ b/e2e/control_test.go
@@ -0,0 +1,184 @@
+package e2e_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/e2e/internal/harness"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// changer applies one text after another until it is stopped.
+type changer struct {
+	t    *testing.T
+	f    *harness.Fleet
+	stop chan struct{}
+	wg   sync.WaitGroup
+
+	mu sync.Mutex
+	// accepted maps operation ids to the versions that their replies named.
+	accepted map[fleet.OperationID]fleet.Version
+}
+
+func startChanges(t *testing.T, f *harness.Fleet) *changer {
+	c := &changer{t: t, f: f, stop: make(chan struct{}), accepted: map[fleet.OperationID]fleet.Version{}}
+	c.wg.Add(1)
+	go c.run()
+	return c
+}
+
+func (c *changer) run() {
+	defer c.wg.Done()
+	dir := c.t.TempDir()
+	for n := 1; ; n++ {
+		select {
+		case <-c.stop:
+			return
+		default:
+		}
+		op := fleet.OperationID(fmt.Sprintf("change-%d", n))
+		path := filepath.Join(dir, "fleet.ini")
+		if err := os.WriteFile(path, []byte(harness.Text(n)), 0o600); err != nil {
+			c.t.Error(err)
+			return
+		}
+		reply, err := c.f.Apply(op, path)
+		if err != nil {
+			// A change without an answer may have been made; its id tells.
+			c.t.Logf("change %d: %v", n, err)
+			continue
+		}
+		c.mu.Lock()
+		c.accepted[op] = reply.Version
+		c.mu.Unlock()
+	}
+}
+
+func (c *changer) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.accepted)
+}
+
+// awaitMore waits until so many more changes were accepted.
+func (c *changer) awaitMore(n int, limit time.Duration) error {
+	from := c.count()
+	return harness.Eventually(limit, func() error {
+		if got := c.count() - from; got < n {
+			return errors.Errorf("%d of %d changes accepted", got, n)
+		}
+		return nil
+	})
+}
+
+// check ends the changes and compares them with the history: nothing accepted is lost,
+// doubled or numbered otherwise.
+func (c *changer) check() {
+	close(c.stop)
+	c.wg.Wait()
+	history, err := c.f.History()
+	convey.So(err, convey.ShouldBeNil)
+	versions := map[fleet.OperationID]fleet.Version{}
+	for i, ch := range history {
+		_, twice := versions[ch.Operation]
+		convey.So(twice, convey.ShouldBeFalse)
+		versions[ch.Operation] = ch.Version
+		if i > 0 {
+			convey.So(ch.Version, convey.ShouldBeLessThan, history[i-1].Version)
+		}
+	}
+	for op, v := range c.accepted {
+		convey.So(fmt.Sprint(op, " ", versions[op]), convey.ShouldEqual, fmt.Sprint(op, " ", v))
+	}
+	c.t.Logf("%d changes accepted, %d in the history", len(c.accepted), len(history))
+}
+
+const (
+	// changeLimit bounds how long control may take to accept changes after a fault.
+	changeLimit = 10 * time.Second
+	fewChanges  = 5
+)
+
+func TestControlKilledInTurn(t *testing.T) {
+	f := boot(t, 3, 0, 0, nil)
+	convey.Convey("Killing each replica in turn loses and doubles nothing", t, func() {
+		changes := startChanges(t, f)
+		convey.So(changes.awaitMore(fewChanges, changeLimit), convey.ShouldBeNil)
+		for _, p := range f.Control {
+			convey.So(p.Kill(), convey.ShouldBeNil)
+			convey.So(changes.awaitMore(fewChanges, changeLimit), convey.ShouldBeNil)
+			convey.So(p.Start(), convey.ShouldBeNil)
+			convey.So(changes.awaitMore(fewChanges, changeLimit), convey.ShouldBeNil)
+			convey.So(awaitReplicas(f, 3), convey.ShouldBeNil)
+		}
+		changes.check()
+	})
+}
+
+// awaitReplicas waits until so many replicas follow or lead.
+func awaitReplicas(f *harness.Fleet, n int) error {
+	return harness.Eventually(changeLimit, func() error {
+		list, err := f.Replicas()
+		if err != nil {
+			return err
+		}
+		voting := 0
+		for _, r := range list {
+			if r.Status != nil && (r.Status.Standing == "Leader" || r.Status.Standing == "Follower") {
+				voting++
+			}
+		}
+		if voting < n {
+			return errors.Errorf("%d of %d replicas vote: %+v", voting, n, list)
+		}
+		return nil
+	})
+}
+
+func TestControlDiskLost(t *testing.T) {
+	f := boot(t, 3, 0, 0, nil)
+	convey.Convey("A replica that lost its disk is replaced, and a second loss right after costs nothing", t, func() {
+		changes := startChanges(t, f)
+		convey.So(changes.awaitMore(fewChanges, changeLimit), convey.ShouldBeNil)
+		lost := f.Control[0]
+		convey.So(lost.Kill(), convey.ShouldBeNil)
+		convey.So(os.RemoveAll(f.DataFolder(lost)), convey.ShouldBeNil)
+		convey.So(lost.Start(), convey.ShouldBeNil)
+		convey.So(changes.awaitMore(fewChanges, changeLimit), convey.ShouldBeNil)
+		err := harness.Eventually(changeLimit, func() error {
+			_, err := f.CLI("control", "replace", lost.Name)
+			return err
+		})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(awaitReplicas(f, 3), convey.ShouldBeNil)
+		second := f.Control[1]
+		convey.So(second.Kill(), convey.ShouldBeNil)
+		convey.So(os.RemoveAll(f.DataFolder(second)), convey.ShouldBeNil)
+		convey.So(changes.awaitMore(fewChanges, changeLimit), convey.ShouldBeNil)
+		changes.check()
+	})
+}
+
+func TestControlLeaderFrozen(t *testing.T) {
+	f := boot(t, 3, 0, 0, nil)
+	convey.Convey("A leader frozen beyond its lease and woken reverts nothing", t, func() {
+		changes := startChanges(t, f)
+		convey.So(changes.awaitMore(fewChanges, changeLimit), convey.ShouldBeNil)
+		leader, err := f.Leader()
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(leader.Freeze(), convey.ShouldBeNil)
+		convey.So(changes.awaitMore(fewChanges, changeLimit), convey.ShouldBeNil)
+		time.Sleep(3 * time.Second)
+		convey.So(leader.Wake(), convey.ShouldBeNil)
+		convey.So(changes.awaitMore(fewChanges, changeLimit), convey.ShouldBeNil)
+		convey.So(awaitReplicas(f, 3), convey.ShouldBeNil)
+		changes.check()
+	})
+}
--- /dev/null
+++ b/e2e/dispatcher_test.go
@@ -0,0 +1,67 @@
+package e2e_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/e2e/internal/harness"
+)
+
+// takeOverLimit bounds the time without any new run while a dispatcher is replaced: its
+// lease must lapse and its successor hear from the routers.
+const takeOverLimit = 4 * time.Second
+
+// longestPause returns the longest time between two starts of runs at any target.
+func longestPause(f *harness.Fleet) time.Duration {
+	var starts []time.Time
+	for _, p := range f.Targets {
+		runs, err := f.Runs(p)
+		convey.So(err, convey.ShouldBeNil)
+		for _, r := range runs {
+			starts = append(starts, r.Started)
+		}
+	}
+	slices.SortFunc(starts, time.Time.Compare)
+	var longest time.Duration
+	for i := 1; i < len(starts); i++ {
+		longest = max(longest, starts[i].Sub(starts[i-1]))
+	}
+	return longest
+}
+
+func TestDispatcherTakeOver(t *testing.T) {
+	tests := []struct {
+		name string
+		fail func(*harness.Process) error
+		mend func(*harness.Process) error
+	}{
+		{"killed", (*harness.Process).Kill, (*harness.Process).Start},
+		{"frozen beyond its lease", (*harness.Process).Freeze, (*harness.Process).Wake},
+	}
+	for i, tt := range tests {
+		convey.Convey("A dispatcher "+tt.name+" is replaced and no request is lost", t, func() {
+			f := boot(t, 3, 2, 2, harness.Targets(2, 1))
+			defer f.Close()
+			l := load(t, f, 12*time.Second, 24, uint64(10+i))
+			time.Sleep(2 * time.Second)
+			active, epoch, err := f.ActiveDispatcher()
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(tt.fail(active), convey.ShouldBeNil)
+			time.Sleep(6 * time.Second)
+			successor, next, err := f.ActiveDispatcher()
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(successor.Name, convey.ShouldNotEqual, active.Name)
+			convey.So(next, convey.ShouldBeGreaterThan, epoch)
+			convey.So(tt.mend(active), convey.ShouldBeNil)
+			res, err := l.Wait()
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(res.Unanswered, convey.ShouldEqual, 0)
+			pause := longestPause(f)
+			t.Logf("%s: %d answered, longest pause between runs %s, reasons %v", tt.name, res.Answered, pause, res.Reasons)
+			convey.So(pause, convey.ShouldBeLessThan, takeOverLimit)
+		})
+	}
+}
--- /dev/null
+++ b/e2e/internal/harness/fleet.go
@@ -0,0 +1,249 @@
+package harness
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Target describes a stand-in target.
+type Target struct {
+	Name       string
+	Service    string
+	Protocol   string
+	DataCentre string
+	Slots      int
+	// Extra holds further lines of the [Target] section.
+	Extra string
+}
+
+// Config describes a fleet.
+type Config struct {
+	// Bin holds the programs, Folder takes settings, logs and data.
+	Bin    string
+	Folder string
+	// Text is the fleet text that is applied first.
+	Text        string
+	Control     int
+	Dispatchers int
+	Routers     int
+	Targets     []Target
+}
+
+// Fleet is a set of processes.
+type Fleet struct {
+	Control     []*Process
+	Dispatchers []*Process
+	Routers     []*Process
+	Targets     []*Process
+
+	cfg Config
+	// announce lists where targets announce themselves.
+	announce []string
+}
+
+// bootLimit bounds the start of a fleet.
+const bootLimit = 20 * time.Second
+
+// New writes the settings of a fleet. Boot starts it.
+func New(cfg Config) (*Fleet, error) {
+	f := &Fleet{cfg: cfg}
+	steps := []func() error{f.addControl, f.addDispatchers, f.addRouters, f.addTargets}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// dataCentre spreads processes over the data centres dc-a and dc-b.
+func dataCentre(i int) string { return []string{"dc-a", "dc-b"}[i%2] }
+
+// add makes a process with its addresses; write makes its settings.
+func (f *Fleet) add(name, program string, write func(p *Process) (string, error)) (*Process, error) {
+	p := &Process{Name: name, program: filepath.Join(f.cfg.Bin, program), folder: f.cfg.Folder}
+	var err error
+	if p.Address, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	if p.Admin, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	if write == nil {
+		return p, nil
+	}
+	text, err := write(p)
+	if err != nil {
+		return nil, err
+	}
+	return p, f.write(p, text)
+}
+
+func (f *Fleet) write(p *Process, text string) error {
+	return errors.Wrap(os.WriteFile(filepath.Join(f.cfg.Folder, p.Name+".ini"), []byte(text), 0o644), "write settings")
+}
+
+func host(p *Process, i int) string {
+	return fmt.Sprintf("[Host]\nHost = %s\nDataCentre = %s\nAdmin = %s\n", p.Name, dataCentre(i), p.Admin)
+}
+
+func (f *Fleet) addControl() error {
+	var members []string
+	for i := range f.cfg.Control {
+		p, err := f.add(fmt.Sprintf("control-%d", i+1), "fuchsiashed-control", nil)
+		if err != nil {
+			return err
+		}
+		f.Control = append(f.Control, p)
+		members = append(members, p.Name+"@"+p.Address)
+	}
+	for i, p := range f.Control {
+		text := host(p, i) + fmt.Sprintf("[Control]\nListen = %s\nDataFolder = %s\nBootstrap = true\nSnapshotEntries = 50\n[Replicas]\nMembers = %s\n",
+			p.Address, f.DataFolder(p), strings.Join(members, ", "))
+		if err := f.write(p, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// DataFolder returns the data folder of a control replica.
+func (f *Fleet) DataFolder(p *Process) string { return filepath.Join(f.cfg.Folder, p.Name) }
+
+func addresses(list []*Process) string {
+	var s []string
+	for _, p := range list {
+		s = append(s, p.Address)
+	}
+	return strings.Join(s, ",")
+}
+
+func (f *Fleet) control() string { return "[Control]\nReplicas = " + addresses(f.Control) + "\n" }
+
+func (f *Fleet) addDispatchers() error {
+	for i := range f.cfg.Dispatchers {
+		p, err := f.add(fmt.Sprintf("dispatcher-%d", i+1), "fuchsiashed-dispatcher", func(p *Process) (string, error) {
+			return host(p, i) + "[Dispatcher]\nListen = " + p.Address + "\n" + f.control(), nil
+		})
+		if err != nil {
+			return err
+		}
+		f.Dispatchers = append(f.Dispatchers, p)
+	}
+	return nil
+}
+
+func (f *Fleet) addRouters() error {
+	for i := range f.cfg.Routers {
+		p, err := f.add(fmt.Sprintf("router-%d", i+1), "fuchsiashed-router", func(p *Process) (string, error) {
+			targets, err := freeAddress()
+			if err != nil {
+				return "", err
+			}
+			f.announce = append(f.announce, targets)
+			return host(p, i) + fmt.Sprintf("[Router]\nCallers = %s\nTargets = %s\n", p.Address, targets) +
+				f.control() + "[Dispatchers]\nAddresses = " + addresses(f.Dispatchers) + "\n", nil
+		})
+		if err != nil {
+			return err
+		}
+		f.Routers = append(f.Routers, p)
+	}
+	return nil
+}
+
+func (f *Fleet) addTargets() error {
+	for _, t := range f.cfg.Targets {
+		p, err := f.add(t.Name, "fuchsiashed-standin", func(p *Process) (string, error) {
+			return fmt.Sprintf("[Target]\nTarget = %s\nService = %s\nDataCentre = %s\nListen = %s\nSlots = %d\nProtocol = %s\nRecord = %s\n%s\n[Routers]\nAnnounce = %s\n",
+				t.Name, t.Service, t.DataCentre, p.Address, t.Slots, t.Protocol, f.RecordFile(p), t.Extra, strings.Join(f.announce, ",")), nil
+		})
+		if err != nil {
+			return err
+		}
+		f.Targets = append(f.Targets, p)
+	}
+	return nil
+}
+
+// RecordFile returns the record file of a target.
+func (f *Fleet) RecordFile(p *Process) string { return filepath.Join(f.cfg.Folder, p.Name+".record") }
+
+// All returns all processes.
+func (f *Fleet) All() []*Process {
+	var all []*Process
+	for _, list := range [][]*Process{f.Control, f.Dispatchers, f.Routers, f.Targets} {
+		all = append(all, list...)
+	}
+	return all
+}
+
+// Boot starts all processes, applies the fleet text and waits until all targets serve.
+func (f *Fleet) Boot() error {
+	for _, p := range f.All() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	if err := Eventually(bootLimit, func() error { return second(f.CLI("control", "status")) }); err != nil {
+		return errors.Wrap(err, "wait for a control leader")
+	}
+	path := filepath.Join(f.cfg.Folder, "fleet.ini")
+	if err := os.WriteFile(path, []byte(f.cfg.Text), 0o644); err != nil {
+		return errors.Wrap(err, "write fleet text")
+	}
+	if _, err := f.CLI("fleet", "apply", path); err != nil {
+		return err
+	}
+	if len(f.Targets) == 0 {
+		return nil
+	}
+	return errors.Wrap(f.AwaitServing(bootLimit, len(f.Targets)), "wait for targets")
+}
+
+// AwaitServing waits until the active dispatcher lists so many serving targets.
+func (f *Fleet) AwaitServing(limit time.Duration, n int) error {
+	return Eventually(limit, func() error {
+		list, err := f.TargetStates()
+		if err != nil {
+			return err
+		}
+		serving := 0
+		for _, t := range list {
+			if t.State == "Serving" {
+				serving++
+			}
+		}
+		if serving != n {
+			return errors.Errorf("%d of %d targets serve: %+v", serving, n, list)
+		}
+		return nil
+	})
+}
+
+// Close kills what still runs.
+func (f *Fleet) Close() {
+	for _, p := range f.All() {
+		if p.Running() {
+			// A frozen process can be killed too.
+			_ = p.Kill()
+		}
+	}
+}
+
+// Eventually repeats a check until it passes or the limit is over.
+func Eventually(limit time.Duration, check func() error) error {
+	for end := time.Now().Add(limit); ; time.Sleep(50 * time.Millisecond) {
+		err := check()
+		if err == nil || time.Now().After(end) {
+			return errors.Wrapf(err, "still so after %s", limit)
+		}
+	}
+}
+
+func second[T any](_ T, err error) error { return err }
--- /dev/null
+++ b/e2e/internal/harness/load.go
@@ -0,0 +1,157 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// Result is what a load saw; see the verb load of fuchsiashed-standin.
+type Result struct {
+	Requests, Attempts, Answered, Wrong, Unanswered, InDoubt int
+	Cut, ConnectionErrors, NoHosts                           int
+	Verdicts                                                 map[string]int
+	Reasons                                                  map[string]int
+	RanTwice, FalseNotRun, Lost                              []string
+}
+
+// Load is a load that runs.
+type Load struct {
+	cmd  *exec.Cmd
+	out  *bytes.Buffer
+	file string
+	done chan error
+}
+
+// LoadConfig describes a load over both services.
+type LoadConfig struct {
+	Duration time.Duration
+	// Workers is the number of requests that the large customer has in hand; each of the
+	// small ones has one.
+	Workers int
+	// PlainPercent is the share of the plain service.
+	PlainPercent int
+	Tokens       int
+	Seed         uint64
+}
+
+// StartLoad starts a load on all routers, which checks the records of all targets.
+func (f *Fleet) StartLoad(cfg LoadConfig) (*Load, error) {
+	l := &Load{file: filepath.Join(f.cfg.Folder, fmt.Sprintf("load-%d.json", cfg.Seed)), out: &bytes.Buffer{}, done: make(chan error, 1)}
+	args := []string{
+		"load", "--model", Model, "--plain", Plain, "--duration", cfg.Duration.String(), "--json-file", l.file,
+		"--plain-percent", fmt.Sprint(cfg.PlainPercent), "--tokens", fmt.Sprint(cfg.Tokens), "--seed", fmt.Sprint(cfg.Seed),
+		"--attempts", "40", "--request-timeout", "30s",
+		"--customer", fmt.Sprintf("large=key-large:%d", cfg.Workers),
+		"--customer", "small-1=key-small-1:1", "--customer", "small-2=key-small-2:1",
+	}
+	for _, p := range f.Routers {
+		args = append(args, "--host", p.Address)
+	}
+	for _, p := range f.Targets {
+		args = append(args, "--record-file", f.RecordFile(p))
+	}
+	l.cmd = exec.Command(filepath.Join(f.cfg.Bin, "fuchsiashed-standin"), args...)
+	l.cmd.Stdout, l.cmd.Stderr = l.out, l.out
+	l.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := l.cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, "start load")
+	}
+	go func() { l.done <- l.cmd.Wait() }()
+	return l, nil
+}
+
+// Wait waits for the end of the load. The error tells of every violation.
+func (l *Load) Wait() (Result, error) {
+	var r Result
+	waitErr := <-l.done
+	raw, err := os.ReadFile(l.file)
+	if err != nil {
+		return r, errors.Errorf("the load ended without a result: %v\n%s", waitErr, l.out)
+	}
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return r, errors.Wrap(err, "decode the result of the load")
+	}
+	return r, errors.Wrapf(waitErr, "load: %s", l.out)
+}
+
+// Output returns what the load printed.
+func (l *Load) Output() string { return l.out.String() }
+
+// Run is one run that a target recorded.
+type Run struct {
+	RequestID string `json:"RequestId"`
+	Key       string
+	Started   time.Time
+	Ended     time.Time
+}
+
+// Runs returns the runs that a running target recorded.
+func (f *Fleet) Runs(p *Process) ([]Run, error) {
+	resp, err := http.Get("http://" + p.Address + "/standin/record")
+	if err != nil {
+		return nil, errors.Wrapf(err, "read the record of %s", p.Name)
+	}
+	defer resp.Body.Close()
+	var runs []Run
+	return runs, errors.Wrap(json.NewDecoder(resp.Body).Decode(&runs), "decode record")
+}
+
+// Order gives a target a fault.
+func (f *Fleet) Order(p *Process, order string) error {
+	resp, err := http.Post("http://"+p.Address+"/standin/fault", "application/json", bytes.NewBufferString(order))
+	if err != nil {
+		return errors.Wrapf(err, "order a fault of %s", p.Name)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return errors.Errorf("%s answered %s to the order %s", p.Name, resp.Status, order)
+	}
+	return nil
+}
+
+// Answer is the answer to a single request.
+type Answer struct {
+	Status    int
+	RequestID fleet.RequestID
+	Reason    fleet.Reason
+	Verdict   string
+	Body      string
+}
+
+// Call sends one request to a router.
+func (f *Fleet) Call(router *Process, service, method, path, idempotencyKey, body string) (Answer, error) {
+	var a Answer
+	req, err := http.NewRequest(method, "http://"+router.Address+"/services/"+service+path, bytes.NewBufferString(body))
+	if err != nil {
+		return a, errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Authorization", "Bearer key-small-1")
+	req.Header.Set("Content-Type", "application/json")
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	client := http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return a, errors.Wrap(err, "send request")
+	}
+	defer resp.Body.Close()
+	var buf bytes.Buffer
+	_, err = buf.ReadFrom(resp.Body)
+	a = Answer{
+		Status: resp.StatusCode, Body: buf.String(), RequestID: fleet.RequestID(resp.Header.Get("Fuchsiashed-Request-Id")),
+		Reason: fleet.Reason(resp.Header.Get("Fuchsiashed-Reason")), Verdict: resp.Header.Get("Fuchsiashed-Verdict"),
+	}
+	return a, errors.Wrap(err, "read answer")
+}
--- /dev/null
+++ b/e2e/internal/harness/operate.go
@@ -0,0 +1,108 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// CLI runs the operators' command line and returns its output.
+func (f *Fleet) CLI(args ...string) (string, error) {
+	var out, errOut bytes.Buffer
+	var admin []string
+	for _, p := range append(append([]*Process{}, f.Dispatchers...), f.Routers...) {
+		admin = append(admin, p.Admin)
+	}
+	args = append([]string{"--control", addresses(f.Control), "--admin", strings.Join(admin, ",")}, args...)
+	cmd := exec.Command(filepath.Join(f.cfg.Bin, "fuchsiashed"), args...)
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	err := cmd.Run()
+	return out.String(), errors.Wrapf(err, "fuchsiashed %s: %s%s", strings.Join(args[4:], " "), out.String(), errOut.String())
+}
+
+// cliJSON runs the command line with --json and decodes its output.
+func (f *Fleet) cliJSON(v any, args ...string) error {
+	out, err := f.CLI(append([]string{"--json"}, args...)...)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal([]byte(out), v), "decode %q", out)
+}
+
+// TargetStates returns the targets as the active dispatcher knows them.
+func (f *Fleet) TargetStates() ([]fleet.TargetStatus, error) {
+	var list []fleet.TargetStatus
+	return list, f.cliJSON(&list, "target", "list")
+}
+
+// History returns all changes that control keeps, newest first.
+func (f *Fleet) History() ([]fleet.Change, error) {
+	var list []fleet.Change
+	return list, f.cliJSON(&list, "fleet", "history", "--most", "0")
+}
+
+// State returns the state that the control quorum confirms.
+func (f *Fleet) State() (fleet.StateReply, error) {
+	var s struct{ State fleet.StateReply }
+	out, err := f.CLI("--json", "status")
+	// The command fails when a process lags or is down, and prints the state all the same.
+	if out == "" {
+		return s.State, err
+	}
+	return s.State, errors.Wrapf(json.Unmarshal([]byte(out), &s), "decode %q", out)
+}
+
+// ReplicaStatus is what a control replica tells of itself; Status is nil without an answer.
+type ReplicaStatus struct {
+	Address string
+	Status  *fleet.StatusReply
+	Error   string
+}
+
+// Replicas asks all control replicas. It fails when none leads.
+func (f *Fleet) Replicas() ([]ReplicaStatus, error) {
+	var list []ReplicaStatus
+	return list, f.cliJSON(&list, "control", "status")
+}
+
+// Leader returns the process of the control leader.
+func (f *Fleet) Leader() (*Process, error) {
+	list, err := f.Replicas()
+	if err != nil {
+		return nil, err
+	}
+	for i, r := range list {
+		if r.Status != nil && r.Status.Standing == "Leader" {
+			return f.Control[i], nil
+		}
+	}
+	return nil, errors.New("no control replica leads")
+}
+
+// ActiveDispatcher returns the process that holds the dispatchers' lease, and its epoch.
+func (f *Fleet) ActiveDispatcher() (*Process, fleet.Epoch, error) {
+	state, err := f.State()
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, l := range state.Leases {
+		for _, p := range f.Dispatchers {
+			if string(l.Holder) == p.Name {
+				return p, l.Epoch, nil
+			}
+		}
+	}
+	return nil, 0, errors.Errorf("no dispatcher holds a lease: %+v", state.Leases)
+}
+
+// Apply applies a fleet text on top of the version in force under an operation id.
+func (f *Fleet) Apply(op fleet.OperationID, path string) (fleet.ChangeReply, error) {
+	var reply fleet.ChangeReply
+	return reply, f.cliJSON(&reply, "fleet", "apply", "--operation", string(op), path)
+}
--- /dev/null
+++ b/e2e/main_test.go
@@ -0,0 +1,74 @@
+package e2e_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/e2e/internal/harness"
+)
+
+// bin holds the programs under test.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	var err error
+	bin, err = os.MkdirTemp("", "fuchsiashed-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(bin)
+	if err := harness.Build(bin); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// boot starts a fleet for one test. When the test fails the ends of all logs are shown.
+func boot(t *testing.T, control, dispatchers, routers int, targets []harness.Target) *harness.Fleet {
+	t.Helper()
+	f, err := harness.New(harness.Config{
+		Bin: bin, Folder: t.TempDir(), Text: harness.Text(0), Control: control, Dispatchers: dispatchers,
+		Routers: routers, Targets: targets,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		f.Close()
+		if t.Failed() {
+			for _, p := range f.All() {
+				t.Logf("== %s\n%s", p.Name, p.Tail(25))
+			}
+		}
+	})
+	if err := f.Boot(); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// load starts a load of so many workers of the large customer.
+func load(t *testing.T, f *harness.Fleet, d time.Duration, workers int, seed uint64) *harness.Load {
+	t.Helper()
+	l, err := f.StartLoad(harness.LoadConfig{Duration: d, Workers: workers, PlainPercent: 30, Tokens: 20, Seed: seed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// do fails the test at once on an error of a step that is not under test.
+func do(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,95 @@
+package e2e_test
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/e2e/internal/harness"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+const (
+	completions = "/v1/chat/completions"
+	prompt      = `{"messages":[{"role":"user","content":"hello"}],"stream":true,"max_tokens":10}`
+	// inForceLimit is how long an accepted configuration may take to be in force everywhere.
+	inForceLimit = 6 * time.Second
+)
+
+func TestWholePath(t *testing.T) {
+	f := boot(t, 3, 2, 2, harness.Targets(1, 1))
+	convey.Convey("Requests of both kinds are served through every router", t, func() {
+		for _, r := range f.Routers {
+			a, err := f.Call(r, harness.Model, http.MethodPost, completions, "", prompt)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(a.Status, convey.ShouldEqual, http.StatusOK)
+			convey.So(strings.Count(a.Body, "data: "), convey.ShouldEqual, 11)
+			convey.So(a.Body, convey.ShouldEndWith, "data: [DONE]\n\n")
+			convey.So(a.RequestID, convey.ShouldNotBeEmpty)
+			explained, err := f.CLI("explain", string(a.RequestID))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(explained, convey.ShouldContainSubstring, r.Name)
+		}
+	})
+	convey.Convey("A run-once call sent again through another router gets its first answer", t, func() {
+		first, err := f.Call(f.Routers[0], harness.Plain, http.MethodPost, "/filings", "filing-1", `{"Terrace":7}`)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(first.Status, convey.ShouldEqual, http.StatusOK)
+		again, err := f.Call(f.Routers[1], harness.Plain, http.MethodPost, "/filings", "filing-1", `{"Terrace":7}`)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(again.Body, convey.ShouldEqual, first.Body)
+		runs := 0
+		for _, p := range f.Targets {
+			list, err := f.Runs(p)
+			convey.So(err, convey.ShouldBeNil)
+			for _, r := range list {
+				if r.Key == "filing-1" {
+					runs++
+				}
+			}
+		}
+		convey.So(runs, convey.ShouldEqual, 1)
+	})
+	convey.Convey("Refusals carry their reason and a true verdict", t, func() {
+		tests := []struct {
+			name, service, path, key, body string
+			reason                         fleet.Reason
+		}{
+			{"no key", harness.Plain, "/filings", "", "{}", fleet.ReasonKeyRequired},
+			{"another body", harness.Plain, "/filings", "filing-1", `{"Terrace":8}`, fleet.ReasonKeyMismatch},
+			{"unknown service", "nowhere", "/", "", "{}", fleet.ReasonUnknownService},
+		}
+		for _, tt := range tests {
+			a, err := f.Call(f.Routers[0], tt.service, http.MethodPost, tt.path, tt.key, tt.body)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(a.Reason, convey.ShouldEqual, tt.reason)
+			convey.So(a.Verdict, convey.ShouldEqual, "NotRun")
+		}
+	})
+	convey.Convey("An applied text is in force everywhere within seconds", t, func() {
+		path := filepath.Join(t.TempDir(), "fleet.ini")
+		convey.So(os.WriteFile(path, []byte(harness.Text(1)), 0o600), convey.ShouldBeNil)
+		_, err := f.CLI("fleet", "apply", path)
+		convey.So(err, convey.ShouldBeNil)
+		err = harness.Eventually(inForceLimit, func() error {
+			out, err := f.CLI("status")
+			if err != nil {
+				return err
+			}
+			if strings.Count(out, "\t2\t") < len(f.Routers)+len(f.Dispatchers) {
+				return errors.Errorf("not every process runs under version 2:\n%s", out)
+			}
+			return nil
+		})
+		convey.So(err, convey.ShouldBeNil)
+		_, err = f.CLI("fleet", "apply", "--base", "1", path)
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "based on version 1, but version 2 is in force")
+	})
+}
--- /dev/null
+++ b/e2e/router_test.go
@@ -0,0 +1,52 @@
+package e2e_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/e2e/internal/harness"
+)
+
+func TestRouterKilled(t *testing.T) {
+	f := boot(t, 3, 2, 3, harness.Targets(2, 1))
+	convey.Convey("A router killed and started again under load leaves no false answer and no second run", t, func() {
+		l := load(t, f, 10*time.Second, 16, 20)
+		for _, r := range f.Routers[:2] {
+			time.Sleep(2 * time.Second)
+			convey.So(r.Kill(), convey.ShouldBeNil)
+			time.Sleep(time.Second)
+			convey.So(r.Start(), convey.ShouldBeNil)
+		}
+		res, err := l.Wait()
+		convey.So(err, convey.ShouldBeNil)
+		t.Logf("%d answered, %d cut, %d in doubt, verdicts %v, reasons %v", res.Answered, res.Cut, res.InDoubt, res.Verdicts, res.Reasons)
+		convey.So(res.Answered, convey.ShouldBeGreaterThan, 100)
+		// Only run-once calls whose router died may stay without an answer.
+		convey.So(res.Unanswered-res.InDoubt, convey.ShouldEqual, 0)
+	})
+}
+
+// stopLimit bounds a planned stop: the kept answers lapse and the longest request ends.
+const stopLimit = 20 * time.Second
+
+func TestRollingRestartOfRouters(t *testing.T) {
+	f := boot(t, 3, 2, 3, harness.Targets(2, 1))
+	convey.Convey("Restarting all routers one by one cuts no request", t, func() {
+		l := load(t, f, 16*time.Second, 12, 30)
+		for _, r := range f.Routers {
+			time.Sleep(time.Second)
+			convey.So(r.Stop(stopLimit), convey.ShouldBeNil)
+			convey.So(r.Start(), convey.ShouldBeNil)
+			time.Sleep(time.Second)
+		}
+		res, err := l.Wait()
+		convey.So(err, convey.ShouldBeNil)
+		t.Logf("%d answered, verdicts %v, reasons %v", res.Answered, res.Verdicts, res.Reasons)
+		convey.So(res.Answered, convey.ShouldBeGreaterThan, 100)
+		convey.So(res.Cut, convey.ShouldEqual, 0)
+		convey.So(res.ConnectionErrors, convey.ShouldEqual, 0)
+		convey.So(res.Unanswered, convey.ShouldEqual, 0)
+	})
+}
--- /dev/null
+++ b/e2e/target_test.go
@@ -0,0 +1,122 @@
+package e2e_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/e2e/internal/harness"
+)
+
+// noNewWorkLimit is how long after the order targets of a data centre may get new work.
+const noNewWorkLimit = 3 * time.Second
+
+// startedBetween counts the runs that targets of a data centre started within a time.
+func startedBetween(f *harness.Fleet, dc string, from, to time.Time) int {
+	n := 0
+	for _, p := range f.Targets {
+		if !strings.Contains(p.Name, dc) {
+			continue
+		}
+		runs, err := f.Runs(p)
+		convey.So(err, convey.ShouldBeNil)
+		for _, r := range runs {
+			if r.Started.After(from) && r.Started.Before(to) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestDataCentreOutAndIn(t *testing.T) {
+	f := boot(t, 3, 2, 2, harness.Targets(2, 1))
+	convey.Convey("A data centre taken out gets no new work, and gets it again when it is back", t, func() {
+		l := load(t, f, 14*time.Second, 24, 40)
+		time.Sleep(2 * time.Second)
+		ordered := time.Now()
+		convey.So(startedBetween(f, "dc-b", ordered.Add(-time.Second), ordered), convey.ShouldBeGreaterThan, 0)
+		_, err := f.CLI("datacentre", "out", "dc-b")
+		convey.So(err, convey.ShouldBeNil)
+		time.Sleep(6 * time.Second)
+		back := time.Now()
+		_, err = f.CLI("datacentre", "in", "dc-b")
+		convey.So(err, convey.ShouldBeNil)
+		res, err := l.Wait()
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(res.Unanswered, convey.ShouldEqual, 0)
+		convey.So(res.Cut, convey.ShouldEqual, 0)
+		convey.So(startedBetween(f, "dc-b", ordered.Add(noNewWorkLimit), back), convey.ShouldEqual, 0)
+		convey.So(startedBetween(f, "dc-b", back, time.Now()), convey.ShouldBeGreaterThan, 0)
+		t.Logf("%d answered, reasons %v", res.Answered, res.Reasons)
+	})
+}
+
+func TestLeavingTarget(t *testing.T) {
+	f := boot(t, 3, 2, 2, harness.Targets(2, 1))
+	convey.Convey("A target that leaves finishes what it runs and cuts no request", t, func() {
+		l := load(t, f, 8*time.Second, 24, 45)
+		time.Sleep(2 * time.Second)
+		convey.So(f.Targets[0].Stop(stopLimit), convey.ShouldBeNil)
+		res, err := l.Wait()
+		convey.So(err, convey.ShouldBeNil)
+		t.Logf("%d answered, reasons %v", res.Answered, res.Reasons)
+		convey.So(res.Unanswered, convey.ShouldEqual, 0)
+		convey.So(res.Cut, convey.ShouldEqual, 0)
+		convey.So(res.Verdicts["MayHaveRun"], convey.ShouldEqual, 0)
+	})
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	f := boot(t, 3, 2, 2, harness.Targets(2, 1))
+	convey.Convey("Answers that break, end early or fall silent reach their callers whole or visibly failed", t, func() {
+		l := load(t, f, 12*time.Second, 12, 50)
+		for _, order := range []string{
+			`{"Fault":"Reset","Count":4}`, `{"Fault":"Reset","Count":4,"Phase":"Headers"}`,
+			`{"Fault":"Reset","Count":4,"Phase":"Accept"}`, `{"Fault":"ShortAnswer","Count":4}`, `{"Fault":"Silent","Count":4}`,
+		} {
+			time.Sleep(time.Second)
+			for _, p := range f.Targets {
+				convey.So(f.Order(p, order), convey.ShouldBeNil)
+			}
+		}
+		res, err := l.Wait()
+		convey.So(err, convey.ShouldBeNil)
+		t.Logf("%d answered, %d in doubt, verdicts %v, reasons %v", res.Answered, res.InDoubt, res.Verdicts, res.Reasons)
+		convey.So(res.Unanswered-res.InDoubt, convey.ShouldEqual, 0)
+		convey.So(res.Cut, convey.ShouldEqual, 0)
+	})
+}
+
+// mostCrashes is how many targets one request may crash: the first is not known
+// to be its doing.
+const mostCrashes = 2
+
+func TestRequestThatCrashesTargets(t *testing.T) {
+	f := boot(t, 3, 2, 2, harness.Targets(3, 1))
+	convey.Convey("A request that crashes targets is barred after the second, also when it is sent again", t, func() {
+		l := load(t, f, 10*time.Second, 12, 60)
+		time.Sleep(time.Second)
+		body := `{"messages":[{"role":"user","content":"POISON"}],"stream":true,"max_tokens":10}`
+		for i := range 8 {
+			a, err := f.Call(f.Routers[i%len(f.Routers)], harness.Model, http.MethodPost, completions, "", body)
+			convey.So(err, convey.ShouldBeNil)
+			t.Logf("sending %d: status %d, verdict %s, reason %s", i+1, a.Status, a.Verdict, a.Reason)
+			time.Sleep(500 * time.Millisecond)
+		}
+		res, err := l.Wait()
+		convey.So(err, convey.ShouldBeNil)
+		var crashed []string
+		for _, p := range f.Targets {
+			if !p.Running() {
+				crashed = append(crashed, p.Name)
+			}
+		}
+		convey.So(len(crashed), convey.ShouldBeBetweenOrEqual, 1, mostCrashes)
+		t.Logf("crashed %v; %d answered, %d in doubt, reasons %v", crashed, res.Answered, res.InDoubt, res.Reasons)
+		convey.So(res.Unanswered-res.InDoubt, convey.ShouldEqual, 0)
+	})
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -32,12 +32,12 @@
   trap - EXIT
   if [ "$code" -ne 0 ]; then
     for i in "${!names[@]}"; do
-      echo "== ${names[$i]} (pid ${pids[$i]})"
+      echo "== ${names[$i]} (pid ${pids[$i]-none})"
       tail -n 15 "$folder/${names[$i]}.log"
     done
   fi
-  for i in "${!pids[@]}"; do kill -KILL "${pids[$i]}" 2>/dev/null || true; done
-  wait
+  for i in "${!pids[@]}"; do kill -KILL "${pids[$i]}" || true; done 2>/dev/null
+  { wait; } 2>/dev/null
   rm -rf "$folder"
   [ "$code" -eq 0 ] || { echo "demo FAILED"; exit 1; }
   echo "demo ok"
@@ -77,6 +77,7 @@
     echo "[Control]"
     echo "Listen = $(address $((n * 2 - 1)))"
     echo "DataFolder = $folder/control-$n"
+    echo "Bootstrap = true"
     echo "[Replicas]"
     echo "Members = control-1@$(address 1), control-2@$(address 3), control-3@$(address 5)"
   } | settings "control-$n"
--- a/standin/internal/app/load.go
+++ b/standin/internal/app/load.go
@@ -105,14 +105,11 @@
 		list = append(list, rec)
 	}
 	for _, file := range files {
-		rec, err := record.Open(file)
+		runs, err := record.Read(file)
 		if err != nil {
 			return nil, err
 		}
-		list = append(list, load.TargetRecord{Target: file, Runs: rec.Runs()})
-		if err := rec.Close(); err != nil {
-			return nil, err
-		}
+		list = append(list, load.TargetRecord{Target: file, Runs: runs})
 	}
 	return list, nil
 }
--- a/standin/internal/record/record.go
+++ b/standin/internal/record/record.go
@@ -48,16 +48,28 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open record")
 	}
-	if err := r.load(f); err != nil {
-		return nil, err
+	// A line is incomplete if the process was killed while writing it.
+	if err := f.Truncate(r.load(f)); err != nil {
+		return nil, errors.Wrap(err, "cut record")
 	}
 	r.file = f
 	return r, nil
 }
 
-// load reads the file and cuts off the last line if the process was killed while
-// writing it.
-func (r *Record) load(f *os.File) error {
+// Read returns the runs in the file at path, which a target may be writing.
+func Read(path string) ([]Run, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read record")
+	}
+	defer f.Close()
+	r := &Record{}
+	r.load(f)
+	return r.runs, nil
+}
+
+// load reads complete lines and returns their length in bytes.
+func (r *Record) load(f *os.File) int64 {
 	var whole int64
 	for lines := bufio.NewScanner(f); lines.Scan(); {
 		var l line
@@ -67,7 +79,7 @@
 		r.set(l)
 		whole += int64(len(lines.Bytes())) + 1
 	}
-	return errors.Wrap(f.Truncate(whole), "cut record")
+	return whole
 }
 
 func (r *Record) set(l line) {
--- a/standin/internal/record/record_test.go
+++ b/standin/internal/record/record_test.go
@@ -28,6 +28,9 @@
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(f.Close(), convey.ShouldBeNil)
 
+		runs, err := record.Read(path)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(len(runs), convey.ShouldEqual, 2)
 		again, err := record.Open(path)
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(again.Runs(), convey.ShouldResemble, []record.Run{
