--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -32,14 +32,14 @@
   trap - EXIT
   if [ "$code" -ne 0 ]; then
     for i in "${!names[@]}"; do
-      echo "== ${names[$i]} (pid ${pids[$i]})"
+      echo "== ${names[$i]} (pid ${pids[$i]-none})"
       tail -n 15 "$folder/${names[$i]}.log"
     done
     echo "== calls"
     tail -n 5 "$folder"/filing-* "$folder/last" || true
   fi
-  for i in "${!pids[@]}"; do kill -KILL "${pids[$i]}" 2>/dev/null || true; done
-  wait
+  for i in "${!pids[@]}"; do kill -KILL "${pids[$i]}" || true; done 2>/dev/null
+  { wait; } 2>/dev/null
   rm -rf "$folder"
   [ "$code" -eq 0 ] || { echo "demo FAILED"; exit 1; }
   echo "demo ok"
