Router: event log, replay and the test of a caller that leaves before the first byte

Before, nothing failed when the notice of a leaving caller was switched off, since a stream in flow notices by its writes; TestCallerLeaves now covers a request without an answer yet.

--- /dev/null
+++ b/fleet/routing/decode.go
@@ -0,0 +1,48 @@
+package routing
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
+)
+
+var decoders = map[string]func(json.RawMessage) (fleet.Event, error){
+	RequestAccepted{}.EventName():   eventlog.DecodeAs[RequestAccepted],
+	LedgerBegun{}.EventName():       eventlog.DecodeAs[LedgerBegun],
+	DispatcherUp{}.EventName():      eventlog.DecodeAs[DispatcherUp],
+	DispatcherDown{}.EventName():    eventlog.DecodeAs[DispatcherDown],
+	ReportLost{}.EventName():        eventlog.DecodeAs[ReportLost],
+	GrantsReceived{}.EventName():    eventlog.DecodeAs[GrantsReceived],
+	AnswerBegun{}.EventName():       eventlog.DecodeAs[AnswerBegun],
+	AttemptProgressed{}.EventName(): eventlog.DecodeAs[AttemptProgressed],
+	AttemptEnded{}.EventName():      eventlog.DecodeAs[AttemptEnded],
+	AttemptReleased{}.EventName():   eventlog.DecodeAs[AttemptReleased],
+	CallerGone{}.EventName():        eventlog.DecodeAs[CallerGone],
+	TargetAnnounced{}.EventName():   eventlog.DecodeAs[TargetAnnounced],
+	ConfigConfirmed{}.EventName():   eventlog.DecodeAs[ConfigConfirmed],
+	StopRequested{}.EventName():     eventlog.DecodeAs[StopRequested],
+	StopForced{}.EventName():        eventlog.DecodeAs[StopForced],
+	Tick{}.EventName():              eventlog.DecodeAs[Tick],
+	fleet.Expired{}.EventName():     decodeExpired,
+}
+
+// Decode makes an event of the router from its name and JSON, for eventlog.Each.
+func Decode(name string, raw json.RawMessage) (fleet.Event, error) {
+	decode, ok := decoders[name]
+	if !ok {
+		return nil, errors.Errorf("event %q does not exist in the router", name)
+	}
+	return decode(raw)
+}
+
+// decodeExpired decodes the only effect of a router that can expire.
+func decodeExpired(raw json.RawMessage) (fleet.Event, error) {
+	var ev struct{ Effect StartSend }
+	if err := json.Unmarshal(raw, &ev); err != nil {
+		return nil, errors.Wrap(err, "decode event Expired")
+	}
+	return fleet.Expired{Effect: ev.Effect}, nil
+}
--- a/fleet/routing/random_test.go
+++ b/fleet/routing/random_test.go
@@ -1,16 +1,19 @@
 package routing
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"reflect"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
 )
 
 var (
@@ -61,6 +64,9 @@
 	// conserved is false once a report may have been lost.
 	conserved bool
 	releases  []ReleaseSend
+	// log, when set, records the events, and effects what came of each.
+	log       *eventlog.Writer
+	effects   []string
 	retries   int
 	successes int
 	drained   int
@@ -93,6 +99,12 @@
 
 func (m *model) reduce(ev fleet.Event) {
 	effects := m.r.Reduce(m.now, ev)
+	if m.log != nil {
+		if err := m.log.Write(m.now, ev); err != nil {
+			m.fail("record event: %v", err)
+		}
+		m.effects = append(m.effects, encode(effects))
+	}
 	if again := m.twin.Reduce(m.now, ev); !reflect.DeepEqual(effects, again) {
 		m.fail("event %#v had other effects the second time:\n%#v\n%#v", ev, effects, again)
 	}
@@ -101,6 +113,19 @@
 	}
 }
 
+// encode renders effects, so that those of two runs can be compared.
+func encode(effects []fleet.Effect) string {
+	var b strings.Builder
+	for _, e := range effects {
+		raw, err := json.Marshal(e)
+		if err != nil {
+			return err.Error()
+		}
+		fmt.Fprintf(&b, "%s %s\n", e.EffectName(), raw)
+	}
+	return b.String()
+}
+
 func (m *model) check(e fleet.Effect) {
 	switch e := e.(type) {
 	case SendReport:
--- a/router/internal/engine/engine.go
+++ b/router/internal/engine/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
 )
 
@@ -26,6 +27,8 @@
 	Router *routing.Router
 	Clock  fleet.Clock
 	Log    *slog.Logger
+	// Events, when set, records every event.
+	Events *eventlog.Writer
 }
 
 // Engine feeds events to the reducer one at a time and performs its effects in
@@ -128,7 +131,13 @@
 }
 
 func (e *Engine) reduce(ev fleet.Event) {
-	for _, eff := range e.cfg.Router.Reduce(e.cfg.Clock.Now(), ev) {
+	now := e.cfg.Clock.Now()
+	if e.cfg.Events != nil {
+		if err := e.cfg.Events.Write(now, ev); err != nil {
+			e.cfg.Log.Error("EventLog", "error", err)
+		}
+	}
+	for _, eff := range e.cfg.Router.Reduce(now, ev) {
 		e.perform(eff)
 	}
 }
--- a/router/internal/routercmd/modules.go
+++ b/router/internal/routercmd/modules.go
@@ -2,13 +2,16 @@
 
 import (
 	"log/slog"
+	"os"
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/pkg/errors"
 	"go.uber.org/fx"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/configsync"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
 	"github.com/fuchsiashed/fuchsiashed/fleet/explain"
 	"github.com/fuchsiashed/fuchsiashed/fleet/program"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
@@ -52,12 +55,21 @@
 	return rpc.NewControl(rpc.ControlConfig{Replicas: s.Control.Replicas, Traffic: t, Log: log})
 }
 
-func newEngine(s Settings, id identity, clock fleet.Clock, log *slog.Logger) *engine.Engine {
+func newEngine(lc fx.Lifecycle, s Settings, id identity, clock fleet.Clock, log *slog.Logger) (*engine.Engine, error) {
 	r := routing.New(routing.Config{
 		Host: id.Host, Incarnation: id.incarnation, DataCentre: id.DataCentre,
 		Dispatchers: dispatcher.Names(s.Dispatchers.Addresses),
 	})
-	return engine.New(engine.Config{Router: r, Clock: clock, Log: log})
+	cfg := engine.Config{Router: r, Clock: clock, Log: log}
+	if s.Router.EventLog != "" {
+		f, err := os.OpenFile(s.Router.EventLog, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, errors.Wrap(err, "open event log")
+		}
+		lc.Append(fx.StopHook(f.Close))
+		cfg.Events = eventlog.NewWriter(f)
+	}
+	return engine.New(cfg), nil
 }
 
 func newFollower(s Settings, id identity, c *rpc.Control, e *engine.Engine, st *stopper, clock fleet.Clock, log *slog.Logger) *configsync.Follower {
--- a/router/internal/routercmd/stream_test.go
+++ b/router/internal/routercmd/stream_test.go
@@ -165,6 +165,29 @@
 		time.Sleep(100 * time.Millisecond)
 		convey.So(fmt.Sprint(w.dispatcher.outcomes()), convey.ShouldEqual, "[Cancelled]")
 	})
+	convey.Convey("A caller that leaves before the first byte is noticed too", t, func() {
+		cancelled := make(chan struct{})
+		target := newFakeTarget(t, func(_ *fakeTarget, c net.Conn, r *http.Request, _ string) {
+			if r.Method == http.MethodDelete {
+				close(cancelled)
+				return
+			}
+			time.Sleep(3 * time.Second)
+		})
+		w.dispatcher.setTargets("drafter", target.addr)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, "POST", w.url+chat, strings.NewReader(`{"stream":true}`))
+		convey.So(err, convey.ShouldBeNil)
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		_, err = http.DefaultClient.Do(r)
+		convey.So(err, convey.ShouldNotBeNil)
+		select {
+		case <-cancelled:
+		case <-time.After(250 * time.Millisecond):
+			t.Error("the request was not cancelled")
+		}
+	})
 	convey.Convey("A plain call that may run once goes on for the ledger", t, func() {
 		target := newFakeTarget(t, once(func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
 			time.Sleep(200 * time.Millisecond)
