--- a/router/internal/routercmd/stream_test.go
+++ b/router/internal/routercmd/stream_test.go
@@ -167,7 +167,7 @@
 	})
 	convey.Convey("A caller that leaves before the first byte is noticed too", t, func() {
 		cancelled := make(chan struct{})
-		target := newFakeTarget(t, func(_ *fakeTarget, c net.Conn, r *http.Request, _ string) {
+		target := newFakeTarget(t, func(_ *fakeTarget, _ net.Conn, r *http.Request, _ string) {
 			if r.Method == http.MethodDelete {
 				close(cancelled)
 				return
