--- a/fleet/routing/hosts_test.go
+++ b/fleet/routing/hosts_test.go
@@ -32,7 +32,7 @@
 func TestChooseHosts(t *testing.T) {
 	convey.Convey("The hosts of a data centre that is out are left out", t, func() {
 		for _, h := range ChooseHosts(routers(8), map[fleet.DataCentreName]bool{"a": true}, "x", "s", 0) {
-			convey.So(h.DataCentre, convey.ShouldEqual, "b")
+			convey.So(string(h.DataCentre), convey.ShouldEqual, "b")
 		}
 	})
 	convey.Convey("Processes of other roles are left out", t, func() {
