Router: the end of an answer waits until the ledger has it

Cause: a resend right after a whole answer could find its call still running, as the end was recorded while the caller had the answer already. Ruled out: recording each part, which costs a commit a part. Before: the whole path test got StillRunning on a resend through another router. After: the last part of an answer of known length, or the end of a chunked one, waits for the record, at most RecordTimeout.

--- a/fleet/routing/accept.go
+++ b/fleet/routing/accept.go
@@ -123,7 +123,7 @@
 	}
 	r.decide(now, q, EventCallerGone, fleet.ReasonCallerGone, "")
 	q.gone = true
-	if q.state == stateLedger || q.attempt != nil && q.detach {
+	if q.state == stateLedger || q.state == stateRecording || q.attempt != nil && q.detach {
 		return
 	}
 	r.abandon(q)
--- a/fleet/routing/attempts.go
+++ b/fleet/routing/attempts.go
@@ -51,10 +51,25 @@
 	q.attempt = nil
 	r.freeAttempt(a)
 	r.reportEnd(a, fleet.OutcomeCompleted)
-	if q.recorded {
-		r.ledgerEnd(q, fleet.Ran, ev.Answer)
-	}
 	r.budget.success(r.config.Fleet)
+	if !q.recorded {
+		r.done(now, q)
+		return
+	}
+	r.ledgerEnd(q, fleet.Ran, ev.Answer)
+	r.setState(q, stateRecording, now.Add(RecordTimeout))
+}
+
+// ledgerEnded lets the caller have the end of an answer that is recorded now, so that
+// a resend after it gets the same answer.
+func (r *Router) ledgerEnded(now time.Time, ev LedgerEnded) {
+	if q := r.requests[ev.Request]; q != nil && q.state == stateRecording {
+		r.done(now, q)
+	}
+}
+
+// done ends a request that has its whole answer.
+func (r *Router) done(now time.Time, q *request) {
 	r.emit(AnswerDone{Request: q.Request})
 	r.decide(now, q, EventCompleted, "", "")
 	r.finish(q)
--- a/fleet/routing/decode.go
+++ b/fleet/routing/decode.go
@@ -12,6 +12,7 @@
 var decoders = map[string]func(json.RawMessage) (fleet.Event, error){
 	RequestAccepted{}.EventName():   eventlog.DecodeAs[RequestAccepted],
 	LedgerBegun{}.EventName():       eventlog.DecodeAs[LedgerBegun],
+	LedgerEnded{}.EventName():       eventlog.DecodeAs[LedgerEnded],
 	DispatcherUp{}.EventName():      eventlog.DecodeAs[DispatcherUp],
 	DispatcherDown{}.EventName():    eventlog.DecodeAs[DispatcherDown],
 	ReportLost{}.EventName():        eventlog.DecodeAs[ReportLost],
--- a/fleet/routing/effects.go
+++ b/fleet/routing/effects.go
@@ -84,7 +84,8 @@
 		Answer  fleet.RecordedAnswer
 	}
 
-	// AnswerDone ends a request whose answer was passed on completely.
+	// AnswerDone ends a request whose answer was passed on, except for the last part of
+	// one that was held back for the ledger.
 	AnswerDone struct{ Request fleet.RequestID }
 
 	// VersionSeen tells that a peer runs under a newer configuration.
--- a/fleet/routing/events.go
+++ b/fleet/routing/events.go
@@ -38,6 +38,9 @@
 		Reply  fleet.LedgerBeginReply
 	}
 
+	// LedgerEnded tells that the ledger recorded the end of a call.
+	LedgerEnded struct{ Request fleet.RequestID }
+
 	// DispatcherUp tells of a new connection to a dispatcher.
 	DispatcherUp struct{ Peer Peer }
 
@@ -159,6 +162,9 @@
 // EventName implements fleet.Event.
 func (LedgerBegun) EventName() string { return "LedgerBegun" }
 
+// EventName implements fleet.Event.
+func (LedgerEnded) EventName() string { return "LedgerEnded" }
+
 // EventName implements fleet.Event.
 func (DispatcherUp) EventName() string { return "DispatcherUp" }
 
--- a/fleet/routing/random_test.go
+++ b/fleet/routing/random_test.go
@@ -67,6 +67,7 @@
 	// log, when set, records the events, and effects what came of each.
 	log       *eventlog.Writer
 	effects   []string
+	recording []fleet.RequestID
 	retries   int
 	successes int
 	drained   int
@@ -136,6 +137,7 @@
 		m.requests[e.Request].begin = &e
 	case LedgerEnd:
 		m.checkLedgerEnd(e)
+		m.recording = append(m.recording, e.Request)
 	case ReleaseSend:
 		m.releases = append(m.releases, e)
 	case AnswerFailure:
@@ -267,6 +269,11 @@
 }
 
 func (m *model) ledger() {
+	if len(m.recording) > 0 && rapid.Bool().Draw(m.t, "recorded") {
+		id := m.recording[0]
+		m.recording = m.recording[1:]
+		m.reduce(LedgerEnded{Request: id})
+	}
 	id, q := m.pick(func(q *modelRequest) bool { return q.begin != nil && !q.granted })
 	if q == nil {
 		return
--- a/fleet/routing/request.go
+++ b/fleet/routing/request.go
@@ -36,10 +36,17 @@
 	stateReleasing
 	// stateBackingOff waits before the next ticket.
 	stateBackingOff
+	// stateRecording has an answer whose end is being recorded in the ledger.
+	stateRecording
 	// stateRefused has had its ticket refused by the dispatcher.
 	stateRefused
 )
 
+// waits says whether a request in the state counts as waiting.
+func (s state) waits() bool {
+	return s != 0 && s != stateSending && s != stateRecording
+}
+
 // request is a request that has not ended yet.
 type request struct {
 	RequestAccepted
@@ -125,11 +132,11 @@
 
 // setState moves a request and keeps the counts of what waits.
 func (r *Router) setState(q *request, s state, wake time.Time) {
-	if q.state != 0 && q.state != stateSending {
+	if q.state.waits() {
 		r.waiting.remove(q)
 	}
 	q.state = s
-	if s != 0 && s != stateSending {
+	if s.waits() {
 		r.waiting.add(q)
 	}
 	q.wake = wake
--- a/fleet/routing/router.go
+++ b/fleet/routing/router.go
@@ -19,6 +19,8 @@
 	CutOffAfter = 5 * time.Second
 	// LedgerTimeout bounds the wait for the ledger.
 	LedgerTimeout = 3 * time.Second
+	// RecordTimeout bounds how long the end of an answer waits to be recorded.
+	RecordTimeout = 2 * time.Second
 	// ResumeLimit is how many times in a row an answer is resumed without progress.
 	ResumeLimit = 3
 	// StopMargin is added to the validity of the hosts answer in a planned stop, for
@@ -109,6 +111,8 @@
 		r.accept(now, ev)
 	case LedgerBegun:
 		r.ledgerBegun(now, ev)
+	case LedgerEnded:
+		r.ledgerEnded(now, ev)
 	case DispatcherUp:
 		r.dispatcherUp(ev.Peer)
 	case DispatcherDown:
--- a/fleet/routing/stop.go
+++ b/fleet/routing/stop.go
@@ -37,6 +37,10 @@
 	r.drainedAt = now
 	for _, id := range r.requestIDs() {
 		q := r.requests[id]
+		if q.state == stateRecording {
+			r.done(now, q)
+			continue
+		}
 		if q.attempt != nil {
 			q.mayHaveRun = true
 			r.release(q, fleet.OutcomeUnknown)
--- a/fleet/routing/timers.go
+++ b/fleet/routing/timers.go
@@ -84,6 +84,8 @@
 
 func (r *Router) wake(now time.Time, q *request) {
 	switch {
+	case q.state == stateRecording:
+		r.done(now, q)
 	case !now.Before(q.deadline):
 		r.deadlineReached(now, q)
 	case q.state == stateQueued:
--- a/router/internal/caller/call.go
+++ b/router/internal/caller/call.go
@@ -189,7 +189,7 @@
 
 // done ends a call whose answer was passed on, or whose caller left.
 func (c *call) done() {
-	if !c.begun || c.left {
+	if !c.begun || c.left || c.exchange.Finish() != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/router/internal/control/ledger.go
+++ b/router/internal/control/ledger.go
@@ -112,6 +112,7 @@
 	for {
 		err := l.endOnce(ctx, e)
 		if err == nil {
+			l.cfg.Events.Post(routing.LedgerEnded{Request: e.Request})
 			return
 		}
 		l.cfg.Log.Warn("LedgerEndFailed", "request", string(e.Request), "error", err)
--- a/router/internal/target/answer.go
+++ b/router/internal/target/answer.go
@@ -38,6 +38,13 @@
 	tail []byte
 	kept []byte
 	over bool
+	// held is the last part of an answer that waits to be recorded.
+	held []byte
+}
+
+// last says whether the part that was added last ends an answer of known length.
+func (a *answer) last() bool {
+	return a.length > 0 && a.offset == a.length
 }
 
 // add takes the next part of the body.
--- a/router/internal/target/receive.go
+++ b/router/internal/target/receive.go
@@ -189,7 +189,7 @@
 		n, err := body.Read(buf)
 		if n > 0 {
 			x.answer.add(buf[:n])
-			if _, werr := x.sink.Write(buf[:n]); werr != nil {
+			if werr := x.pass(buf[:n]); werr != nil {
 				return errSink{werr}
 			}
 		}
@@ -203,6 +203,26 @@
 	}
 }
 
+// pass passes a part of the body on. The last part of an answer that is kept for the
+// ledger is held back until Finish.
+func (x *Exchange) pass(p []byte) error {
+	if x.answer.once && x.answer.last() {
+		x.answer.held = append([]byte(nil), p...)
+		return nil
+	}
+	_, err := x.sink.Write(p)
+	return err
+}
+
+// Finish passes on what was held back of a complete answer.
+func (x *Exchange) Finish() error {
+	if len(x.answer.held) == 0 {
+		return nil
+	}
+	_, err := x.sink.Write(x.answer.held)
+	return err
+}
+
 // finishConn keeps a connection for another request when its target names the request
 // that each answer belongs to; otherwise a second answer could be taken for the next.
 func (x *Exchange) finishConn(c *conn, resp *http.Response, clean bool) {
