--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -36,6 +36,8 @@
       echo "== ${names[$i]} (pid ${pids[$i]-none})"
       tail -n 15 "$folder/${names[$i]}.log"
     done
+    echo "== calls"
+    tail -n 5 "$folder"/filing-* "$folder/last" || true
   fi
   for i in "${!pids[@]}"; do kill -KILL "${pids[$i]}" || true; done 2>/dev/null
   { wait; } 2>/dev/null
