--- a/dispatcher/internal/loop/counters.go
+++ b/dispatcher/internal/loop/counters.go
@@ -7,9 +7,8 @@
 )
 
 var (
-	decisions  = expvar.NewMap("DispatchDecisions")
-	refusals   = expvar.NewMap("DispatchRefusals")
-	violations = expvar.NewMap("DispatchViolations")
+	decisions = expvar.NewMap("DispatchDecisions")
+	refusals  = expvar.NewMap("DispatchRefusals")
 )
 
 // count counts a decision by its event, and a refusal by its reason.
--- a/dispatcher/internal/loop/loop.go
+++ b/dispatcher/internal/loop/loop.go
@@ -43,12 +43,6 @@
 
 // New makes a Loop; SetSender and Start come next.
 func New(cfg Config) *Loop {
-	if cfg.Dispatch.Violated == nil {
-		cfg.Dispatch.Violated = func(invariant, detail string) {
-			violations.Add(invariant, 1)
-			cfg.Log.Error("InvariantViolated", "invariant", invariant, "detail", detail)
-		}
-	}
 	return &Loop{
 		cfg: cfg, events: make(chan fleet.Event, queueLength), quit: make(chan struct{}), done: make(chan struct{}),
 		reducer: dispatch.New(cfg.Dispatch),
--- a/fleet/dispatch.go
+++ b/fleet/dispatch.go
@@ -240,6 +240,14 @@
 	Content ContentHash
 	// For is the remaining time for which it is remembered; 0 means that it was cleared.
 	For time.Duration `json:",omitempty"`
+	// Deaths lists the targets that died, or seem to have died, with it.
+	Deaths []TargetDeath `json:",omitempty"`
+}
+
+// TargetDeath is the end of one incarnation of a target.
+type TargetDeath struct {
+	Target      TargetID
+	Incarnation Incarnation
 }
 
 // TargetLimit is the number of requests that a target may run at the same time.
--- a/fleet/dispatch/attempt.go
+++ b/fleet/dispatch/attempt.go
@@ -27,12 +27,13 @@
 	expires time.Time
 	// firstToken says that the time to the first token was taken in.
 	firstToken bool
-	// unlisted says that a full report of the router did not name the attempt.
-	unlisted bool
-	inDoubt  bool
-	// clearedBy is the least announcement whose list of running requests tells
-	// whether an attempt in doubt still runs.
-	clearedBy fleet.Sequence
+	inDoubt    bool
+	// again is the ticket to queue once the attempt turns out not to run: the router
+	// said that it still waits while the grant was on its way.
+	again *fleet.Ticket
+	// clearedBy is the announcement whose list of running requests tells whether an
+	// attempt in doubt still runs.
+	clearedBy proof
 	// bound is when an attempt in doubt has ended in any case.
 	bound time.Time
 	// suspect is the content that the attempt tries again; nil for most attempts.
@@ -43,10 +44,6 @@
 	targetIndex int
 }
 
-// announcementsToClear is the number of announcements after which one was surely
-// made after the doubt arose, even when a router was slow to relay it.
-const announcementsToClear = 2
-
 // addAttempt makes an attempt count against its target and customer.
 func (r *Reducer) addAttempt(a *attempt) {
 	r.attempts[a.id] = a
@@ -118,23 +115,30 @@
 	a.inDoubt = true
 	timeout := a.customer.service.spec.RequestTimeout
 	a.bound = later(r.now, a.expires).Add(timeout)
-	a.clearedBy = a.target.last.Sequence + announcementsToClear
-	if a.expires.After(r.now) {
-		a.clearedBy += fleet.Sequence(a.expires.Sub(r.now)/fleet.AnnounceInterval) + 1
-	}
+	a.clearedBy = a.target.proofAfter(later(r.now, a.expires))
 }
 
 // clearDoubt ends the attempts in doubt that the target's announcement rules out.
 func (r *Reducer) clearDoubt(t *target) {
 	for i := len(t.attempts) - 1; i >= 0; i-- {
 		a := t.attempts[i]
-		if !a.inDoubt || a.targetInc != t.last.Incarnation || t.last.Sequence < a.clearedBy {
+		if !a.inDoubt || a.targetInc != t.last.Incarnation || !t.proves(a.clearedBy) {
 			continue
 		}
 		if contains(t.last.Running, a.ticket.Request) {
 			continue
 		}
-		r.finish(a, a.spent)
+		r.ruleOut(a)
+	}
+}
+
+// ruleOut ends an attempt that surely does not run any more. How it ended is not
+// known, so what it was charged stands.
+func (r *Reducer) ruleOut(a *attempt) {
+	again, o := a.again, a.router
+	r.finish(a, max(a.charged, a.spent))
+	if again != nil && o != nil && o.connected {
+		r.receive(o, again)
 	}
 }
 
@@ -142,7 +146,7 @@
 func (r *Reducer) expireDoubt(t *target) {
 	for i := len(t.attempts) - 1; i >= 0; i-- {
 		if a := t.attempts[i]; a.inDoubt && r.now.After(a.bound) {
-			r.finish(a, a.spent)
+			r.ruleOut(a)
 		}
 	}
 }
@@ -155,7 +159,7 @@
 
 // progress takes in the cost of a running attempt so far.
 func (r *Reducer) progress(a *attempt, p *fleet.Progress) {
-	a.unlisted = false
+	a.inDoubt, a.again = false, nil
 	r.observeFirstToken(a, p.FirstToken)
 	a.spent = max(a.spent, p.Spent)
 	if r.cfg.Charging == ChargeProgressively {
--- a/fleet/dispatch/check.go
+++ b/fleet/dispatch/check.go
@@ -1,30 +1,20 @@
 package dispatch
 
 import (
-	"fmt"
-
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
-// violated reports that the reducer broke one of its own rules.
-func (r *Reducer) violated(invariant, format string, args ...any) {
-	detail := fmt.Sprintf(format, args...)
-	if r.cfg.Violated == nil {
-		panic(invariant + ": " + detail)
-	}
-	r.cfg.Violated(invariant, detail)
-}
-
 // Names of the invariants.
 const (
-	invariantLimit    = "InUseWithinLimit"
-	invariantTarget   = "NoGrantToUnfitTarget"
-	invariantOnce     = "TicketGrantedOnce"
-	invariantGap      = "GapWithinBound"
-	invariantWait     = "WaitWithinBound"
-	invariantWork     = "NoFreeSlotBesideTicket"
-	invariantContent  = "OneSuspectPerTarget"
-	invariantAccounts = "SlotsAddUp"
+	limitKept     = "InUseWithinLimit"
+	targetFit     = "NoGrantToUnfitTarget"
+	grantedOnce   = "TicketGrantedOnce"
+	gapBounded    = "GapWithinBound"
+	waitBounded   = "WaitWithinBound"
+	workConserved = "NoFreeSlotBesideTicket"
+	suspectsApart = "OneSuspectPerTarget"
+	slotsAddUp    = "SlotsAddUp"
 )
 
 // mayGrant checks a grant just before it is made; a grant that breaks a rule is not made.
@@ -32,14 +22,14 @@
 	state, room := r.state(to), to.room(r.rampedSlots(to))
 	switch {
 	case state != string(fleet.TargetServing):
-		r.violated(invariantTarget, "ticket %s for target %s that is %s", t.ID, to.id, state)
+		invariant.Check(false, targetFit, "ticket %s for target %s that is %s", t.ID, to.id, state)
 	case room <= 0:
-		r.violated(invariantLimit, "ticket %s for target %s with %d of %d slots granted, %d standing",
+		invariant.Check(false, limitKept, "ticket %s for target %s with %d of %d slots granted, %d standing",
 			t.ID, to.id, to.granted, to.limiter.limit, to.standingSlots())
 	case t.router.byTicket[t.ID] != nil:
-		r.violated(invariantOnce, "ticket %s has grant %s", t.ID, t.router.byTicket[t.ID].id)
+		invariant.Check(false, grantedOnce, "ticket %s has grant %s", t.ID, t.router.byTicket[t.ID].id)
 	case r.isSuspect(t) && to.suspects > 0:
-		r.violated(invariantContent, "ticket %s for target %s that runs a suspect", t.ID, to.id)
+		invariant.Check(false, suspectsApart, "ticket %s for target %s that runs a suspect", t.ID, to.id)
 	default:
 		return true
 	}
@@ -49,7 +39,7 @@
 // checkDispatched checks that no eligible ticket was left beside a free slot.
 func (r *Reducer) checkDispatched(s *service) {
 	if s.freeTargets > 0 && s.backlog.Len() > 0 {
-		r.violated(invariantWork, "service %s has %d free targets and %d waiting customers", s.name, s.freeTargets, s.backlog.Len())
+		invariant.Check(false, workConserved, "service %s has %d free targets and %d waiting customers", s.name, s.freeTargets, s.backlog.Len())
 	}
 }
 
@@ -66,7 +56,7 @@
 		}
 	}
 	if gap, bound := most.counter-least.counter, r.gapBound(s); gap > bound {
-		r.violated(invariantGap, "customers %s and %s of %s differ by %d; the bound is %d",
+		invariant.Check(false, gapBounded, "customers %s and %s of %s differ by %d; the bound is %d",
 			most.name, least.name, s.name, gap/counterScale, bound/counterScale)
 	}
 }
@@ -75,9 +65,15 @@
 // customers: each slot may be charged wrongly by the largest cost, once for the one
 // customer and once for the other.
 func (r *Reducer) gapBound(s *service) counter {
-	each := virtual(max(r.maxCost(s), s.largestCost), max(1, s.leastWeight))
 	slack := counter(r.config.Fleet.Policy.PlacementSlack) * counterScale
-	return 2*counter(s.mostAttempts)*each + slack
+	return 2*r.spread(s) + slack
+}
+
+// spread returns how far the counter of a backlogged customer may be from the highest
+// one at which a customer was granted.
+func (r *Reducer) spread(s *service) counter {
+	each := virtual(max(r.maxCost(s), s.largestCost), max(1, s.leastWeight))
+	return counter(max(s.mostAttempts, int(s.mostSlots))) * each
 }
 
 // checkTarget checks that the counts of a target agree with its attempts.
@@ -91,12 +87,12 @@
 		}
 	}
 	if granted != t.granted {
-		r.violated(invariantAccounts, "target %s counts %d granted attempts and has %d", t.id, t.granted, granted)
+		invariant.Check(false, slotsAddUp, "target %s counts %d granted attempts and has %d", t.id, t.granted, granted)
 	}
 	for _, s := range t.standing {
 		inUse -= s.inUse
 	}
 	if inUse != 0 {
-		r.violated(invariantAccounts, "target %s has %d more attempts on standing grants than these count", t.id, inUse)
+		invariant.Check(false, slotsAddUp, "target %s has %d more attempts on standing grants than these count", t.id, inUse)
 	}
 }
--- a/fleet/dispatch/config.go
+++ b/fleet/dispatch/config.go
@@ -28,8 +28,6 @@
 	Charging Charging
 	// StandingGrants lets routers hold Policy.StandingSlots of each warm target.
 	StandingGrants bool
-	// Violated is told of each violated invariant; when nil the reducer panics.
-	Violated func(invariant, detail string)
 
 	// off switches mechanisms off, to show that the tests need them.
 	off mechanisms
@@ -58,6 +56,9 @@
 	scanInterval = 50 * time.Millisecond
 	// servedInterval is the time between two reminders of counters to a router.
 	servedInterval = time.Second
+	// answerInterval is the time after which a report is answered even if there is
+	// nothing to say, so that the router does not take the dispatcher for silent.
+	answerInterval = 150 * time.Millisecond
 	// resyncInterval is the time between two requests for a full report.
 	resyncInterval = 500 * time.Millisecond
 )
--- a/fleet/dispatch/customer.go
+++ b/fleet/dispatch/customer.go
@@ -44,6 +44,8 @@
 	// floor is the counter after it was last lifted. A request charged before that is
 	// not refunded below it, since the lift already made up for the charge.
 	floor counter
+	// restored says that a router told the counter of an earlier lease holder.
+	restored bool
 	// served is the cost charged since this process became active.
 	served fleet.Cost
 	queue  indexedHeap[*ticket]
--- a/fleet/dispatch/fixture_test.go
+++ b/fleet/dispatch/fixture_test.go
@@ -56,6 +56,8 @@
 	}
 	f.confirm()
 	f.event(LeaseHeld{Epoch: 1, NotAfter: f.now.Add(time.Hour)})
+	f.report("r1", fleet.RouterReport{})
+	f.take()
 	return f
 }
 
--- a/fleet/dispatch/lease.go
+++ b/fleet/dispatch/lease.go
@@ -78,6 +78,9 @@
 		return
 	}
 	r.phase = active
+	for _, s := range r.serviceList {
+		r.restoreCounters(s)
+	}
 	if r.lease.settleBy.After(r.lease.since) {
 		r.presumeLimits()
 	}
@@ -109,13 +112,6 @@
 	return known
 }
 
-func (r *Reducer) resyncDone(o *router) time.Time {
-	if o.settled {
-		return time.Time{}
-	}
-	return o.resyncAt
-}
-
 // presumeRunning counts the requests that a target announced as running and that no
 // router has claimed; they stay in doubt until a router or the target clears them.
 func (r *Reducer) presumeRunning(t *target) {
--- a/fleet/dispatch/reducer.go
+++ b/fleet/dispatch/reducer.go
@@ -156,6 +156,7 @@
 		}
 	}
 	r.config = e.Config
+	r.parkedMayRun = true
 	for _, s := range r.serviceList {
 		s.spec, s.known = fleet.Service{}, false
 		if spec, ok := e.Config.Fleet.Services[s.name]; ok {
@@ -186,7 +187,7 @@
 	r.expireContents()
 	r.parkedMayRun = true
 	r.settle()
-	r.spread()
+	r.tellNews()
 	for _, s := range r.serviceList {
 		r.checkCounters(s)
 	}
@@ -273,6 +274,9 @@
 		})
 	}
 	clear(o.touched)
+	for _, s := range r.serviceList {
+		totals = append(totals, fleet.ServedTotal{Service: s.name, Counter: fleet.Cost(s.virtual / counterScale)})
+	}
 	slices.SortFunc(totals, func(a, b fleet.ServedTotal) int {
 		return cmp.Or(compare(a.Service, b.Service), compare(a.Customer, b.Customer))
 	})
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -14,7 +14,7 @@
 	}
 	o.heardAt = r.now
 	for i := range m.Targets {
-		r.announce(&m.Targets[i])
+		r.announce(&m.Targets[i], !m.Full)
 	}
 	if m.Sequence <= o.applied {
 		return
@@ -38,6 +38,9 @@
 		r.receive(o, &m.Tickets[i])
 	}
 	r.settle()
+	if r.now.Sub(o.answeredAt) >= answerInterval {
+		r.post(o).answer = true
+	}
 }
 
 // reporter returns the router of a report, or nil when the report is of an older
@@ -82,15 +85,7 @@
 
 // wantsResync says whether a full report would settle something.
 func (r *Reducer) wantsResync(o *router) bool {
-	if !o.settled {
-		return true
-	}
-	for _, a := range o.attempts {
-		if a.unlisted && r.now.After(a.expires) {
-			return true
-		}
-	}
-	return false
+	return !o.settled
 }
 
 // routerDied keeps everything that a router's earlier incarnation had started, or may
@@ -166,12 +161,12 @@
 	if m.Epoch == r.lease.epoch {
 		o.settled = true
 	}
-	waiting := make(map[fleet.TicketID]bool, len(m.Tickets))
+	waiting := make(map[fleet.TicketID]*fleet.Ticket, len(m.Tickets))
 	for i := range m.Tickets {
-		waiting[m.Tickets[i].ID] = true
+		waiting[m.Tickets[i].ID] = &m.Tickets[i]
 	}
 	for _, t := range sortedTickets(o.tickets) {
-		if !waiting[t.ID] {
+		if waiting[t.ID] == nil {
 			r.drop(t)
 		}
 	}
@@ -182,39 +177,31 @@
 	r.applyRunning(o, m.Running)
 	for _, a := range sortedAttempts(o.attempts) {
 		if !listed[a.id] {
-			r.unlisted(o, a, waiting[a.ticket.ID])
+			r.unlisted(a, waiting[a.ticket.ID])
 		}
 	}
-	o.resyncAt = r.resyncDone(o)
 }
 
-// unlisted handles an attempt that a full report did not name. The grant may still be
-// on its way while it is valid. Once it has expired before the report was asked for,
-// a ticket that still waits proves that it was not used; otherwise it is in doubt.
-func (r *Reducer) unlisted(o *router, a *attempt, waiting bool) {
-	a.unlisted = true
-	asked := !o.resyncAt.IsZero() && a.expires.Before(o.resyncAt)
-	switch {
-	case asked && waiting:
-		r.finish(a, 0)
-	case asked:
-		r.doubt(a)
-		r.leaveRouter(a)
-		a.router = nil
+// unlisted handles an attempt that a full report did not name: its end was not
+// reported, or its grant was still on the way. Its ticket is queued again if it waits.
+func (r *Reducer) unlisted(a *attempt, waiting *fleet.Ticket) {
+	r.doubt(a)
+	if waiting != nil {
+		t := *waiting
+		a.again = &t
 	}
 }
 
 // applyRunning takes in the attempts that the router has in hand.
 func (r *Reducer) applyRunning(o *router, running []fleet.Running) {
 	for i := range running {
-		r.adopt(o, &running[i], nil)
+		r.adopt(o, &running[i])
 	}
 }
 
 // adopt takes in one attempt that the router has in hand.
-func (r *Reducer) adopt(o *router, m *fleet.Running, s *standing) {
+func (r *Reducer) adopt(o *router, m *fleet.Running) {
 	if a := r.attempts[m.Grant]; a != nil && (a.router == nil || a.router == o) {
-		a.inDoubt, a.unlisted = false, false
 		if a.router == nil {
 			a.router = o
 			o.attempts[a.id] = a
@@ -226,6 +213,7 @@
 	if t := o.tickets[m.Ticket.ID]; t != nil {
 		r.drop(t)
 	}
+	s := o.standingOf(m)
 	sv := r.service(m.Ticket.Service)
 	c := r.customer(sv, m.Ticket.Customer)
 	t := r.target(m.Target)
--- a/fleet/dispatch/retained.go
+++ b/fleet/dispatch/retained.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// spread sends the news.
-func (r *Reducer) spread() {
+// tellNews sends the news.
+func (r *Reducer) tellNews() {
 	collected := r.news
 	r.news = news{}
 	if r.phase != active {
@@ -57,8 +57,9 @@
 		box.quarantined = append(box.quarantined, fleet.Quarantine{Content: c.hash, For: left})
 	}
 	suspect := fleet.Suspect{Content: c.hash}
-	if len(c.deaths) > 0 {
+	for _, d := range c.deaths {
 		suspect.For = c.forgottenAt.Sub(r.now)
+		suspect.Deaths = append(suspect.Deaths, fleet.TargetDeath{Target: d.target.id, Incarnation: d.incarnation})
 	}
 	box.suspects = append(box.suspects, suspect)
 }
@@ -86,16 +87,14 @@
 	for _, q := range m.Quarantined {
 		r.applyQuarantine(q.Content, q.For)
 	}
-	for _, s := range m.Suspects {
-		if s.For > 0 && r.contents[s.Content] == nil && r.phase != active {
-			c := r.suspectOf(s.Content)
-			c.forgottenAt = r.now.Add(s.For)
-			c.deaths = []death{{confirmed: true}}
-		}
-	}
 	if r.phase == active {
 		return
 	}
+	for i := range m.Suspects {
+		if m.Suspects[i].For > 0 {
+			r.applySuspect(&m.Suspects[i])
+		}
+	}
 	for _, l := range m.Limits {
 		t := r.target(l.Target)
 		if t.known && t.last.Incarnation != l.Incarnation {
@@ -107,6 +106,24 @@
 	}
 }
 
+// applySuspect takes in what an earlier lease holder laid on a content. The targets'
+// next announcements tell which of them really died.
+func (r *Reducer) applySuspect(m *fleet.Suspect) {
+	if r.cfg.off.suspects {
+		return
+	}
+	c := r.suspectOf(m.Content)
+	c.forgottenAt = r.now.Add(m.For)
+	for _, d := range m.Deaths {
+		t := r.target(d.Target)
+		c.addDeath(t, d.Incarnation, !t.known || t.last.Incarnation > d.Incarnation, r.now)
+		if !slices.Contains(t.blamed, c) {
+			t.blamed = append(t.blamed, c)
+		}
+	}
+	r.judge(c)
+}
+
 // applyQuarantine bars a content that an earlier lease holder barred.
 func (r *Reducer) applyQuarantine(hash fleet.ContentHash, left time.Duration) {
 	if left <= 0 || r.cfg.off.suspects {
@@ -119,10 +136,39 @@
 	}
 }
 
+// applyServed takes in the counters of an earlier lease holder. The entry without a
+// customer is the highest counter at which the service granted.
 func (r *Reducer) applyServed(totals []fleet.ServedTotal) {
 	for _, st := range totals {
-		c := r.customer(r.service(st.Service), st.Customer)
-		c.counter = max(c.counter, counter(st.Counter)*counterScale)
+		s := r.service(st.Service)
+		value := counter(st.Counter) * counterScale
+		if st.Customer == "" {
+			s.virtual = max(s.virtual, value)
+			continue
+		}
+		c := r.customer(s, st.Customer)
+		if !c.restored || value > c.counter {
+			c.counter, c.restored = value, true
+			c.resort()
+		}
+	}
+}
+
+// restoreCounters gives the customers whose counter no router remembers neither credit
+// nor debt, and keeps the others as near to each other as the bound says they were.
+func (r *Reducer) restoreCounters(s *service) {
+	reach := r.spread(s)
+	for _, c := range s.sorted() {
+		if c.restored {
+			s.virtual = max(s.virtual, c.counter-reach)
+		}
+	}
+	for _, c := range s.sorted() {
+		if !c.restored {
+			c.counter = s.virtual
+		}
+		c.counter = max(c.counter, s.virtual-reach)
+		c.floor, c.restored = c.counter, false
 		c.resort()
 	}
 }
--- a/fleet/dispatch/router.go
+++ b/fleet/dispatch/router.go
@@ -33,6 +33,8 @@
 	touched    map[*customer]bool
 	servedAt   time.Time
 	standingAt time.Time
+	// answeredAt is when the last message was sent to it.
+	answeredAt time.Time
 
 	outbox outbox
 }
@@ -46,6 +48,8 @@
 	cancel   []fleet.GrantID
 	served   []fleet.ServedTotal
 	standing bool
+	// answer asks for a message even if there is nothing to say.
+	answer bool
 
 	quarantined []fleet.Quarantine
 	suspects    []fleet.Suspect
@@ -54,7 +58,7 @@
 
 // empty says whether there is nothing to send beside standing grants.
 func (b *outbox) empty() bool {
-	return !b.resync && len(b.grants)+len(b.refusals)+len(b.cancel)+len(b.served)+
+	return !b.resync && !b.answer && len(b.grants)+len(b.refusals)+len(b.cancel)+len(b.served)+
 		len(b.quarantined)+len(b.suspects)+len(b.limits) == 0
 }
 
@@ -87,6 +91,7 @@
 		if r.phase == passive || r.routers[to.id] != to || !to.connected && !box.resync {
 			continue
 		}
+		to.answeredAt = r.now
 		r.send(to, box)
 	}
 	r.posts = r.posts[:0]
--- a/fleet/dispatch/service.go
+++ b/fleet/dispatch/service.go
@@ -25,6 +25,9 @@
 	// attempts counts the attempts that have not ended; mostAttempts is the most ever.
 	attempts     int
 	mostAttempts int
+	// slots is what its known targets announced in sum; mostSlots is the most ever.
+	slots     fleet.Slots
+	mostSlots fleet.Slots
 	// largestCost and leastWeight go into the bound on the gap.
 	largestCost fleet.Cost
 	leastWeight fleet.Weight
@@ -79,8 +82,23 @@
 	return h
 }
 
+func (s *service) addSlots(n fleet.Slots) {
+	s.slots += n
+	s.mostSlots = max(s.mostSlots, s.slots)
+}
+
 func (s *service) noteWeight(w fleet.Weight) {
 	if s.leastWeight == 0 || w < s.leastWeight {
 		s.leastWeight = w
 	}
 }
+
+// sorted returns the customers by name.
+func (s *service) sorted() []*customer {
+	list := make([]*customer, 0, len(s.customers))
+	for _, c := range s.customers {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b *customer) int { return compare(a.name, b.name) })
+	return list
+}
--- /dev/null
+++ b/fleet/dispatch/sim_router_test.go
@@ -0,0 +1,390 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+type simRequest struct {
+	id       fleet.RequestID
+	customer fleet.CustomerName
+	cost     int
+	content  fleet.ContentHash
+	attempt  int
+	since    time.Time
+	ticket   fleet.TicketID
+}
+
+// simAttempt is a use of a grant.
+type simAttempt struct {
+	grant       fleet.GrantID
+	standing    fleet.GrantID
+	epoch       fleet.Epoch
+	request     *simRequest
+	ticket      fleet.Ticket
+	target      *simTarget
+	incarnation fleet.Incarnation
+	spent       fleet.Cost
+}
+
+func (a *simAttempt) running() fleet.Running {
+	return fleet.Running{Grant: a.grant, Epoch: a.epoch, Ticket: a.ticket, Target: a.target.id, Incarnation: a.incarnation, Spent: a.spent}
+}
+
+// simRouter is a fake router.
+type simRouter struct {
+	s           *sim
+	id          fleet.HostID
+	dc          fleet.DataCentreName
+	incarnation fleet.Incarnation
+	gone        bool
+	epoch       fleet.Epoch
+	contact     time.Time
+	waiting     []*simRequest
+	attempts    []*simAttempt
+	served      map[fleet.CustomerName]fleet.ServedTotal
+	suspects    map[fleet.ContentHash]fleet.Suspect
+	heldUntil   map[fleet.ContentHash]time.Time
+	quarantines map[fleet.ContentHash]time.Time
+	limits      map[fleet.TargetID]fleet.TargetLimit
+	targets     map[fleet.TargetID]fleet.Announcement
+
+	standing      []fleet.StandingGrant
+	standingUntil time.Time
+
+	// By dispatcher.
+	cut      []bool
+	full     []bool
+	sequence []fleet.Sequence
+	sent     []map[fleet.Sequence]time.Time
+	pending  []fleet.RouterReport
+	sentAt   []time.Time
+	arrives  []time.Time
+}
+
+func newSimRouter(s *sim, i int, incarnation fleet.Incarnation) *simRouter {
+	n := s.cfg.dispatchers
+	o := &simRouter{
+		s: s, id: fleet.HostID(fmt.Sprintf("r%02d", i)), dc: s.config.Fleet.DataCentres[i%2], incarnation: incarnation,
+		served: map[fleet.CustomerName]fleet.ServedTotal{}, suspects: map[fleet.ContentHash]fleet.Suspect{},
+		heldUntil:   map[fleet.ContentHash]time.Time{},
+		quarantines: map[fleet.ContentHash]time.Time{}, limits: map[fleet.TargetID]fleet.TargetLimit{},
+		targets: map[fleet.TargetID]fleet.Announcement{}, contact: s.now,
+		cut: make([]bool, n), full: make([]bool, n), sequence: make([]fleet.Sequence, n),
+		sent: make([]map[fleet.Sequence]time.Time, n), pending: make([]fleet.RouterReport, n),
+		sentAt: make([]time.Time, n), arrives: make([]time.Time, n),
+	}
+	for i := range n {
+		o.full[i], o.sent[i] = true, map[fleet.Sequence]time.Time{}
+	}
+	return o
+}
+
+func (o *simRouter) reconnect(d int) { o.full[d] = true }
+
+// setCut cuts or mends the link to a dispatcher, which notices some time later.
+func (o *simRouter) setCut(d int, cut bool) {
+	if o.cut[d] == cut {
+		return
+	}
+	o.cut[d], o.full[d] = cut, true
+	if cut {
+		o.s.later(func() { o.s.post(o.s.dispatchers[d], RouterDisconnected{Router: o.id}) })
+	}
+}
+
+// link delivers a message over the ordered connection between router and dispatcher.
+func (o *simRouter) link(d int, deliver func()) {
+	at := later(o.s.now.Add(step+time.Duration(o.s.rng.Int64N(int64(o.s.cfg.spread)+1))), o.arrives[d])
+	o.arrives[d] = at
+	o.s.mail = append(o.s.mail, letter{at: at, deliver: func() {
+		if !o.gone && !o.cut[d] {
+			deliver()
+		}
+	}})
+}
+
+func (o *simRouter) report(change func(m *fleet.RouterReport)) {
+	for d := range o.pending {
+		change(&o.pending[d])
+	}
+}
+
+func (o *simRouter) ticket(q *simRequest) fleet.Ticket {
+	waited := o.s.now.Sub(q.since)
+	return fleet.Ticket{
+		ID: q.ticket, Request: q.id, Customer: q.customer, Service: "drafter",
+		DataCentre: o.dc, Content: q.content, Attempt: q.attempt, Waited: waited, Patience: max(0, 20*time.Second-waited),
+	}
+}
+
+func (o *simRouter) add(q *simRequest) {
+	q.attempt++
+	q.ticket = fleet.TicketID(fmt.Sprintf("%s.%d", q.id, q.attempt))
+	q.since = o.s.now
+	o.waiting = append(o.waiting, q)
+	t := o.ticket(q)
+	o.report(func(m *fleet.RouterReport) { m.Tickets = append(m.Tickets, t) })
+}
+
+func (o *simRouter) relay(a fleet.Announcement) {
+	if o.gone {
+		return
+	}
+	o.targets[a.Target] = a
+	o.report(func(m *fleet.RouterReport) { m.Targets = append(m.Targets, a) })
+}
+
+func (o *simRouter) step() {
+	if o.s.now.Sub(o.contact) > 300*time.Millisecond {
+		o.useStanding()
+	}
+	for d := range o.pending {
+		p := &o.pending[d]
+		news := len(p.Tickets)+len(p.Ended)+len(p.Progress)+len(p.Targets)+len(p.Standing) > 0
+		if o.cut[d] || !news && !o.full[d] && o.s.now.Sub(o.sentAt[d]) < 250*time.Millisecond {
+			continue
+		}
+		o.send(d)
+	}
+}
+
+// send sends the pending report to a dispatcher, now and then lost, twice or late.
+func (o *simRouter) send(d int) {
+	m := o.pending[d]
+	o.pending[d] = fleet.RouterReport{}
+	if o.full[d] {
+		m = o.fullReport()
+	}
+	o.sequence[d]++
+	m.Router, m.Incarnation, m.DataCentre = o.id, o.incarnation, o.dc
+	m.Sequence, m.Epoch, m.Version, m.Full = o.sequence[d], o.epoch, o.s.config.Version, o.full[d]
+	o.full[d] = false
+	o.sentAt[d] = o.s.now
+	o.sent[d][m.Sequence] = o.s.now
+	post := func() { o.s.post(o.s.dispatchers[d], ReportReceived{Report: m}) }
+	switch x := o.s.rng.Float64(); {
+	case x < o.s.cfg.loss/3:
+	case x < o.s.cfg.loss*2/3:
+		o.link(d, post)
+		o.link(d, post)
+	case x < o.s.cfg.loss:
+		o.s.later(post)
+	default:
+		o.link(d, post)
+	}
+}
+
+func (o *simRouter) fullReport() fleet.RouterReport {
+	var m fleet.RouterReport
+	for _, q := range o.waiting {
+		m.Tickets = append(m.Tickets, o.ticket(q))
+	}
+	for _, a := range o.attempts {
+		m.Running = append(m.Running, a.running())
+	}
+	for _, a := range o.targets {
+		m.Targets = append(m.Targets, a)
+	}
+	for _, st := range o.served {
+		m.Served = append(m.Served, st)
+	}
+	for _, c := range o.suspects {
+		c.For = o.heldUntil[c.Content].Sub(o.s.now)
+		m.Suspects = append(m.Suspects, c)
+	}
+	for c, until := range o.quarantines {
+		m.Quarantined = append(m.Quarantined, fleet.Quarantine{Content: c, For: until.Sub(o.s.now)})
+	}
+	for _, l := range o.limits {
+		m.Limits = append(m.Limits, l)
+	}
+	slices.SortFunc(m.Targets, func(a, b fleet.Announcement) int { return compare(a.Target, b.Target) })
+	return m
+}
+
+func (o *simRouter) receive(d int, m fleet.DispatcherGrants) {
+	if m.RouterIncarnation != o.incarnation || m.Epoch < o.epoch {
+		return
+	}
+	if m.Epoch > o.epoch {
+		o.epoch, o.standing = m.Epoch, nil
+		for i := range o.full {
+			o.full[i] = true
+		}
+	}
+	o.contact = o.s.now
+	o.full[d] = o.full[d] || m.Resync
+	o.keep(m)
+	sent, known := o.sent[d][m.Ack]
+	until := sent.Add(fleet.ShortenLease(m.Validity))
+	current := known && o.s.now.Before(until) && m.Version >= o.s.config.Version
+	for _, g := range m.Grants {
+		o.granted(g, m.Epoch, current)
+	}
+	if m.StandingSet && current {
+		o.standing, o.standingUntil = m.Standing, until
+	}
+	for _, ref := range m.Refusals {
+		o.refused(ref)
+	}
+}
+
+func (o *simRouter) keep(m fleet.DispatcherGrants) {
+	for _, st := range m.Served {
+		o.served[st.Customer] = st
+	}
+	for _, q := range m.Quarantined {
+		o.quarantines[q.Content] = o.s.now.Add(q.For)
+	}
+	for _, c := range m.Suspects {
+		if c.For == 0 {
+			delete(o.suspects, c.Content)
+			continue
+		}
+		o.suspects[c.Content], o.heldUntil[c.Content] = c, o.s.now.Add(c.For)
+	}
+	for _, l := range m.Limits {
+		o.limits[l.Target] = l
+	}
+}
+
+// takeWaiting takes the request of a ticket out of the queue.
+func (o *simRouter) takeWaiting(id fleet.TicketID) *simRequest {
+	i := slices.IndexFunc(o.waiting, func(q *simRequest) bool { return q.ticket == id })
+	if i < 0 {
+		return nil
+	}
+	q := o.waiting[i]
+	o.waiting = slices.Delete(o.waiting, i, i+1)
+	return q
+}
+
+func (o *simRouter) granted(g fleet.Grant, epoch fleet.Epoch, current bool) {
+	q := o.takeWaiting(g.Ticket)
+	if q == nil || !current {
+		if !slices.ContainsFunc(o.attempts, func(a *simAttempt) bool { return a.grant == g.ID }) {
+			o.end(g.ID, g.Ticket, fleet.OutcomeNotSent, 0, 0)
+		}
+		if q != nil {
+			o.add(q)
+		}
+		return
+	}
+	o.start(&simAttempt{grant: g.ID, epoch: epoch, request: q, ticket: o.ticket(q), target: o.s.target(g.Target), incarnation: g.Incarnation})
+}
+
+func (s *sim) target(id fleet.TargetID) *simTarget {
+	for _, t := range s.targets {
+		if t.id == id {
+			return t
+		}
+	}
+	return nil
+}
+
+func (o *simRouter) start(a *simAttempt) bool {
+	if !a.target.start(o, a) {
+		o.end(a.grant, a.ticket.ID, fleet.OutcomeBroken, 0, 0)
+		o.retry(a.request)
+		return false
+	}
+	o.attempts = append(o.attempts, a)
+	return true
+}
+
+// retry asks again for a request that a target did not finish.
+func (o *simRouter) retry(q *simRequest) {
+	o.s.later(func() {
+		if o.gone {
+			delete(o.s.openRequests, q.id)
+			return
+		}
+		o.add(q)
+	})
+}
+
+func (o *simRouter) end(g fleet.GrantID, t fleet.TicketID, outcome fleet.Outcome, spent fleet.Cost, first time.Duration) {
+	e := fleet.GrantEnd{Grant: g, Ticket: t, Outcome: outcome, Spent: spent, FirstToken: first}
+	o.report(func(m *fleet.RouterReport) { m.Ended = append(m.Ended, e) })
+}
+
+func (o *simRouter) progressed(run *simRun, now time.Time) {
+	if o.gone {
+		return
+	}
+	run.attempt.spent = fleet.Cost(run.spent)
+	p := fleet.Progress{Grant: run.attempt.grant, Spent: run.attempt.spent, FirstToken: time.Duration(run.waited) * step}
+	if run.first && run.spent%50 != 0 {
+		return
+	}
+	run.first = true
+	o.report(func(m *fleet.RouterReport) { m.Progress = append(m.Progress, p) })
+}
+
+func (o *simRouter) ended(run *simRun, outcome fleet.Outcome) {
+	if o.gone {
+		return
+	}
+	o.attempts = slices.DeleteFunc(o.attempts, func(a *simAttempt) bool { return a == run.attempt })
+	o.end(run.attempt.grant, run.attempt.ticket.ID, outcome, fleet.Cost(run.spent), 0)
+	if outcome == fleet.OutcomeBroken {
+		o.retry(run.attempt.request)
+		return
+	}
+	o.s.completed++
+	delete(o.s.openRequests, run.attempt.request.id)
+}
+
+func (o *simRouter) refused(ref fleet.TicketRefusal) {
+	if q := o.takeWaiting(ref.Ticket); q != nil {
+		o.s.refused[ref.Reason]++
+		delete(o.s.openRequests, q.id)
+	}
+}
+
+// useStanding starts waiting requests on standing grants.
+func (o *simRouter) useStanding() {
+	for _, g := range o.standing {
+		used := 0
+		for _, a := range o.attempts {
+			if a.standing == g.ID {
+				used++
+			}
+		}
+		for used < int(g.Slots) && len(o.waiting) > 0 && o.s.now.Before(o.standingUntil) {
+			q := o.waiting[0]
+			o.waiting = o.waiting[1:]
+			a := &simAttempt{
+				grant: fleet.GrantID(fmt.Sprintf("%s/%s", g.ID, q.id)), standing: g.ID, epoch: o.epoch, request: q,
+				ticket: o.ticket(q), target: o.s.target(g.Target), incarnation: g.Incarnation,
+			}
+			use := fleet.StandingUse{Standing: g.ID, Running: a.running()}
+			o.report(func(m *fleet.RouterReport) { m.Standing = append(m.Standing, use) })
+			if !o.start(a) {
+				break
+			}
+			used++
+		}
+	}
+}
+
+// restartRouter replaces a router by one that remembers nothing. Its callers lose
+// their requests; what runs at targets goes on unheard.
+func (s *sim) restartRouter(i int) {
+	old := s.routers[i]
+	old.gone = true
+	for _, q := range old.waiting {
+		delete(s.openRequests, q.id)
+	}
+	for _, a := range old.attempts {
+		delete(s.openRequests, a.request.id)
+	}
+	s.routers[i] = newSimRouter(s, i, old.incarnation+1)
+	for d := range s.dispatchers {
+		s.later(func() { s.post(s.dispatchers[d], RouterDisconnected{Router: old.id}) })
+	}
+}
--- /dev/null
+++ b/fleet/dispatch/sim_target_test.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+const poison = "POISON"
+
+// simTarget is a fake target that makes one token a step and slot once it is warm.
+type simTarget struct {
+	s           *sim
+	id          fleet.TargetID
+	dc          fleet.DataCentreName
+	incarnation fleet.Incarnation
+	sequence    fleet.Sequence
+	slots       fleet.Slots
+	running     []*simRun
+	announcedAt time.Time
+	leaving     time.Time
+	// downUntil is when a crashed target starts again.
+	downUntil time.Time
+	// completions since it started or turned cold.
+	completions int
+	cold        bool
+	announced   bool
+}
+
+// simRun is a request that runs on a target.
+type simRun struct {
+	router  *simRouter
+	attempt *simAttempt
+	spent   int
+	waited  int
+	// deaf says that its router is gone and nobody hears of it.
+	first bool
+}
+
+func newSimTarget(s *sim, i int) *simTarget {
+	return &simTarget{
+		s: s, id: fleet.TargetID(fmt.Sprintf("t%02d", i)), dc: s.config.Fleet.DataCentres[i%2], incarnation: 1,
+		slots: s.cfg.slots, cold: true,
+		announcedAt: s.now.Add(-time.Duration(s.rng.Int64N(int64(fleet.AnnounceInterval)))),
+	}
+}
+
+func (t *simTarget) serving() bool {
+	return !t.s.now.Before(t.downUntil) && t.leaving.IsZero() && !t.s.config.DataCentresOut[t.dc]
+}
+
+// bears is how many requests the target runs without falling over.
+func (t *simTarget) bears() int {
+	if !t.cold {
+		return int(t.slots)
+	}
+	return min(int(t.slots), t.completions+1)
+}
+
+// start begins a request and says whether the target took it.
+func (t *simTarget) start(o *simRouter, a *simAttempt) bool {
+	if t.s.now.Before(t.downUntil) || a.incarnation != t.incarnation {
+		return false
+	}
+	if out, ok := t.s.outSince[t.dc]; ok && t.s.now.Sub(out) > 3*time.Second {
+		t.s.failf("target %s got work %s after its data centre was taken out", t.id, t.s.now.Sub(out))
+	}
+	if !t.leaving.IsZero() && t.s.now.Sub(t.leaving) > 3*time.Second {
+		t.s.failf("target %s got work %s after it began to leave", t.id, t.s.now.Sub(t.leaving))
+	}
+	t.running = append(t.running, &simRun{router: o, attempt: a})
+	if len(t.running) > t.bears() {
+		t.s.overloads++
+	}
+	if len(t.running) > int(t.slots) {
+		t.s.failf("target %s runs %d requests on %d slots", t.id, len(t.running), t.slots)
+	}
+	if t.s.runs[a.ticket.ID]++; t.s.runs[a.ticket.ID] > 1 {
+		t.s.failf("ticket %s ran twice", a.ticket.ID)
+	}
+	return true
+}
+
+func (t *simTarget) step() {
+	if t.s.now.Before(t.downUntil) {
+		return
+	}
+	for _, run := range slices.Clone(t.running) {
+		t.progress(run)
+	}
+	if t.s.now.Sub(t.announcedAt) >= fleet.AnnounceInterval {
+		t.announce()
+	}
+}
+
+// progress makes one token of a run; a cold target needs longer for the first.
+func (t *simTarget) progress(run *simRun) {
+	if !slices.Contains(t.running, run) {
+		return
+	}
+	run.waited++
+	wait := 4
+	if t.cold {
+		wait = 4 * 10
+	}
+	if run.waited < wait {
+		return
+	}
+	if strings.HasPrefix(string(run.attempt.ticket.Content), poison) {
+		t.crash(run.attempt.ticket.Content)
+		return
+	}
+	run.spent++
+	t.s.delivered[run.attempt.ticket.Customer]++
+	run.router.progressed(run, t.s.now)
+	if run.spent >= run.attempt.request.cost {
+		t.remove(run)
+		t.completions++
+		if t.completions >= int(t.slots) {
+			t.cold = false
+		}
+		run.router.ended(run, fleet.OutcomeCompleted)
+	}
+}
+
+func (t *simTarget) remove(run *simRun) {
+	if i := slices.Index(t.running, run); i >= 0 {
+		t.running = slices.Delete(t.running, i, i+1)
+	}
+}
+
+// crash ends everything on the target, which starts again a second later.
+func (t *simTarget) crash(by fleet.ContentHash) {
+	if by != "" {
+		t.s.crashes[by]++
+	}
+	lost := t.running
+	t.running = nil
+	for _, run := range lost {
+		run.router.ended(run, fleet.OutcomeBroken)
+	}
+	t.downUntil = t.s.now.Add(time.Second)
+	t.incarnation++
+	t.sequence = 0
+	t.completions, t.cold = 0, true
+}
+
+// chill turns the target cold without a word.
+func (t *simTarget) chill() { t.completions, t.cold = 0, true }
+
+func (t *simTarget) announce() {
+	t.announcedAt = t.s.now
+	t.sequence++
+	a := fleet.Announcement{
+		Target: t.id, Incarnation: t.incarnation, Sequence: t.sequence, Service: "drafter", DataCentre: t.dc,
+		Address: netip.MustParseAddrPort("127.0.0.1:9000"), Slots: t.slots, State: fleet.TargetServing,
+	}
+	if !t.leaving.IsZero() {
+		a.State = fleet.TargetLeaving
+	}
+	if t.s.cfg.announceRunning {
+		for _, run := range t.running {
+			a.Running = append(a.Running, run.attempt.request.id)
+		}
+	}
+	for _, o := range t.s.routers {
+		if t.s.rng.IntN(len(t.s.routers)) < 2 {
+			t.s.later(func() { o.relay(a) })
+		}
+	}
+}
--- /dev/null
+++ b/fleet/dispatch/sim_test.go
@@ -0,0 +1,289 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// step is the time between two steps of a run.
+const step = TickInterval
+
+// simConfig sizes a run of reducers with fakes of routers and targets.
+type simConfig struct {
+	seed        uint64
+	dispatch    Config
+	dispatchers int
+	routers     int
+	targets     int
+	slots       fleet.Slots
+	customers   int
+	// spread is the largest delay of a message.
+	spread time.Duration
+	// loss is the share of report messages lost, doubled or swapped.
+	loss float64
+	// meanCost is the mean number of tokens; a target makes one a step and slot.
+	meanCost int
+	// announceRunning says that targets list what they run.
+	announceRunning bool
+}
+
+// sim is a fleet of fakes around real dispatch reducers. It checks from outside what
+// must hold.
+type sim struct {
+	cfg         simConfig
+	rng         *rand.Rand
+	now         time.Time
+	config      fleet.Confirmed
+	dispatchers []*simDispatcher
+	routers     []*simRouter
+	targets     []*simTarget
+	mail        []letter
+	lease       simLease
+	nextRequest int
+	// openRequests counts the requests that have not ended.
+	openRequests map[fleet.RequestID]bool
+	runs         map[fleet.TicketID]int
+	crashes      map[fleet.ContentHash]int
+	delivered    map[fleet.CustomerName]fleet.Cost
+	refused      map[fleet.Reason]int
+	outSince     map[fleet.DataCentreName]time.Time
+	overloads    int
+	completed    int
+	idleSteps    int
+	slotSteps    int
+	broken       []string
+}
+
+type simLease struct {
+	holder int
+	epoch  fleet.Epoch
+	until  time.Time
+	asked  time.Time
+}
+
+// letter is a message on its way.
+type letter struct {
+	at      time.Time
+	number  int
+	deliver func()
+}
+
+type simDispatcher struct {
+	index  int
+	r      *Reducer
+	dead   bool
+	frozen time.Time
+	// inbox holds the events that wait for a frozen dispatcher.
+	inbox []fleet.Event
+	cut   bool
+}
+
+func newSim(cfg simConfig) *sim {
+	s := &sim{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 1)), now: start,
+		config:       fleet.Confirmed{Version: 1, Fleet: testFleet(), DataCentresOut: map[fleet.DataCentreName]bool{}},
+		openRequests: map[fleet.RequestID]bool{}, runs: map[fleet.TicketID]int{}, crashes: map[fleet.ContentHash]int{},
+		delivered: map[fleet.CustomerName]fleet.Cost{}, refused: map[fleet.Reason]int{},
+		outSince: map[fleet.DataCentreName]time.Time{}, lease: simLease{holder: -1},
+	}
+	for i := range cfg.dispatchers {
+		s.dispatchers = append(s.dispatchers, &simDispatcher{index: i, r: s.newReducer(i)})
+	}
+	for i := range cfg.targets {
+		s.targets = append(s.targets, newSimTarget(s, i))
+	}
+	for i := range cfg.routers {
+		s.routers = append(s.routers, newSimRouter(s, i, 1))
+	}
+	s.configure()
+	return s
+}
+
+func (s *sim) newReducer(i int) *Reducer {
+	cfg := s.cfg.dispatch
+	cfg.Host = fleet.HostID(fmt.Sprintf("d%d", i))
+	return New(cfg)
+}
+
+func (s *sim) configure() {
+	for _, d := range s.dispatchers {
+		s.post(d, ConfigConfirmed{Config: s.config, NotAfter: s.now.Add(time.Hour)})
+	}
+}
+
+// takeOut takes a data centre out of service or brings it back.
+func (s *sim) takeOut(dc fleet.DataCentreName, out bool) {
+	next := fleet.Confirmed{Version: s.config.Version + 1, Fleet: s.config.Fleet, DataCentresOut: map[fleet.DataCentreName]bool{}}
+	if out {
+		next.DataCentresOut[dc] = true
+		s.outSince[dc] = s.now
+	} else {
+		delete(s.outSince, dc)
+	}
+	s.config = next
+	s.configure()
+}
+
+// later delivers a message after a random delay.
+func (s *sim) later(deliver func()) {
+	delay := step + time.Duration(s.rng.Int64N(int64(s.cfg.spread)+1))
+	s.mail = append(s.mail, letter{at: s.now.Add(delay), number: s.nextRequest, deliver: deliver})
+}
+
+func (s *sim) failf(format string, args ...any) {
+	s.broken = append(s.broken, fmt.Sprintf("%s: ", s.now.Sub(start))+fmt.Sprintf(format, args...))
+}
+
+// run passes time, calling each with every step.
+func (s *sim) run(d time.Duration, each func()) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(step)
+		s.deliverMail()
+		if each != nil {
+			each()
+		}
+		s.keepLease()
+		for _, t := range s.targets {
+			t.step()
+		}
+		for _, o := range s.routers {
+			o.step()
+		}
+		for _, d := range s.dispatchers {
+			s.post(d, Tick{})
+		}
+		s.measure()
+	}
+}
+
+func (s *sim) deliverMail() {
+	due := []letter{}
+	kept := s.mail[:0]
+	for _, l := range s.mail {
+		if l.at.After(s.now) {
+			kept = append(kept, l)
+			continue
+		}
+		due = append(due, l)
+	}
+	s.mail = kept
+	for _, l := range due {
+		l.deliver()
+	}
+}
+
+// post hands an event to a dispatcher, once it is awake.
+func (s *sim) post(d *simDispatcher, ev fleet.Event) {
+	if d.dead {
+		return
+	}
+	if s.now.Before(d.frozen) {
+		if _, tick := ev.(Tick); !tick {
+			d.inbox = append(d.inbox, ev)
+		}
+		return
+	}
+	pending := append(d.inbox, ev)
+	d.inbox = nil
+	for _, ev := range pending {
+		for _, e := range d.r.Reduce(s.now, ev) {
+			s.perform(d, e)
+		}
+	}
+}
+
+func (s *sim) perform(d *simDispatcher, e fleet.Effect) {
+	m, ok := e.(SendGrants)
+	if !ok {
+		return
+	}
+	if s.now.After(m.NotAfter()) {
+		s.post(d, fleet.Expired{Effect: m})
+		return
+	}
+	for _, o := range s.routers {
+		if o.id == m.To && !o.cut[d.index] {
+			o.link(d.index, func() { o.receive(d.index, m.Message) })
+		}
+	}
+}
+
+// keepLease renews the lease of an awake holder and gives a lapsed one to the next.
+func (s *sim) keepLease() {
+	l := &s.lease
+	if l.holder >= 0 {
+		d := s.dispatchers[l.holder]
+		if !d.dead && !d.cut && s.now.After(d.frozen) && s.now.Before(l.until) {
+			if s.now.Sub(l.asked) >= 500*time.Millisecond {
+				s.grantLease(d, false)
+			}
+			return
+		}
+	}
+	if s.now.Before(l.until) {
+		return
+	}
+	for _, d := range s.dispatchers {
+		if !d.dead && !d.cut && s.now.After(d.frozen) {
+			l.epoch++
+			l.holder = d.index
+			s.grantLease(d, l.epoch > 1)
+			return
+		}
+	}
+}
+
+func (s *sim) grantLease(d *simDispatcher, predecessor bool) {
+	const duration = 2 * time.Second
+	s.lease.asked, s.lease.until = s.now, s.now.Add(duration)
+	s.post(d, LeaseHeld{Epoch: s.lease.epoch, NotAfter: s.now.Add(fleet.ShortenLease(duration)), Predecessor: predecessor})
+}
+
+// restartDispatcher kills a dispatcher and starts it with nothing remembered.
+func (s *sim) restartDispatcher(i int) {
+	s.dispatchers[i] = &simDispatcher{index: i, r: s.newReducer(i)}
+	if s.lease.holder == i {
+		s.lease.holder = -1
+	}
+	s.post(s.dispatchers[i], ConfigConfirmed{Config: s.config, NotAfter: s.now.Add(time.Hour)})
+	for _, o := range s.routers {
+		o.reconnect(i)
+	}
+}
+
+// measure counts idle slots while work waits.
+func (s *sim) measure() {
+	waiting := 0
+	for _, o := range s.routers {
+		waiting += len(o.waiting)
+	}
+	if waiting == 0 {
+		return
+	}
+	for _, t := range s.targets {
+		if t.serving() {
+			s.slotSteps += int(t.slots)
+			s.idleSteps += int(t.slots) - len(t.running)
+		}
+	}
+}
+
+// submit makes a caller send a request through a router.
+func (s *sim) submit(o *simRouter, customer int, cost int, content string) {
+	s.nextRequest++
+	id := fleet.RequestID(fmt.Sprintf("q%d", s.nextRequest))
+	if content == "" {
+		content = "h" + string(id)
+	}
+	s.openRequests[id] = true
+	o.add(&simRequest{id: id, customer: fleet.CustomerName(fmt.Sprintf("c%02d", customer)), cost: cost, content: fleet.ContentHash(content)})
+}
+
+// randomCost draws a heavy-tailed cost up to the largest allowed one.
+func (s *sim) randomCost() int {
+	c := int(s.rng.ExpFloat64() * float64(s.cfg.meanCost))
+	return min(max(c, 1), int(s.config.Fleet.Services["drafter"].MaxCost))
+}
--- a/fleet/dispatch/standing.go
+++ b/fleet/dispatch/standing.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
@@ -164,13 +165,23 @@
 	r.emit(SendGrants{To: to.id, Message: m, Until: r.sendUntil()})
 }
 
+// standingOf returns the standing grant on which a running attempt was started; the
+// router names such an attempt after it.
+func (o *router) standingOf(m *fleet.Running) *standing {
+	id, _, ok := strings.Cut(string(m.Grant), "/")
+	if !ok {
+		return nil
+	}
+	s := o.standing[fleet.GrantID(id)]
+	if s == nil || s.target.id != m.Target {
+		return nil
+	}
+	return s
+}
+
 // applyStanding takes in the requests that the router started on standing grants.
 func (r *Reducer) applyStanding(o *router, uses []fleet.StandingUse) {
 	for i := range uses {
-		s := o.standing[uses[i].Standing]
-		if s != nil && s.target.id != uses[i].Running.Target {
-			s = nil
-		}
-		r.adopt(o, &uses[i].Running, s)
+		r.adopt(o, &uses[i].Running)
 	}
 }
--- a/fleet/dispatch/suspect.go
+++ b/fleet/dispatch/suspect.go
@@ -29,7 +29,7 @@
 	// confirmed says that the target is known to have died; else only a connection
 	// broke, which an announcement of the same incarnation disproves.
 	confirmed   bool
-	disprovedBy fleet.Sequence
+	disprovedBy proof
 }
 
 // confirmedDeaths returns the number of targets that surely died.
@@ -64,23 +64,33 @@
 		return
 	}
 	c := r.suspectOf(a.ticket.Content)
-	i := slices.IndexFunc(c.deaths, func(d death) bool {
-		return d.target == a.target && d.incarnation == a.targetInc
-	})
-	if i < 0 {
-		c.deaths = append(c.deaths, death{target: a.target, incarnation: a.targetInc})
-		i = len(c.deaths) - 1
+	if c.addDeath(a.target, a.targetInc, confirmed, r.now) {
 		r.decide(a.ticket.Request, a.customer.name, "Suspected", "", "target "+string(a.target.id)+" failed with it")
 		r.remember(c)
 	}
-	c.deaths[i].confirmed = c.deaths[i].confirmed || confirmed
-	c.deaths[i].disprovedBy = a.target.last.Sequence + announcementsToClear
+	for i := range c.deaths {
+		if c.deaths[i].target == a.target {
+			c.deaths[i].disprovedBy = a.target.proofAfter(r.now)
+		}
+	}
 	if !slices.Contains(a.target.blamed, c) {
 		a.target.blamed = append(a.target.blamed, c)
 	}
 	r.judge(c)
 }
 
+// addDeath records a death and says whether it was not known before.
+func (c *content) addDeath(t *target, incarnation fleet.Incarnation, confirmed bool, now time.Time) bool {
+	for i := range c.deaths {
+		if d := &c.deaths[i]; d.target == t && d.incarnation == incarnation {
+			d.confirmed = d.confirmed || confirmed
+			return false
+		}
+	}
+	c.deaths = append(c.deaths, death{target: t, incarnation: incarnation, confirmed: confirmed, disprovedBy: t.proofAfter(now)})
+	return true
+}
+
 // judge quarantines a content that brought down too many targets.
 func (r *Reducer) judge(c *content) {
 	r.parkedMayRun = true
@@ -142,7 +152,7 @@
 	for _, c := range t.blamed {
 		n := len(c.deaths)
 		c.deaths = slices.DeleteFunc(c.deaths, func(d death) bool {
-			return d.target == t && d.incarnation == t.last.Incarnation && t.last.Sequence >= d.disprovedBy
+			return d.target == t && d.incarnation == t.last.Incarnation && t.proves(d.disprovedBy)
 		})
 		if len(c.deaths) == n {
 			kept = append(kept, c)
@@ -203,6 +213,10 @@
 // mustWait says whether the ticket's content may not run now: it runs somewhere as a
 // suspect, or it is not yet clear whether it brought down too many targets.
 func (r *Reducer) mustWait(t *ticket) bool {
+	if t.router.version > r.config.Version {
+		// The router would return a grant made under an older configuration.
+		return true
+	}
 	c := r.contents[t.Content]
 	return c != nil && (c.running != nil || len(c.deaths) >= deathsToQuarantine)
 }
--- a/fleet/dispatch/target.go
+++ b/fleet/dispatch/target.go
@@ -14,6 +14,8 @@
 	last    fleet.Announcement
 	known   bool
 	heardAt time.Time
+	// fresh says that one came when it was made, not only in full reports.
+	fresh   bool
 	service *service
 
 	limiter  limiter
@@ -72,25 +74,36 @@
 	return t
 }
 
-// announce applies an announcement unless a newer one is known.
-func (r *Reducer) announce(a *fleet.Announcement) {
+// announce applies an announcement unless a newer one is known. One in a full report
+// may be of any age, so it tells of a target but not that the target is still there.
+func (r *Reducer) announce(a *fleet.Announcement, fresh bool) {
 	t := r.target(a.Target)
 	older := a.Incarnation < t.last.Incarnation || a.Incarnation == t.last.Incarnation && a.Sequence <= t.last.Sequence
 	if t.known && older {
 		return
 	}
 	restarted := t.known && a.Incarnation != t.last.Incarnation
-	if t.known && t.last.Service != a.Service {
+	if t.known {
+		t.service.addSlots(-t.last.Slots)
+	}
+	if t.known && (t.last.Service != a.Service || t.last.DataCentre != a.DataCentre) {
 		r.withdraw(t)
 	}
 	if restarted {
 		r.targetDied(t)
+		t.fresh = false
 	}
 	previous := t.last
-	t.last, t.known, t.heardAt, t.missing = *a, true, r.now, false
+	if fresh || !t.known {
+		t.heardAt = r.now
+	}
+	t.last, t.known, t.fresh, t.missing = *a, true, t.fresh || fresh, t.missing && !fresh
 	t.service = r.service(a.Service)
+	t.service.addSlots(a.Slots)
 	r.indexPrefixes(t, previous)
-	r.disproveDeaths(t)
+	if fresh {
+		r.disproveDeaths(t)
+	}
 	if r.phase == settling {
 		r.presumeRunning(t)
 	}
@@ -108,7 +121,7 @@
 // state returns why a target gets no new work, or "Serving".
 func (r *Reducer) state(t *target) string {
 	switch {
-	case !t.known || r.now.Sub(t.heardAt) >= fleet.TargetMissingAfter:
+	case !t.fresh || r.now.Sub(t.heardAt) >= fleet.TargetMissingAfter:
 		return "Missing"
 	case r.config.DataCentresOut[t.last.DataCentre]:
 		return "Out"
