--- a/fleet/dispatch.go
+++ b/fleet/dispatch.go
@@ -255,6 +255,8 @@
 	Target      TargetID
 	Incarnation Incarnation
 	Limit       Slots
+	// Revision grows with every change, over all lease holders.
+	Revision Sequence
 }
 
 // Quarantine bars a request content from the fleet for some time.
--- a/fleet/dispatch/attempt.go
+++ b/fleet/dispatch/attempt.go
@@ -114,9 +114,13 @@
 		return
 	}
 	a.inDoubt = true
-	timeout := a.customer.service.spec.RequestTimeout
-	a.bound = later(r.now, a.expires).Add(timeout)
-	a.clearedBy = a.target.proofAfter(later(r.now, a.expires))
+	from := later(r.now, a.expires)
+	if a.router != nil {
+		// It may start another request on the slot for as long as standing grants last.
+		from = later(from, a.router.heardAt.Add(StandingValidity))
+	}
+	a.bound = from.Add(a.customer.service.spec.RequestTimeout)
+	a.clearedBy = a.target.proofAfter(from)
 }
 
 // clearDoubt ends the attempts in doubt that the target's announcement rules out.
--- a/fleet/dispatch/lease.go
+++ b/fleet/dispatch/lease.go
@@ -61,7 +61,7 @@
 	}
 	if predecessor {
 		for _, t := range r.targetList {
-			t.limiter.retained = 0
+			t.limiter.retained, t.limiter.revision = 0, 0
 			r.presumeRunning(t)
 		}
 	}
@@ -78,6 +78,9 @@
 		return
 	}
 	r.phase = active
+	if r.allSettled() {
+		r.shortenPresumed()
+	}
 	for _, s := range r.serviceList {
 		r.restoreCounters(s)
 	}
@@ -86,6 +89,18 @@
 	}
 }
 
+// shortenPresumed lets the next announcements clear what no router claimed, once all
+// routers have told what they have.
+func (r *Reducer) shortenPresumed() {
+	for _, t := range r.targetList {
+		for _, a := range t.attempts {
+			if a.presumed {
+				a.clearedBy = t.proofAfter(r.now)
+			}
+		}
+	}
+}
+
 // presumeLimits gives every target the limit that routers remember, or the number of
 // requests that it bears now.
 func (r *Reducer) presumeLimits() {
@@ -127,7 +142,7 @@
 			id:       fleet.GrantID(fmt.Sprintf("%d-p%d", r.lease.epoch, r.nextGrant)),
 			ticket:   fleet.Ticket{Request: id, Service: t.service.name},
 			target:   t,
-			customer: t.service.presumed, weight: 1, targetInc: t.last.Incarnation, expires: r.now, presumed: true,
+			customer: t.service.presumed, weight: 1, targetInc: t.last.Incarnation, expires: r.now.Add(StandingValidity), presumed: true,
 		}
 		r.addAttempt(a)
 		r.doubt(a)
--- a/fleet/dispatch/limiter.go
+++ b/fleet/dispatch/limiter.go
@@ -40,7 +40,9 @@
 	failures int
 	// retained is the limit that routers remember from an earlier lease holder; 0
 	// when none does.
-	retained    fleet.Slots
+	retained fleet.Slots
+	// revision is that of the newest limit told to routers or by them.
+	revision    fleet.Sequence
 	pausedUntil time.Time
 }
 
--- a/fleet/dispatch/reducer.go
+++ b/fleet/dispatch/reducer.go
@@ -46,6 +46,7 @@
 	posts      []*router
 	nextGrant  uint64
 	nextTicket uint64
+	revisions  uint64
 	scannedAt  time.Time
 	// parkedMayRun says that a parked ticket may have become eligible.
 	parkedMayRun bool
@@ -96,6 +97,7 @@
 		r.expired(e.Effect)
 	}
 	r.dispatch()
+	r.tellContents()
 	r.flush()
 	return r.effects
 }
@@ -187,7 +189,7 @@
 	r.expireContents()
 	r.parkedMayRun = true
 	r.settle()
-	r.tellNews()
+	r.tellLimits()
 	for _, s := range r.serviceList {
 		r.checkCounters(s)
 	}
--- a/fleet/dispatch/retained.go
+++ b/fleet/dispatch/retained.go
@@ -12,6 +12,9 @@
 // limitKeepers is the number of routers that remember the limit of a target.
 const limitKeepers = 3
 
+// revisionBits is the number of bits for the changes under one epoch.
+const revisionBits = 40
+
 // news collects what routers have to remember for a successor.
 type news struct {
 	contents []*content
@@ -27,26 +30,38 @@
 
 // limitChanged lets a few routers keep the limit of a target.
 func (r *Reducer) limitChanged(t *target) {
+	r.revisions++
+	t.limiter.revision = fleet.Sequence(r.lease.epoch)<<revisionBits | fleet.Sequence(r.revisions)
 	if !slices.Contains(r.news.targets, t) {
 		r.news.targets = append(r.news.targets, t)
 	}
 }
 
-// tellNews sends the news.
-func (r *Reducer) tellNews() {
-	collected := r.news
-	r.news = news{}
+// tellContents sends what is new about contents to all routers at once, since the
+// dispatcher may not live to do it later.
+func (r *Reducer) tellContents() {
+	contents := r.news.contents
+	r.news.contents = nil
 	if r.phase != active {
 		return
 	}
-	for _, c := range collected.contents {
+	for _, c := range contents {
 		for _, o := range r.routerList {
 			if o.connected {
 				r.tellContent(o, c)
 			}
 		}
 	}
-	for _, t := range collected.targets {
+}
+
+// tellLimits sends the limits that changed since the last scan to a few routers each.
+func (r *Reducer) tellLimits() {
+	targets := r.news.targets
+	r.news.targets = nil
+	if r.phase != active {
+		return
+	}
+	for _, t := range targets {
 		r.tellLimit(t)
 	}
 }
@@ -74,7 +89,7 @@
 		told++
 		box := r.post(o)
 		box.limits = append(box.limits, fleet.TargetLimit{
-			Target: t.id, Incarnation: t.last.Incarnation, Limit: t.limiter.limit,
+			Target: t.id, Incarnation: t.last.Incarnation, Limit: t.limiter.limit, Revision: t.limiter.revision,
 		})
 	}
 }
@@ -103,8 +118,8 @@
 		if t.known && t.last.Incarnation != l.Incarnation {
 			continue
 		}
-		if t.limiter.retained == 0 || l.Limit < t.limiter.retained {
-			t.limiter.retained = max(1, l.Limit)
+		if l.Revision > t.limiter.revision {
+			t.limiter.retained, t.limiter.revision = max(1, l.Limit), l.Revision
 		}
 	}
 }
--- a/fleet/dispatch/sim_target_test.go
+++ b/fleet/dispatch/sim_target_test.go
@@ -38,6 +38,8 @@
 	spent   int
 	waited  int
 	first   bool
+	// firstToken is the time to the first token.
+	firstToken time.Duration
 	// old says that it began before its target turned cold.
 	old bool
 }
@@ -115,6 +117,9 @@
 		t.crash(run.attempt.ticket.Content)
 		return
 	}
+	if run.spent == 0 {
+		run.firstToken = time.Duration(run.waited) * step
+	}
 	run.spent++
 	t.s.delivered[run.attempt.ticket.Customer]++
 	run.router.progressed(run)
@@ -140,6 +145,7 @@
 func (t *simTarget) crash(by fleet.ContentHash) {
 	if by != "" {
 		t.s.crashes[by]++
+		t.s.crashedAt = t.s.now
 	}
 	lost := t.running
 	t.running = nil
--- a/fleet/dispatch/sim_test.go
+++ b/fleet/dispatch/sim_test.go
@@ -28,6 +28,9 @@
 	meanCost int
 	// announceRunning says that targets list what they run.
 	announceRunning bool
+	// reuse lets routers reuse the slots of their completed requests while no
+	// dispatcher answers.
+	reuse bool
 }
 
 // sim is a fleet of fakes around real dispatch reducers. It checks from outside what
@@ -47,14 +50,20 @@
 	openRequests map[fleet.RequestID]bool
 	runs         map[fleet.TicketID]int
 	crashes      map[fleet.ContentHash]int
-	delivered    map[fleet.CustomerName]fleet.Cost
-	refused      map[fleet.Reason]int
-	outSince     map[fleet.DataCentreName]time.Time
-	overloads    int
-	completed    int
-	idleSteps    int
-	slotSteps    int
-	broken       []string
+	crashedAt    time.Time
+	// unheard counts the crashes so near to the end of a dispatcher that nobody may
+	// have been told of them.
+	unheard   int
+	delivered map[fleet.CustomerName]fleet.Cost
+	refused   map[fleet.Reason]int
+	outSince  map[fleet.DataCentreName]time.Time
+	overloads int
+	completed int
+	// waitSteps sums the waiting requests over all steps.
+	waitSteps int
+	idleSteps int
+	slotSteps int
+	broken    []string
 	// hint returns the hint of a request; nil means that requests have none.
 	hint func(c fleet.CustomerName, cost int) fleet.Cost
 }
@@ -244,8 +253,21 @@
 	s.post(d, LeaseHeld{Epoch: s.lease.epoch, NotAfter: s.now.Add(fleet.ShortenLease(duration)), Predecessor: predecessor})
 }
 
+// freeze stops a dispatcher for a while.
+func (s *sim) freeze(i int, d time.Duration) {
+	s.noteLoss()
+	s.dispatchers[i].frozen = s.now.Add(d)
+}
+
+func (s *sim) noteLoss() {
+	if s.now.Sub(s.crashedAt) < 100*time.Millisecond {
+		s.unheard++
+	}
+}
+
 // restartDispatcher kills a dispatcher and starts it with nothing remembered.
 func (s *sim) restartDispatcher(i int) {
+	s.noteLoss()
 	s.dispatchers[i] = &simDispatcher{index: i, r: s.newReducer(i)}
 	if s.lease.holder == i {
 		s.lease.holder = -1
@@ -262,6 +284,7 @@
 	for _, o := range s.routers {
 		waiting += len(o.waiting)
 	}
+	s.waitSteps += waiting
 	if waiting == 0 {
 		return
 	}
