--- a/fleet/dispatch/attempt.go
+++ b/fleet/dispatch/attempt.go
@@ -23,16 +23,18 @@
 	charged  fleet.Cost
 	spent    fleet.Cost
 
+	grantedAt time.Time
 	// expires is the last moment at which the router may start the request.
 	expires time.Time
 	// firstToken says that the time to the first token was taken in.
 	firstToken bool
-	// unlisted says that a full report of the router did not name the attempt.
-	unlisted bool
-	inDoubt  bool
-	// clearedBy is the least announcement whose list of running requests tells
-	// whether an attempt in doubt still runs.
-	clearedBy fleet.Sequence
+	inDoubt    bool
+	// again is the ticket to queue once the attempt turns out not to run: the router
+	// said that it still waits while the grant was on its way.
+	again *fleet.Ticket
+	// clearedBy is the announcement whose list of running requests tells whether an
+	// attempt in doubt still runs.
+	clearedBy proof
 	// bound is when an attempt in doubt has ended in any case.
 	bound time.Time
 	// suspect is the content that the attempt tries again; nil for most attempts.
@@ -43,10 +45,6 @@
 	targetIndex int
 }
 
-// announcementsToClear is the number of announcements after which one was surely
-// made after the doubt arose, even when a router was slow to relay it.
-const announcementsToClear = 2
-
 // addAttempt makes an attempt count against its target and customer.
 func (r *Reducer) addAttempt(a *attempt) {
 	r.attempts[a.id] = a
@@ -116,25 +114,36 @@
 		return
 	}
 	a.inDoubt = true
-	timeout := a.customer.service.spec.RequestTimeout
-	a.bound = later(r.now, a.expires).Add(timeout)
-	a.clearedBy = a.target.last.Sequence + announcementsToClear
-	if a.expires.After(r.now) {
-		a.clearedBy += fleet.Sequence(a.expires.Sub(r.now)/fleet.AnnounceInterval) + 1
+	from := later(r.now, a.expires)
+	if a.router != nil {
+		// It may start another request on the slot for as long as standing grants last.
+		from = later(from, a.router.heardAt.Add(StandingValidity))
 	}
+	a.bound = from.Add(a.customer.service.spec.RequestTimeout)
+	a.clearedBy = a.target.proofAfter(from)
 }
 
 // clearDoubt ends the attempts in doubt that the target's announcement rules out.
 func (r *Reducer) clearDoubt(t *target) {
 	for i := len(t.attempts) - 1; i >= 0; i-- {
 		a := t.attempts[i]
-		if !a.inDoubt || a.targetInc != t.last.Incarnation || t.last.Sequence < a.clearedBy {
+		if !a.inDoubt || a.targetInc != t.last.Incarnation || !t.proves(a.clearedBy) {
 			continue
 		}
 		if contains(t.last.Running, a.ticket.Request) {
 			continue
 		}
-		r.finish(a, a.spent)
+		r.ruleOut(a)
+	}
+}
+
+// ruleOut ends an attempt that surely does not run any more. How it ended is not
+// known, so what it was charged stands.
+func (r *Reducer) ruleOut(a *attempt) {
+	again, o := a.again, a.router
+	r.finish(a, max(a.charged, a.spent))
+	if again != nil && o != nil && o.connected {
+		r.receive(o, again)
 	}
 }
 
@@ -142,7 +151,7 @@
 func (r *Reducer) expireDoubt(t *target) {
 	for i := len(t.attempts) - 1; i >= 0; i-- {
 		if a := t.attempts[i]; a.inDoubt && r.now.After(a.bound) {
-			r.finish(a, a.spent)
+			r.ruleOut(a)
 		}
 	}
 }
@@ -155,7 +164,7 @@
 
 // progress takes in the cost of a running attempt so far.
 func (r *Reducer) progress(a *attempt, p *fleet.Progress) {
-	a.unlisted = false
+	a.inDoubt, a.again = false, nil
 	r.observeFirstToken(a, p.FirstToken)
 	a.spent = max(a.spent, p.Spent)
 	if r.cfg.Charging == ChargeProgressively {
@@ -179,10 +188,13 @@
 }
 
 func (r *Reducer) observeFirstToken(a *attempt, d time.Duration) {
-	if d <= 0 || a.firstToken || a.targetInc != a.target.last.Incarnation {
+	if r.cfg.off.latency || d <= 0 || a.firstToken || a.targetInc != a.target.last.Incarnation {
 		return
 	}
 	a.firstToken = true
+	if a.router != nil && !a.grantedAt.IsZero() {
+		a.router.lag.add(float64(max(0, r.now.Sub(a.grantedAt)-d)))
+	}
 	before := a.target.limiter.limit
 	s := a.customer.service
 	a.target.limiter.firstToken(d, s.firstToken)
@@ -195,6 +207,32 @@
 	}
 }
 
+// observeOverdue takes a first token that is late by far for a slow one, without
+// waiting for it.
+func (r *Reducer) observeOverdue(t *target) {
+	base := t.limiter.baseline
+	if !base.known || r.cfg.off.latency {
+		return
+	}
+	late := slowFactor*time.Duration(base.value) + slowFloor
+	for _, a := range t.attempts {
+		if a.firstToken || a.inDoubt || a.router == nil || !a.router.lag.known || a.grantedAt.IsZero() {
+			continue
+		}
+		lag := lagFactor * (time.Duration(a.router.lag.value) + leastLag)
+		if waited := r.now.Sub(a.grantedAt); waited > late+lag {
+			r.observeFirstToken(a, waited)
+		}
+	}
+}
+
+// The time that a grant and the report of a first token take may be lagFactor times
+// its running mean, which is taken to be at least leastLag.
+const (
+	lagFactor = 4
+	leastLag  = 10 * time.Millisecond
+)
+
 // ended takes in the end of an attempt.
 func (r *Reducer) ended(a *attempt, e *fleet.GrantEnd) {
 	a.spent = max(a.spent, e.Spent)
@@ -240,4 +278,5 @@
 	if a.target.limiter.limit != before {
 		r.limitChanged(a.target)
 	}
+	r.refresh(a.target)
 }
--- a/fleet/dispatch/lease.go
+++ b/fleet/dispatch/lease.go
@@ -61,7 +61,7 @@
 	}
 	if predecessor {
 		for _, t := range r.targetList {
-			t.limiter.retained = 0
+			t.limiter.retained, t.limiter.revision = 0, 0
 			r.presumeRunning(t)
 		}
 	}
@@ -74,15 +74,33 @@
 	if r.phase != settling {
 		return
 	}
-	if r.now.Before(r.lease.settleBy) && !r.allSettled() && !r.cfg.off.settling {
+	if r.now.Before(r.lease.settleBy) && !r.allSettled() {
 		return
 	}
 	r.phase = active
+	if r.allSettled() {
+		r.shortenPresumed()
+	}
+	for _, s := range r.serviceList {
+		r.restoreCounters(s)
+	}
 	if r.lease.settleBy.After(r.lease.since) {
 		r.presumeLimits()
 	}
 }
 
+// shortenPresumed lets the next announcements clear what no router claimed, once all
+// routers have told what they have.
+func (r *Reducer) shortenPresumed() {
+	for _, t := range r.targetList {
+		for _, a := range t.attempts {
+			if a.presumed {
+				a.clearedBy = t.proofAfter(r.now)
+			}
+		}
+	}
+}
+
 // presumeLimits gives every target the limit that routers remember, or the number of
 // requests that it bears now.
 func (r *Reducer) presumeLimits() {
@@ -101,7 +119,7 @@
 func (r *Reducer) allSettled() bool {
 	known := false
 	for _, o := range r.routerList {
-		if !o.settled && r.now.Sub(o.heardAt) < recentlyHeard {
+		if !o.settled && r.now.Sub(o.heardAt) < recentlyHeard && !r.cfg.off.settling {
 			return false
 		}
 		known = known || o.settled
@@ -109,13 +127,6 @@
 	return known
 }
 
-func (r *Reducer) resyncDone(o *router) time.Time {
-	if o.settled {
-		return time.Time{}
-	}
-	return o.resyncAt
-}
-
 // presumeRunning counts the requests that a target announced as running and that no
 // router has claimed; they stay in doubt until a router or the target clears them.
 func (r *Reducer) presumeRunning(t *target) {
@@ -131,7 +142,7 @@
 			id:       fleet.GrantID(fmt.Sprintf("%d-p%d", r.lease.epoch, r.nextGrant)),
 			ticket:   fleet.Ticket{Request: id, Service: t.service.name},
 			target:   t,
-			customer: t.service.presumed, weight: 1, targetInc: t.last.Incarnation, expires: r.now, presumed: true,
+			customer: t.service.presumed, weight: 1, targetInc: t.last.Incarnation, expires: r.now.Add(StandingValidity), presumed: true,
 		}
 		r.addAttempt(a)
 		r.doubt(a)
