--- a/fleet/routing/random_test.go
+++ b/fleet/routing/random_test.go
@@ -152,6 +152,9 @@
 		m.end(e.Request)
 	case Drained:
 		m.drained++
+		if open := m.sorted(func(q *modelRequest) bool { return q.ended == 0 }); len(open) > 0 {
+			m.fail("the router is drained while %v are open", open)
+		}
 	case Decided:
 		if e.Decision.Event == EventRetried && e.Decision.Reason != fleet.ReasonStaleGrant && e.Decision.Reason != fleet.ReasonSuspectWithdrawn {
 			m.retries++
@@ -200,6 +203,8 @@
 		m.fail("grant %s holds until %s; it is used at %s until %s", e.Grant, until, m.now, e.Until)
 	case q.ended > 0 || q.sending != nil:
 		m.fail("request %s is sent twice at a time or after its end", e.Request)
+	case q.answered:
+		m.fail("request %s is sent again after a part of its answer was passed on", e.Request)
 	case !q.accepted.Idempotent && (!q.granted || q.wrote):
 		m.fail("request %s may run once and is sent again or without the ledger", e.Request)
 	}
