Bench: model of routers and targets that drives dispatch reducers

Cause: the ways of dispatching were compared only in a scratch trial; the real reducer had not run under load. The model drives any fleet.Reducer over the events of package dispatch in virtual time, so baselines and the chosen reducer take the same events. A simulator of whole processes was ruled out: no decision would be measured better.

--- /dev/null
+++ b/bench/internal/benchcmd/benchcmd.go
@@ -0,0 +1,102 @@
+// Package benchcmd is the command line of fuchsiashed-bench.
+package benchcmd
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/bench/internal/experiment"
+	"github.com/fuchsiashed/fuchsiashed/bench/internal/figures"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
+	"github.com/fuchsiashed/fuchsiashed/fleet/program"
+)
+
+const programName = "fuchsiashed-bench"
+
+// options are the flags of the program.
+type options struct {
+	Only string `long:"only" value-name:"REGEXP" description:"run only the experiments whose names match"`
+	List bool   `long:"list" description:"list the experiments and exit"`
+	JSON string `long:"json" value-name:"FILE" description:"also write the figures to FILE as JSON"`
+	Add  string `long:"add" value-name:"FILE" description:"write the figures of FILE, from an earlier run, too"`
+}
+
+const examples = `fuchsiashed-bench --only '^Ways$' --json ways.json
+  fuchsiashed-bench --list`
+
+// Main runs the program with the arguments of the command line and returns its exit code.
+func Main(io *iostreams.IOStreams, args []string) int {
+	var opts options
+	parser := flags.NewNamedParser(programName, flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "measures the decisions and processes of a fleet"
+	parser.LongDescription = parser.ShortDescription + "\n\nExamples:\n  " + examples
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		fmt.Fprintln(io.Err, err)
+		return program.ExitError
+	}
+	rest, err := parser.ParseArgs(args)
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		fmt.Fprintln(io.Out, fe.Message)
+		return program.ExitOK
+	}
+	if err == nil && len(rest) > 0 {
+		err = errors.Errorf("argument %q is unknown", rest[0])
+	}
+	if err != nil {
+		fmt.Fprintln(io.Err, err)
+		return program.ExitUsage
+	}
+	return run(io, &opts, fleet.SystemClock{})
+}
+
+func run(io *iostreams.IOStreams, opts *options, clock fleet.Clock) int {
+	only, err := regexp.Compile(opts.Only)
+	if err != nil {
+		fmt.Fprintf(io.Err, "--only is not a regular expression: %v\n", err)
+		return program.ExitUsage
+	}
+	if opts.List {
+		for _, e := range experiment.All() {
+			fmt.Fprintf(io.Out, "%s\t%s\n", e.Name, e.Summary)
+		}
+		return program.ExitOK
+	}
+	p := figures.NewPrinter(io.Out)
+	if opts.Add != "" {
+		if err := p.ReadFile(opts.Add); err != nil {
+			fmt.Fprintln(io.Err, err)
+			return program.ExitError
+		}
+	}
+	if err := runAll(io, p, only, clock); err != nil {
+		fmt.Fprintln(io.Err, err)
+		return program.ExitError
+	}
+	if opts.JSON != "" {
+		if err := p.WriteFile(opts.JSON, clock.Now()); err != nil {
+			fmt.Fprintln(io.Err, err)
+			return program.ExitError
+		}
+	}
+	return program.ExitOK
+}
+
+func runAll(io *iostreams.IOStreams, p *figures.Printer, only *regexp.Regexp, clock fleet.Clock) error {
+	for _, e := range experiment.All() {
+		if !only.MatchString(e.Name) {
+			continue
+		}
+		began := clock.Now()
+		if err := e.Run(p); err != nil {
+			return errors.Wrapf(err, "experiment %s", e.Name)
+		}
+		fmt.Fprintf(io.Err, "%s took %s\n", e.Name, clock.Now().Sub(began).Round(time.Millisecond))
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/internal/engine/engine_test.go
@@ -0,0 +1,62 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/bench/internal/engine"
+	"github.com/fuchsiashed/fuchsiashed/bench/internal/virtual"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// run gives an engine n equal jobs and returns when each ended and how many completed.
+func run(warm bool, n int, prefix fleet.PrefixHash) (e *engine.Engine, ends []time.Duration, completed int, delivered float64) {
+	q := virtual.NewQueue()
+	e = engine.New(engine.Config{
+		Target: "t", Slots: 8, UnitInterval: 10 * time.Millisecond, BatchGrowth: 1, Prefill: 200 * time.Millisecond,
+		CachedPrefixes: 2, WarmUp: 20 * time.Second, Restart: 5 * time.Second, Queue: q,
+		Served: func(_ fleet.CustomerName, amount float64) { delivered += amount },
+	}, warm)
+	for range n {
+		e.Admit(&engine.Job{
+			Request: "r", Cost: 400, Prefix: prefix, FirstToken: func(time.Duration) {},
+			Ended: func(_ fleet.Cost, whole bool) {
+				ends = append(ends, q.Elapsed())
+				if whole {
+					completed++
+				}
+			},
+		})
+	}
+	q.RunUntil(virtual.Start.Add(time.Minute))
+	return e, ends, completed, delivered
+}
+
+func TestEngine(t *testing.T) {
+	convey.Convey("A job alone runs at the unit interval", t, func() {
+		_, ends, completed, delivered := run(true, 1, 0)
+		convey.So(completed, convey.ShouldEqual, 1)
+		convey.So(ends[0].Round(time.Millisecond), convey.ShouldEqual, 4200*time.Millisecond)
+		convey.So(delivered, convey.ShouldAlmostEqual, 400, 1e-3)
+	})
+	convey.Convey("A full batch runs at twice the interval, and no more is admitted", t, func() {
+		e, ends, completed, _ := run(true, 9, 0)
+		convey.So(completed, convey.ShouldEqual, 8)
+		convey.So(ends[0].Round(time.Millisecond), convey.ShouldEqual, 8200*time.Millisecond)
+		convey.So(e.Falls, convey.ShouldEqual, 0)
+	})
+	convey.Convey("A cold engine given a full load falls over and breaks its jobs", t, func() {
+		e, ends, completed, _ := run(false, 8, 0)
+		convey.So(e.Falls, convey.ShouldEqual, 1)
+		convey.So(e.Overloads, convey.ShouldEqual, 7)
+		convey.So(completed, convey.ShouldEqual, 0)
+		convey.So(len(ends), convey.ShouldEqual, 8)
+		convey.So(e.Incarnation(), convey.ShouldEqual, fleet.Incarnation(2))
+	})
+	convey.Convey("A cached prefix is found again", t, func() {
+		e, _, _, _ := run(true, 3, 7)
+		convey.So(e.Hits, convey.ShouldEqual, 2)
+	})
+}
--- /dev/null
+++ b/bench/internal/figures/figures.go
@@ -0,0 +1,80 @@
+// Package figures prints measured figures, one a line, and writes them as JSON.
+package figures
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Figure is one measured value.
+type Figure struct {
+	Name  string
+	Value float64
+	Unit  string
+}
+
+// Printer prints figures as they come and keeps them. It is not safe for concurrent use.
+type Printer struct {
+	w   io.Writer
+	all []Figure
+}
+
+// NewPrinter makes a Printer that prints to w.
+func NewPrinter(w io.Writer) *Printer { return &Printer{w: w} }
+
+// Print prints one figure as "name value unit".
+func (p *Printer) Print(name string, value float64, unit string) {
+	p.all = append(p.all, Figure{Name: name, Value: value, Unit: unit})
+	fmt.Fprintf(p.w, "%s %s %s\n", name, format(value), unit)
+}
+
+// PrintDuration prints a duration in milliseconds.
+func (p *Printer) PrintDuration(name string, d time.Duration) {
+	p.Print(name, float64(d)/float64(time.Millisecond), "ms")
+}
+
+// All returns the figures printed so far.
+func (p *Printer) All() []Figure { return p.all }
+
+// document is the content of a file of figures.
+type document struct {
+	At      time.Time
+	Figures []Figure
+}
+
+// WriteFile writes all figures to a file as JSON.
+func (p *Printer) WriteFile(name string, at time.Time) error {
+	raw, err := json.MarshalIndent(document{At: at, Figures: p.all}, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode figures")
+	}
+	return errors.Wrap(os.WriteFile(name, append(raw, '\n'), 0o644), "write figures")
+}
+
+// ReadFile adds the figures of a file written by WriteFile.
+func (p *Printer) ReadFile(name string) error {
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return errors.Wrap(err, "read figures")
+	}
+	var doc document
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return errors.Wrapf(err, "decode figures of %s", name)
+	}
+	p.all = append(p.all, doc.Figures...)
+	return nil
+}
+
+// format writes whole numbers without a point and others with four digits.
+func format(v float64) string {
+	if v == float64(int64(v)) {
+		return strconv.FormatInt(int64(v), 10)
+	}
+	return strconv.FormatFloat(v, 'g', 4, 64)
+}
