--- a/fleet/routing/accept.go
+++ b/fleet/routing/accept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // Times after which a refused caller should come back.
@@ -18,7 +19,7 @@
 
 // accept takes or refuses a new request.
 func (r *Router) accept(now time.Time, ev RequestAccepted) {
-	if !invariant(r.requests[ev.Request] == nil, "request %s was accepted twice", ev.Request) {
+	if !invariant.Check(r.requests[ev.Request] == nil, "AcceptedOnce", "request %s was accepted twice", ev.Request) {
 		return
 	}
 	q := &request{RequestAccepted: ev, accepted: now}
@@ -122,7 +123,7 @@
 	}
 	r.decide(now, q, EventCallerGone, fleet.ReasonCallerGone, "")
 	q.gone = true
-	if q.state == stateLedger || q.attempt != nil && q.detach {
+	if q.state == stateLedger || q.state == stateRecording || q.attempt != nil && q.detach {
 		return
 	}
 	r.abandon(q)
--- a/fleet/routing/request.go
+++ b/fleet/routing/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // Events of decisions.
@@ -35,10 +36,17 @@
 	stateReleasing
 	// stateBackingOff waits before the next ticket.
 	stateBackingOff
+	// stateRecording has an answer whose end is being recorded in the ledger.
+	stateRecording
 	// stateRefused has had its ticket refused by the dispatcher.
 	stateRefused
 )
 
+// waits says whether a request in the state counts as waiting.
+func (s state) waits() bool {
+	return s != 0 && s != stateSending && s != stateRecording
+}
+
 // request is a request that has not ended yet.
 type request struct {
 	RequestAccepted
@@ -86,6 +94,8 @@
 	firstToken  time.Duration
 	resumes     int
 	offset      int64
+	// interrupted says that the attempt broke off and is being resumed.
+	interrupted bool
 	// silentStart says that the target was silent before its first byte.
 	silentStart bool
 	// outcome is reported once the target confirmed that the attempt ended.
@@ -122,11 +132,11 @@
 
 // setState moves a request and keeps the counts of what waits.
 func (r *Router) setState(q *request, s state, wake time.Time) {
-	if q.state != 0 && q.state != stateSending {
+	if q.state.waits() {
 		r.waiting.remove(q)
 	}
 	q.state = s
-	if s != 0 && s != stateSending {
+	if s.waits() {
 		r.waiting.add(q)
 	}
 	q.wake = wake
@@ -160,7 +170,7 @@
 	if q.state == stateQueued {
 		r.withdraw(q.ticket.ID)
 	}
-	if !invariant(r.requests[q.Request] == q, "request %s ends twice", q.Request) {
+	if !invariant.Check(r.requests[q.Request] == q, "EndsOnce", "request %s ends twice", q.Request) {
 		return
 	}
 	r.setState(q, 0, time.Time{})
--- a/fleet/routing/router.go
+++ b/fleet/routing/router.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // Timing of the router's decisions.
@@ -18,6 +19,8 @@
 	CutOffAfter = 5 * time.Second
 	// LedgerTimeout bounds the wait for the ledger.
 	LedgerTimeout = 3 * time.Second
+	// RecordTimeout bounds how long the end of an answer waits to be recorded.
+	RecordTimeout = 2 * time.Second
 	// ResumeLimit is how many times in a row an answer is resumed without progress.
 	ResumeLimit = 3
 	// StopMargin is added to the validity of the hosts answer in a planned stop, for
@@ -108,6 +111,8 @@
 		r.accept(now, ev)
 	case LedgerBegun:
 		r.ledgerBegun(now, ev)
+	case LedgerEnded:
+		r.ledgerEnded(now, ev)
 	case DispatcherUp:
 		r.dispatcherUp(ev.Peer)
 	case DispatcherDown:
@@ -139,7 +144,7 @@
 	case Tick:
 		r.tick(now)
 	default:
-		invariant(false, "event %s is not known to the router", ev.EventName())
+		invariant.Check(false, "KnownEvent", "event %s is not known to the router", ev.EventName())
 	}
 }
 
