Stand-in: a resumed answer keeps its content type and length; bounded loads in e2e

Cause: an answer that is not streamed and stays silent beyond IdleTimeout is resumed, and the stand-in sent the rest as an event stream, so that the router rightly missed its end: two such requests of 803 never got an answer. Ruled out: a lost byte; the lengths seen were those of whole answers. Before: TestDataCentreOutAndIn failed on a load that did not end. The harness bounds every load, and test runs at the same time use different ports.

--- a/e2e/internal/harness/load.go
+++ b/e2e/internal/harness/load.go
@@ -31,8 +31,13 @@
 	out  *bytes.Buffer
 	file string
 	done chan error
+	// limit bounds the whole load, the last answers included.
+	limit time.Duration
 }
 
+// answerLimit is how long after its end a load may wait for the last answers.
+const answerLimit = 40 * time.Second
+
 // LoadConfig describes a load over both services.
 type LoadConfig struct {
 	Duration time.Duration
@@ -47,7 +52,7 @@
 
 // StartLoad starts a load on all routers, which checks the records of all targets.
 func (f *Fleet) StartLoad(cfg LoadConfig) (*Load, error) {
-	l := &Load{file: filepath.Join(f.cfg.Folder, fmt.Sprintf("load-%d.json", cfg.Seed)), out: &bytes.Buffer{}, done: make(chan error, 1)}
+	l := &Load{file: filepath.Join(f.cfg.Folder, fmt.Sprintf("load-%d.json", cfg.Seed)), out: &bytes.Buffer{}, done: make(chan error, 1), limit: cfg.Duration + answerLimit}
 	args := []string{
 		"load", "--model", Model, "--plain", Plain, "--duration", cfg.Duration.String(), "--json-file", l.file,
 		"--plain-percent", fmt.Sprint(cfg.PlainPercent), "--tokens", fmt.Sprint(cfg.Tokens), "--seed", fmt.Sprint(cfg.Seed),
@@ -74,7 +79,15 @@
 // Wait waits for the end of the load. The error tells of every violation.
 func (l *Load) Wait() (Result, error) {
 	var r Result
-	waitErr := <-l.done
+	var waitErr error
+	select {
+	case waitErr = <-l.done:
+	case <-time.After(l.limit):
+		// The load still prints what it saw so far.
+		_ = l.cmd.Process.Signal(syscall.SIGTERM)
+		<-l.done
+		waitErr = errors.Errorf("not all answers came within %s", l.limit)
+	}
 	raw, err := os.ReadFile(l.file)
 	if err != nil {
 		return r, errors.Errorf("the load ended without a result: %v\n%s", waitErr, l.out)
--- a/e2e/internal/harness/ports.go
+++ b/e2e/internal/harness/ports.go
@@ -18,6 +18,8 @@
 	defaultFirstPort = 24100
 	// portRange is the number of ports tried.
 	portRange = 900
+	// portsPerRun is about the number of ports that a run of the tests needs.
+	portsPerRun = 128
 )
 
 var ports struct {
@@ -34,6 +36,10 @@
 	if n, err := strconv.Atoi(os.Getenv(envFirstPort)); err == nil {
 		first = n
 	}
+	if ports.next == 0 {
+		// Test runs at the same time start at different ports.
+		ports.next = os.Getpid() * portsPerRun
+	}
 	for range portRange {
 		address := fmt.Sprintf("127.0.0.1:%d", first+ports.next%portRange)
 		ports.next++
--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -72,9 +72,8 @@
 
 // Job is a request to run.
 type Job struct {
-	Run record.Run
-	// Size is the length of the whole answer in bytes.
-	Size int
+	Run    record.Run
+	Answer Answer
 	// Prefix is the prompt's prefix; 0 means none.
 	Prefix fleet.PrefixHash
 	// FirstDelay is the time until the first part of the answer, Delay until each next one.
@@ -116,7 +115,7 @@
 		return nil, Failed, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	w := newWork(j.Run.RequestID, j.Size, cancel)
+	w := newWork(j.Run.RequestID, j.Answer, cancel)
 	e.works[w.ID] = w
 	e.running[w] = true
 	if e.cached(j.Prefix) {
--- a/standin/internal/engine/work.go
+++ b/standin/internal/engine/work.go
@@ -12,12 +12,20 @@
 // ErrCancelled is returned for the answer of cancelled work.
 var ErrCancelled = errors.New("work was cancelled")
 
+// Answer describes the answer to a request before it exists.
+type Answer struct {
+	ContentType string
+	// Streamed answers are sent as they grow; others have a Content-Length.
+	Streamed bool
+	// Size is the length of the whole answer in bytes.
+	Size int
+}
+
 // Work is one request that runs or ran. Its answer can be read from any offset by
 // any number of readers while it grows.
 type Work struct {
 	ID fleet.RequestID
-	// Size is the length of the whole answer in bytes.
-	Size int
+	Answer
 
 	cancel context.CancelFunc
 	ended  chan struct{}
@@ -30,8 +38,8 @@
 	readers int
 }
 
-func newWork(id fleet.RequestID, size int, cancel context.CancelFunc) *Work {
-	return &Work{ID: id, Size: size, cancel: cancel, ended: make(chan struct{}), changed: make(chan struct{})}
+func newWork(id fleet.RequestID, a Answer, cancel context.CancelFunc) *Work {
+	return &Work{ID: id, Answer: a, cancel: cancel, ended: make(chan struct{}), changed: make(chan struct{})}
 }
 
 // add appends to the answer.
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -102,12 +102,12 @@
 	case err != nil && a.Status != 0:
 		w.hosts = nil
 		w.res.add(&w.res.Cut, 1)
-		w.cfg.Log.Warn("Cut", "host", host.Address.String(), "request", string(a.RequestID), "bytes", len(a.Body), "error", err)
+		w.cfg.Log.Warn("Cut", "host", host.Address.String(), "request", string(a.RequestID), "bytes", len(a.Body), "error", err.Error())
 		return false, 0
 	case err != nil:
 		w.hosts = nil
 		w.res.add(&w.res.ConnectionErrors, 1)
-		w.cfg.Log.Warn("ConnectionError", "host", host.Address.String(), "error", err)
+		w.cfg.Log.Warn("ConnectionError", "host", host.Address.String(), "error", err.Error())
 		return false, 0
 	case a.Failure != nil:
 		return w.failed(r, a)
--- a/standin/internal/router/handler.go
+++ b/standin/internal/router/handler.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -71,16 +70,8 @@
 	r.NoRoute(h.call)
 }
 
-// reply is how the answer of a work is sent.
-type reply struct {
-	contentType string
-	// streamed answers are sent as they grow; others have a Content-Length.
-	streamed bool
-	offset   int
-}
-
 // start runs the request unless a fault strikes before, and sends its answer.
-func (h *Handler) start(c *gin.Context, body []byte, j engine.Job, rp reply) {
+func (h *Handler) start(c *gin.Context, body []byte, j engine.Job) {
 	order := h.cfg.Faults.Take()
 	if order.Strikes(fault.Reset, fault.Accept) {
 		reset(c)
@@ -110,22 +101,21 @@
 	case bytes.Contains(body, []byte(answer.PoisonMarker)):
 		h.cfg.Crash("request contains " + answer.PoisonMarker)
 	default:
-		h.send(c, w, rp, order)
+		h.send(c, w, 0, order)
 	}
 }
 
 // send sends the answer of a work from the offset on.
-func (h *Handler) send(c *gin.Context, w *engine.Work, rp reply, order fault.Order) {
+func (h *Handler) send(c *gin.Context, w *engine.Work, offset int, order fault.Order) {
 	defer h.cfg.Engine.Attach(w)()
 	if order.Phase == fault.Headers && h.strike(c, order) {
 		return
 	}
 	c.Status(http.StatusOK)
-	c.Header("Content-Type", rp.contentType)
-	if !rp.streamed {
-		c.Header("Content-Length", strconv.Itoa(w.Size-rp.offset))
+	c.Header("Content-Type", w.ContentType)
+	if !w.Streamed {
+		c.Header("Content-Length", strconv.Itoa(w.Size-offset))
 	}
-	offset := rp.offset
 	for whole := false; !whole; {
 		var p []byte
 		var err error
@@ -143,7 +133,7 @@
 			return
 		}
 		offset += len(p)
-		if rp.streamed || struck {
+		if w.Streamed || struck {
 			c.Writer.Flush()
 		}
 		if struck && h.strike(c, order) {
@@ -204,11 +194,7 @@
 		c.String(http.StatusBadRequest, "Offset is not a number from 0 to %d\n", w.Size)
 		return
 	}
-	contentType := "application/json"
-	if strings.Contains(c.GetHeader("Accept"), eventStream) || h.cfg.Protocol == fleet.ProtocolModel {
-		contentType = eventStream
-	}
-	h.send(c, w, reply{contentType: contentType, streamed: true, offset: offset}, h.cfg.Faults.Take())
+	h.send(c, w, offset, h.cfg.Faults.Take())
 }
 
 func (h *Handler) cancel(c *gin.Context) {
--- a/standin/internal/router/model.go
+++ b/standin/internal/router/model.go
@@ -31,15 +31,16 @@
 		Parts:      req.Tokens(),
 	}
 	if req.Stream {
-		h.start(c, body, streamed(job, req), reply{contentType: eventStream, streamed: true})
-		return
+		job = streamed(job, req)
+	} else {
+		job = unary(job, req)
 	}
-	h.start(c, body, unary(job, req), reply{contentType: "application/json"})
+	h.start(c, body, job)
 }
 
 func streamed(job engine.Job, req answer.Completion) engine.Job {
 	last := job.Parts - 1
-	job.Size = len(req.StreamBody())
+	job.Answer = engine.Answer{ContentType: eventStream, Streamed: true, Size: len(req.StreamBody())}
 	job.Part = func(i int) string {
 		if i == last {
 			return req.Event(i) + answer.Done
@@ -52,7 +53,7 @@
 func unary(job engine.Job, req answer.Completion) engine.Job {
 	last := job.Parts - 1
 	whole := req.UnaryBody()
-	job.Size = len(whole)
+	job.Answer = engine.Answer{ContentType: "application/json", Size: len(whole)}
 	job.Part = func(i int) string {
 		if i == last {
 			return whole
--- a/standin/internal/router/plain.go
+++ b/standin/internal/router/plain.go
@@ -16,9 +16,9 @@
 	}
 	whole := answer.Plain(c.Request.Method, c.Request.URL.Path, body)
 	h.start(c, body, engine.Job{
-		Size:       len(whole),
+		Answer:     engine.Answer{ContentType: "application/json", Size: len(whole)},
 		FirstDelay: h.cfg.ServiceTime,
 		Parts:      1,
 		Part:       func(int) string { return whole },
-	}, reply{contentType: "application/json"})
+	})
 }
