--- a/e2e/internal/harness/load.go
+++ b/e2e/internal/harness/load.go
@@ -19,7 +19,7 @@
 // Result is what a load saw; see the verb load of fuchsiashed-standin.
 type Result struct {
 	Requests, Attempts, Answered, Wrong, Unanswered, InDoubt int
-	Cut, ConnectionErrors, NoHosts                           int
+	Cut, CutStreams, ConnectionErrors, NoHosts               int
 	Verdicts                                                 map[string]int
 	Reasons                                                  map[string]int
 	RanTwice, FalseNotRun, Lost                              []string
--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -62,6 +62,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("== load\n%s", l.Output())
+		}
+	})
 	return l
 }
 
--- a/standin/internal/load/load.go
+++ b/standin/internal/load/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -102,6 +103,9 @@
 	case err != nil && a.Status != 0:
 		w.hosts = nil
 		w.res.add(&w.res.Cut, 1)
+		if strings.HasPrefix(a.ContentType, "text/event-stream") {
+			w.res.add(&w.res.CutStreams, 1)
+		}
 		w.cfg.Log.Warn("Cut", "host", host.Address.String(), "request", string(a.RequestID), "bytes", len(a.Body), "error", err.Error())
 		return false, 0
 	case err != nil:
--- a/standin/internal/load/result.go
+++ b/standin/internal/load/result.go
@@ -30,9 +30,11 @@
 	// may have run.
 	Unanswered int
 	InDoubt    int
-	// Cut counts answers that ended early without a failure event, ConnectionErrors
-	// attempts without any answer, NoHosts questions for hosts without an answer.
+	// Cut counts answers that visibly ended early without a failure, CutStreams the event
+	// streams among them, ConnectionErrors attempts without any answer, NoHosts questions
+	// for hosts without an answer.
 	Cut              int
+	CutStreams       int
 	ConnectionErrors int
 	NoHosts          int
 	// Verdicts and Reasons count the failures.
@@ -132,6 +134,7 @@
 		{"unanswered", r.Unanswered},
 		{"in_doubt", r.InDoubt},
 		{"cut", r.Cut},
+		{"cut_streams", r.CutStreams},
 		{"connection_errors", r.ConnectionErrors},
 		{"no_hosts", r.NoHosts},
 		{"ran_twice", len(r.RanTwice)},
