--- a/fleet/dispatch/check.go
+++ b/fleet/dispatch/check.go
@@ -76,6 +76,25 @@
 	return counter(max(s.mostAttempts, int(s.mostSlots))) * each
 }
 
+// checkWait checks that a customer waited for no more service to others than the bound.
+func (r *Reducer) checkWait(c *customer) {
+	s := c.service
+	if waited, bound := s.charged-c.waitFrom, r.waitBound(s); waited > bound {
+		invariant.Check(false, waitBounded, "customer %s of %s waited while others were served %d; the bound is %d",
+			c.name, s.name, waited, bound)
+	}
+	c.waitFrom = s.charged
+}
+
+// waitBound returns the most service that all customers together get while one waits
+// for its next grant: each may catch up with the highest counter that the waiting one
+// may have, and then gets one more request.
+func (r *Reducer) waitBound(s *service) fleet.Cost {
+	each := max(r.maxCost(s), s.largestCost)
+	reach := fleet.Cost(r.gapBound(s)/counterScale) + 1
+	return fleet.Cost(s.totalWeight)*reach + fleet.Cost(len(s.customers)+max(s.mostAttempts, int(s.mostSlots)))*each
+}
+
 // checkTarget checks that the counts of a target agree with its attempts.
 func (r *Reducer) checkTarget(t *target) {
 	var granted, inUse fleet.Slots
--- a/fleet/dispatch/customer.go
+++ b/fleet/dispatch/customer.go
@@ -50,9 +50,12 @@
 	served fleet.Cost
 	queue  indexedHeap[*ticket]
 	// attempts is the number of granted attempts that have not ended.
-	attempts     int
-	parked       int
-	idleSince    time.Time
+	attempts  int
+	parked    int
+	idleSince time.Time
+	// waitFrom is what the service was charged in all when the customer began to wait
+	// for its next grant.
+	waitFrom     fleet.Cost
 	estimator    estimator
 	backlogIndex int
 }
@@ -85,6 +88,7 @@
 func (c *customer) enqueue(now time.Time, t *ticket) {
 	if c.queue.Len() == 0 {
 		c.rejoin(now)
+		c.waitFrom = c.service.charged
 	}
 	c.queue.Push(t)
 	c.resort()
--- /dev/null
+++ b/fleet/dispatch/decode.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
+)
+
+// Decode makes an event of the reducer from a recorded one. It is an eventlog.Decoder.
+func Decode(name string, raw json.RawMessage) (fleet.Event, error) {
+	switch name {
+	case ReportReceived{}.EventName():
+		return eventlog.DecodeAs[ReportReceived](raw)
+	case RouterDisconnected{}.EventName():
+		return eventlog.DecodeAs[RouterDisconnected](raw)
+	case ConfigConfirmed{}.EventName():
+		return eventlog.DecodeAs[ConfigConfirmed](raw)
+	case LeaseHeld{}.EventName():
+		return eventlog.DecodeAs[LeaseHeld](raw)
+	case LeaseLost{}.EventName():
+		return LeaseLost{}, nil
+	case Tick{}.EventName():
+		return Tick{}, nil
+	case fleet.Expired{}.EventName():
+		return decodeExpired(raw)
+	}
+	return nil, errors.Errorf("event %q does not exist", name)
+}
+
+func decodeExpired(raw json.RawMessage) (fleet.Event, error) {
+	var ev struct{ Effect SendGrants }
+	if err := json.Unmarshal(raw, &ev); err != nil {
+		return nil, errors.Wrap(err, "decode event Expired")
+	}
+	return fleet.Expired{Effect: ev.Effect}, nil
+}
--- a/fleet/dispatch/grant.go
+++ b/fleet/dispatch/grant.go
@@ -200,6 +200,7 @@
 		r.refresh(to)
 		return
 	}
+	r.checkWait(c)
 	s.virtual = max(s.virtual, c.counter)
 	r.nextGrant++
 	a := &attempt{
--- a/fleet/dispatch/reducer.go
+++ b/fleet/dispatch/reducer.go
@@ -133,7 +133,7 @@
 		c = newCustomer(s, name, r.weight(name))
 		c.counter = s.leastCounter()
 		c.floor = c.counter
-		s.noteWeight(c.weight)
+		s.noteWeight(0, c.weight)
 		s.customers[name] = c
 	}
 	return c
@@ -165,8 +165,9 @@
 			s.spec, s.known = spec, true
 		}
 		for _, c := range s.customers {
+			earlier := c.weight
 			c.weight = r.weight(c.name)
-			s.noteWeight(c.weight)
+			s.noteWeight(earlier, c.weight)
 		}
 	}
 	for _, t := range r.targetList {
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -245,6 +245,9 @@
 	if o.tickets[m.ID] != nil || o.byTicket[m.ID] != nil {
 		return
 	}
+	if m.Attempt > 1 {
+		r.blameEarlier(o, m.Request)
+	}
 	s := r.service(m.Service)
 	r.nextTicket++
 	t := &ticket{
@@ -265,6 +268,17 @@
 	t.customer.enqueue(r.now, t)
 }
 
+// blameEarlier treats the earlier attempt of a request that is tried again as broken,
+// in case the report of its end was lost.
+func (r *Reducer) blameEarlier(o *router, request fleet.RequestID) {
+	for _, a := range sortedAttempts(o.attempts) {
+		if a.ticket.Request == request {
+			r.blame(a, false)
+			r.doubt(a)
+		}
+	}
+}
+
 // queueBound returns the most tickets that one router may have waiting.
 func (r *Reducer) queueBound() int {
 	if n := r.config.Fleet.Policy.QueuePerRouter; n > 0 {
--- a/fleet/dispatch/service.go
+++ b/fleet/dispatch/service.go
@@ -31,6 +31,7 @@
 	// largestCost and leastWeight go into the bound on the gap.
 	largestCost fleet.Cost
 	leastWeight fleet.Weight
+	totalWeight fleet.Weight
 	// presumed stands for the customers of attempts that only a target told of.
 	presumed *customer
 
@@ -87,7 +88,9 @@
 	s.mostSlots = max(s.mostSlots, s.slots)
 }
 
-func (s *service) noteWeight(w fleet.Weight) {
+// noteWeight takes in a weight of a customer in place of its earlier one.
+func (s *service) noteWeight(earlier, w fleet.Weight) {
+	s.totalWeight += w - earlier
 	if s.leastWeight == 0 || w < s.leastWeight {
 		s.leastWeight = w
 	}
--- a/fleet/dispatch/sim_router_test.go
+++ b/fleet/dispatch/sim_router_test.go
@@ -13,11 +13,14 @@
 	number   int
 	hint     fleet.Cost
 	customer fleet.CustomerName
+	service  fleet.ServiceName
 	cost     int
-	content  fleet.ContentHash
-	attempt  int
-	since    time.Time
-	ticket   fleet.TicketID
+	// submitted is when the caller sent it.
+	submitted time.Time
+	content   fleet.ContentHash
+	attempt   int
+	since     time.Time
+	ticket    fleet.TicketID
 }
 
 // simAttempt is a use of a grant.
@@ -70,7 +73,7 @@
 func newSimRouter(s *sim, i int, incarnation fleet.Incarnation) *simRouter {
 	n := s.cfg.dispatchers
 	o := &simRouter{
-		s: s, id: fleet.HostID(fmt.Sprintf("r%02d", i)), dc: s.config.Fleet.DataCentres[i%2], incarnation: incarnation,
+		s: s, id: fleet.HostID(fmt.Sprintf("r%02d", i)), dc: s.config.Fleet.DataCentres[i%len(s.config.Fleet.DataCentres)], incarnation: incarnation,
 		served: map[fleet.CustomerName]fleet.ServedTotal{}, suspects: map[fleet.ContentHash]fleet.Suspect{},
 		heldUntil:   map[fleet.ContentHash]time.Time{},
 		quarantines: map[fleet.ContentHash]time.Time{}, limits: map[fleet.TargetID]fleet.TargetLimit{},
@@ -118,7 +121,7 @@
 func (o *simRouter) ticket(q *simRequest) fleet.Ticket {
 	waited := o.s.now.Sub(q.since)
 	return fleet.Ticket{
-		ID: q.ticket, Request: q.id, Customer: q.customer, Service: "drafter",
+		ID: q.ticket, Request: q.id, Customer: q.customer, Service: q.service,
 		DataCentre: o.dc, Hint: q.hint, Content: q.content, Attempt: q.attempt, Waited: waited, Patience: max(0, 20*time.Second-waited),
 	}
 }
@@ -355,7 +358,7 @@
 	if silent < 300*time.Millisecond || silent > fleet.ShortenLease(StandingValidity) {
 		return
 	}
-	q := o.nextWaiting()
+	q := o.nextWaiting(done.request.service)
 	if q == nil {
 		return
 	}
@@ -368,11 +371,11 @@
 }
 
 // nextWaiting takes the oldest request that is not known to crash targets.
-func (o *simRouter) nextWaiting() *simRequest {
+func (o *simRouter) nextWaiting(service fleet.ServiceName) *simRequest {
 	i := slices.IndexFunc(o.waiting, func(q *simRequest) bool {
 		_, suspect := o.suspects[q.content]
 		_, barred := o.quarantines[q.content]
-		return !suspect && !barred
+		return !suspect && !barred && q.service == service
 	})
 	if i < 0 {
 		return nil
@@ -399,7 +402,7 @@
 			}
 		}
 		for used < int(g.Slots) && o.s.now.Before(o.standingUntil) {
-			q := o.nextWaiting()
+			q := o.nextWaiting(g.Service)
 			if q == nil {
 				break
 			}
--- a/fleet/dispatch/sim_target_test.go
+++ b/fleet/dispatch/sim_target_test.go
@@ -17,6 +17,7 @@
 	s           *sim
 	id          fleet.TargetID
 	dc          fleet.DataCentreName
+	service     fleet.ServiceName
 	incarnation fleet.Incarnation
 	sequence    fleet.Sequence
 	slots       fleet.Slots
@@ -45,11 +46,16 @@
 }
 
 func newSimTarget(s *sim, i int) *simTarget {
-	return &simTarget{
-		s: s, id: fleet.TargetID(fmt.Sprintf("t%02d", i)), dc: s.config.Fleet.DataCentres[i%2], incarnation: 1,
+	t := &simTarget{
+		s: s, id: fleet.TargetID(fmt.Sprintf("t%02d", i)), dc: s.config.Fleet.DataCentres[i%len(s.config.Fleet.DataCentres)],
+		service: "drafter", incarnation: 1,
 		slots: s.cfg.slots, cold: true,
 		announcedAt: s.now.Add(-time.Duration(s.rng.Int64N(int64(fleet.AnnounceInterval)))),
 	}
+	if i >= s.cfg.targets {
+		t.service = "permit-desk"
+	}
+	return t
 }
 
 func (t *simTarget) serving() bool {
@@ -75,6 +81,9 @@
 	if !t.leaving.IsZero() && t.s.now.Sub(t.leaving) > 3*time.Second {
 		t.s.failf("target %s got work %s after it began to leave", t.id, t.s.now.Sub(t.leaving))
 	}
+	if q := a.request; q.attempt == 1 {
+		t.s.waits[q.customer] = append(t.s.waits[q.customer], t.s.now.Sub(q.submitted))
+	}
 	t.running = append(t.running, &simRun{router: o, attempt: a})
 	if len(t.running) > t.bears() {
 		t.s.overloads++
@@ -170,7 +179,7 @@
 	t.announcedAt = t.s.now
 	t.sequence++
 	a := fleet.Announcement{
-		Target: t.id, Incarnation: t.incarnation, Sequence: t.sequence, Service: "drafter", DataCentre: t.dc,
+		Target: t.id, Incarnation: t.incarnation, Sequence: t.sequence, Service: t.service, DataCentre: t.dc,
 		Address: netip.MustParseAddrPort("127.0.0.1:9000"), Slots: t.slots, State: fleet.TargetServing,
 	}
 	if !t.leaving.IsZero() {
--- a/fleet/dispatch/sim_test.go
+++ b/fleet/dispatch/sim_test.go
@@ -28,6 +28,10 @@
 	meanCost int
 	// announceRunning says that targets list what they run.
 	announceRunning bool
+	// fleet is what operators configured; nil means testFleet.
+	fleet *fleet.Fleet
+	// desks is the number of targets of service permit-desk beside those of drafter.
+	desks int
 	// reuse lets routers reuse the slots of their completed requests while no
 	// dispatcher answers.
 	reuse bool
@@ -65,7 +69,11 @@
 	slotSteps int
 	broken    []string
 	// hint returns the hint of a request; nil means that requests have none.
-	hint func(c fleet.CustomerName, cost int) fleet.Cost
+	// waits lists how long each customer's requests waited for their first start.
+	waits map[fleet.CustomerName][]time.Duration
+	// record is told of every event of a dispatcher and its effects.
+	record func(d *simDispatcher, ev fleet.Event, effects []fleet.Effect)
+	hint   func(c fleet.CustomerName, cost int) fleet.Cost
 }
 
 type simLease struct {
@@ -93,9 +101,13 @@
 }
 
 func newSim(cfg simConfig) *sim {
+	if cfg.fleet == nil {
+		cfg.fleet = testFleet()
+	}
 	s := &sim{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 1)), now: start,
-		config:       fleet.Confirmed{Version: 1, Fleet: testFleet(), DataCentresOut: map[fleet.DataCentreName]bool{}},
+		config:       fleet.Confirmed{Version: 1, Fleet: cfg.fleet, DataCentresOut: map[fleet.DataCentreName]bool{}},
+		waits:        map[fleet.CustomerName][]time.Duration{},
 		openRequests: map[fleet.RequestID]bool{}, runs: map[fleet.TicketID]int{}, crashes: map[fleet.ContentHash]int{},
 		delivered: map[fleet.CustomerName]fleet.Cost{}, refused: map[fleet.Reason]int{},
 		outSince: map[fleet.DataCentreName]time.Time{}, lease: simLease{holder: -1},
@@ -103,7 +115,7 @@
 	for i := range cfg.dispatchers {
 		s.dispatchers = append(s.dispatchers, &simDispatcher{index: i, r: s.newReducer(i)})
 	}
-	for i := range cfg.targets {
+	for i := range cfg.targets + cfg.desks {
 		s.targets = append(s.targets, newSimTarget(s, i))
 	}
 	for i := range cfg.routers {
@@ -200,7 +212,11 @@
 	pending := append(d.inbox, ev)
 	d.inbox = nil
 	for _, ev := range pending {
-		for _, e := range d.r.Reduce(s.now, ev) {
+		effects := d.r.Reduce(s.now, ev)
+		if s.record != nil {
+			s.record(d, ev, effects)
+		}
+		for _, e := range effects {
 			s.perform(d, e)
 		}
 	}
@@ -280,16 +296,15 @@
 
 // measure counts idle slots while work waits.
 func (s *sim) measure() {
-	waiting := 0
+	waiting := map[fleet.ServiceName]int{}
 	for _, o := range s.routers {
-		waiting += len(o.waiting)
-	}
-	s.waitSteps += waiting
-	if waiting == 0 {
-		return
+		for _, q := range o.waiting {
+			waiting[q.service]++
+		}
+		s.waitSteps += len(o.waiting)
 	}
 	for _, t := range s.targets {
-		if t.serving() {
+		if t.serving() && waiting[t.service] > 0 {
 			s.slotSteps += int(t.slots)
 			s.idleSteps += int(t.slots) - len(t.running)
 		}
@@ -298,20 +313,23 @@
 
 // submit makes a caller send a request through a router.
 func (s *sim) submit(o *simRouter, customer int, cost int, content string) {
+	q := s.newRequest(fleet.CustomerName(fmt.Sprintf("c%02d", customer)), "drafter", cost, content)
+	if s.hint != nil {
+		q.hint = s.hint(q.customer, cost)
+	}
+	o.add(q)
+}
+
+func (s *sim) newRequest(c fleet.CustomerName, service fleet.ServiceName, cost int, content string) *simRequest {
 	s.nextRequest++
 	id := fleet.RequestID(fmt.Sprintf("q%d", s.nextRequest))
 	if content == "" {
 		content = "h" + string(id)
 	}
 	s.openRequests[id] = true
-	q := &simRequest{
-		id: id, number: s.nextRequest, customer: fleet.CustomerName(fmt.Sprintf("c%02d", customer)), cost: cost,
-		content: fleet.ContentHash(content),
+	return &simRequest{
+		id: id, number: s.nextRequest, customer: c, service: service, cost: cost, content: fleet.ContentHash(content), submitted: s.now,
 	}
-	if s.hint != nil {
-		q.hint = s.hint(q.customer, cost)
-	}
-	o.add(q)
 }
 
 // randomCost draws a heavy-tailed cost up to the largest allowed one.
