--- a/fleet/routing/accept.go
+++ b/fleet/routing/accept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // Times after which a refused caller should come back.
@@ -18,7 +19,7 @@
 
 // accept takes or refuses a new request.
 func (r *Router) accept(now time.Time, ev RequestAccepted) {
-	if !invariant(r.requests[ev.Request] == nil, "request %s was accepted twice", ev.Request) {
+	if !invariant.Check(r.requests[ev.Request] == nil, "AcceptedOnce", "request %s was accepted twice", ev.Request) {
 		return
 	}
 	q := &request{RequestAccepted: ev, accepted: now}
@@ -52,7 +53,7 @@
 	if !q.Deadline.IsZero() && !now.Before(q.Deadline) {
 		return fleet.ReasonDeadline, 0, "the deadline passed before the request was read"
 	}
-	if r.cutOff(now) && !r.standing.usable(now, q.Service, r) {
+	if r.CutOff(now) && !r.standing.usable(now, q.Service, r) {
 		return fleet.ReasonNoDispatcher, retryAfterQueue, "no dispatcher answers; use another host"
 	}
 	return r.queueFull(q)
@@ -75,7 +76,8 @@
 	if !q.Deadline.IsZero() && q.Deadline.Before(q.deadline) {
 		q.deadline = q.Deadline
 	}
-	q.queueUntil = now.Add(s.QueueTimeout)
+	q.patience = s.QueueTimeout
+	q.queueUntil = now.Add(q.patience)
 	q.idle = s.IdleTimeout
 	q.detach = !q.Idempotent && s.Protocol == fleet.ProtocolPlain
 }
@@ -121,7 +123,7 @@
 	}
 	r.decide(now, q, EventCallerGone, fleet.ReasonCallerGone, "")
 	q.gone = true
-	if q.state == stateLedger || q.attempt != nil && q.detach {
+	if q.state == stateLedger || q.state == stateRecording || q.attempt != nil && q.detach {
 		return
 	}
 	r.abandon(q)
--- a/fleet/routing/attempts.go
+++ b/fleet/routing/attempts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // attemptEnded decides what follows the end of an attempt.
@@ -14,9 +15,20 @@
 	}
 	a := q.attempt
 	a.spent, a.firstToken = max(a.spent, ev.Spent), ev.FirstToken
-	switch ev.Cause {
-	case CauseCompleted:
+	q.answered = q.answered || ev.Answered
+	if ev.Cause == CauseCompleted {
 		r.completed(now, q, ev)
+		return
+	}
+	if a.interrupted && ev.Cause.notRun() {
+		// Only the resumption failed; what it resumes may have run.
+		ev.Cause = CauseReset
+	}
+	if !now.Before(q.deadline) && !ev.Cause.notRun() {
+		r.deadlineReached(now, q)
+		return
+	}
+	switch ev.Cause {
 	case CauseLapsed, CauseConnect, CauseNotRun:
 		r.notRun(now, q, ev)
 	case CauseCaller:
@@ -27,16 +39,37 @@
 	}
 }
 
+func (r *Router) answerBegun(ev AnswerBegun) {
+	if q := r.requests[ev.Request]; q != nil {
+		q.answered = true
+	}
+}
+
 // completed ends a request whose whole answer was passed on.
 func (r *Router) completed(now time.Time, q *request, ev AttemptEnded) {
 	a := q.attempt
 	q.attempt = nil
 	r.freeAttempt(a)
 	r.reportEnd(a, fleet.OutcomeCompleted)
-	if q.recorded {
-		r.ledgerEnd(q, fleet.Ran, ev.Answer)
-	}
 	r.budget.success(r.config.Fleet)
+	if !q.recorded {
+		r.done(now, q)
+		return
+	}
+	r.ledgerEnd(q, fleet.Ran, ev.Answer)
+	r.setState(q, stateRecording, now.Add(RecordTimeout))
+}
+
+// ledgerEnded lets the caller have the end of an answer that is recorded now, so that
+// a resend after it gets the same answer.
+func (r *Router) ledgerEnded(now time.Time, ev LedgerEnded) {
+	if q := r.requests[ev.Request]; q != nil && q.state == stateRecording {
+		r.done(now, q)
+	}
+}
+
+// done ends a request that has its whole answer.
+func (r *Router) done(now time.Time, q *request) {
 	r.emit(AnswerDone{Request: q.Request})
 	r.decide(now, q, EventCompleted, "", "")
 	r.finish(q)
@@ -44,9 +77,12 @@
 
 // notRun deals with an attempt of which no target ran anything.
 func (r *Router) notRun(now time.Time, q *request, ev AttemptEnded) {
+	if !invariant.Check(ev.Cause == CauseNotRun || !ev.Wrote, "NotRunIsTrue", "request %s is called not run after a byte was sent", q.Request) {
+		r.interrupted(now, q, ev)
+		return
+	}
 	a := q.attempt
 	q.attempt = nil
-	invariant(ev.Cause == CauseNotRun || !ev.Wrote, "request %s is called not run after a byte was sent", q.Request)
 	r.freeAttempt(a)
 	switch ev.Cause {
 	case CauseLapsed:
@@ -83,11 +119,12 @@
 // interrupted deals with an attempt that a target may have run, wholly or in part.
 func (r *Router) interrupted(now time.Time, q *request, ev AttemptEnded) {
 	reason := interruptReasons[ev.Cause]
+	q.attempt.interrupted = true
 	if r.resume(now, q, ev, reason) {
 		return
 	}
 	q.mayHaveRun = true
-	if ev.Answered || !q.Idempotent {
+	if q.answered || !q.Idempotent {
 		r.release(q, fleet.OutcomeBroken)
 		r.fail(now, q, reason, 0, "%s", ev.Detail)
 		return
--- a/fleet/routing/events.go
+++ b/fleet/routing/events.go
@@ -38,6 +38,9 @@
 		Reply  fleet.LedgerBeginReply
 	}
 
+	// LedgerEnded tells that the ledger recorded the end of a call.
+	LedgerEnded struct{ Request fleet.RequestID }
+
 	// DispatcherUp tells of a new connection to a dispatcher.
 	DispatcherUp struct{ Peer Peer }
 
@@ -53,6 +56,12 @@
 		Message fleet.DispatcherGrants
 	}
 
+	// AnswerBegun tells that the first part of an answer is about to reach the caller.
+	AnswerBegun struct {
+		Request fleet.RequestID
+		Attempt int
+	}
+
 	// AttemptProgressed tells the cost of a running attempt so far.
 	AttemptProgressed struct {
 		Request    fleet.RequestID
@@ -142,12 +151,20 @@
 	CauseCaller Cause = "Caller"
 )
 
+// notRun says whether no target ran anything of an attempt that ended so.
+func (c Cause) notRun() bool {
+	return c == CauseLapsed || c == CauseConnect || c == CauseNotRun
+}
+
 // EventName implements fleet.Event.
 func (RequestAccepted) EventName() string { return "RequestAccepted" }
 
 // EventName implements fleet.Event.
 func (LedgerBegun) EventName() string { return "LedgerBegun" }
 
+// EventName implements fleet.Event.
+func (LedgerEnded) EventName() string { return "LedgerEnded" }
+
 // EventName implements fleet.Event.
 func (DispatcherUp) EventName() string { return "DispatcherUp" }
 
@@ -160,6 +177,9 @@
 // EventName implements fleet.Event.
 func (GrantsReceived) EventName() string { return "GrantsReceived" }
 
+// EventName implements fleet.Event.
+func (AnswerBegun) EventName() string { return "AnswerBegun" }
+
 // EventName implements fleet.Event.
 func (AttemptProgressed) EventName() string { return "AttemptProgressed" }
 
--- a/fleet/routing/grants.go
+++ b/fleet/routing/grants.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // grantsReceived applies a message of a dispatcher, unless it is out of date.
@@ -16,7 +17,8 @@
 	if m.Epoch > r.epoch {
 		r.newEpoch(m.Epoch)
 	}
-	r.contact, r.holder = now, m.Dispatcher
+	r.contact, r.holder, r.active = now, m.Dispatcher, p
+	p.acked = max(p.acked, min(m.Ack, p.sequence))
 	if m.Version > r.config.Version {
 		r.emit(VersionSeen{Version: m.Version})
 	}
@@ -111,16 +113,16 @@
 	r.queue(now, q)
 }
 
-// send starts an attempt under a grant.
-func (r *Router) send(now time.Time, q *request, a *attempt) {
-	if !invariant(q.state == stateQueued && q.attempt == nil, "request %s is sent while it does not wait", q.Request) {
-		return
+// send starts an attempt under a grant, and says whether it did.
+func (r *Router) send(now time.Time, q *request, a *attempt) bool {
+	if !invariant.Check(q.state == stateQueued && q.attempt == nil, "SentWhileQueued", "request %s is sent while it does not wait", q.Request) {
+		return false
 	}
-	if !invariant(now.Before(a.until), "request %s is sent under a grant that lapsed", q.Request) {
-		return
+	if !invariant.Check(now.Before(a.until), "SentUnderGrant", "request %s is sent under a grant that lapsed", q.Request) {
+		return false
 	}
-	if !invariant(q.Idempotent || q.recorded && !q.mayHaveRun, "request %s is sent without leave of the ledger", q.Request) {
-		return
+	if !invariant.Check(q.Idempotent || q.recorded && !q.mayHaveRun, "SentAsRecorded", "request %s is sent without leave of the ledger", q.Request) {
+		return false
 	}
 	a.number, a.request, a.ticket = q.attempts, q.Request, q.ticket
 	q.attempt = a
@@ -130,6 +132,7 @@
 		Request: q.Request, Attempt: a.number, Grant: a.grant, Target: a.target, Address: a.address,
 		Until: a.until, Deadline: q.deadline, IdleTimeout: q.idle, Once: !q.Idempotent, Detach: q.detach,
 	})
+	return true
 }
 
 // refused ends a request that the dispatcher will not serve.
@@ -142,6 +145,18 @@
 	r.fail(now, q, ref.Reason, ref.RetryAfter, "%s", ref.Detail)
 }
 
+// withdrawAttempt stops an attempt; a call that may be repeated gets another one.
+func (r *Router) withdrawAttempt(now time.Time, q *request) {
+	q.mayHaveRun = true
+	r.release(q, fleet.OutcomeCancelled)
+	if !q.Idempotent || q.answered {
+		r.fail(now, q, fleet.ReasonSuspectWithdrawn, retryAfterTarget, "the dispatcher withdrew the request from its target")
+		return
+	}
+	q.retryCause, q.retryAfter = fleet.ReasonSuspectWithdrawn, 0
+	r.setState(q, stateReleasing, q.deadline)
+}
+
 // cancelGrant ends an attempt that the dispatcher wants stopped.
 func (r *Router) cancelGrant(now time.Time, id fleet.GrantID) {
 	for _, rid := range r.requestIDs() {
@@ -149,9 +164,7 @@
 		if q.attempt == nil || q.attempt.grant != id {
 			continue
 		}
-		q.mayHaveRun = true
-		r.release(q, fleet.OutcomeCancelled)
-		r.fail(now, q, fleet.ReasonSuspectWithdrawn, retryAfterTarget, "the dispatcher withdrew the request from its target")
+		r.withdrawAttempt(now, q)
 		return
 	}
 }
--- a/fleet/routing/request.go
+++ b/fleet/routing/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // Events of decisions.
@@ -35,10 +36,17 @@
 	stateReleasing
 	// stateBackingOff waits before the next ticket.
 	stateBackingOff
+	// stateRecording has an answer whose end is being recorded in the ledger.
+	stateRecording
 	// stateRefused has had its ticket refused by the dispatcher.
 	stateRefused
 )
 
+// waits says whether a request in the state counts as waiting.
+func (s state) waits() bool {
+	return s != 0 && s != stateSending && s != stateRecording
+}
+
 // request is a request that has not ended yet.
 type request struct {
 	RequestAccepted
@@ -46,6 +54,7 @@
 	// deadline ends the request, queueUntil its wait for a grant.
 	deadline   time.Time
 	queueUntil time.Time
+	patience   time.Duration
 	idle       time.Duration
 	// detach says that an attempt goes on for the ledger when the caller leaves.
 	detach bool
@@ -60,6 +69,8 @@
 	// recorded says that the ledger granted the call to this request.
 	recorded bool
 	ledger   fleet.AttemptID
+	// answered says that a part of an answer may have reached the caller.
+	answered bool
 	// mayHaveRun says that an earlier attempt may have run.
 	mayHaveRun bool
 	retries    int
@@ -83,6 +94,8 @@
 	firstToken  time.Duration
 	resumes     int
 	offset      int64
+	// interrupted says that the attempt broke off and is being resumed.
+	interrupted bool
 	// silentStart says that the target was silent before its first byte.
 	silentStart bool
 	// outcome is reported once the target confirmed that the attempt ended.
@@ -119,11 +132,11 @@
 
 // setState moves a request and keeps the counts of what waits.
 func (r *Router) setState(q *request, s state, wake time.Time) {
-	if q.state != 0 && q.state != stateSending {
+	if q.state.waits() {
 		r.waiting.remove(q)
 	}
 	q.state = s
-	if s != 0 && s != stateSending {
+	if s.waits() {
 		r.waiting.add(q)
 	}
 	q.wake = wake
@@ -157,7 +170,7 @@
 	if q.state == stateQueued {
 		r.withdraw(q.ticket.ID)
 	}
-	if !invariant(r.requests[q.Request] == q, "request %s ends twice", q.Request) {
+	if !invariant.Check(r.requests[q.Request] == q, "EndsOnce", "request %s ends twice", q.Request) {
 		return
 	}
 	r.setState(q, 0, time.Time{})
--- a/fleet/routing/router.go
+++ b/fleet/routing/router.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // Timing of the router's decisions.
@@ -18,6 +19,8 @@
 	CutOffAfter = 5 * time.Second
 	// LedgerTimeout bounds the wait for the ledger.
 	LedgerTimeout = 3 * time.Second
+	// RecordTimeout bounds how long the end of an answer waits to be recorded.
+	RecordTimeout = 2 * time.Second
 	// ResumeLimit is how many times in a row an answer is resumed without progress.
 	ResumeLimit = 3
 	// StopMargin is added to the validity of the hosts answer in a planned stop, for
@@ -49,15 +52,19 @@
 	budget   retryBudget
 	attempts fleet.Sequence
 
-	// epoch is the highest lease epoch seen, contact the last message of its holder.
+	// epoch is the highest lease epoch seen; holder, contact and active tell which host
+	// holds the lease, when it answered last, and on which connection.
 	epoch    fleet.Epoch
 	holder   fleet.HostID
 	contact  time.Time
+	active   *peer
 	peers    []*peer
 	standing standingGrants
+	// standingStarts numbers the attempts started on standing grants.
+	standingStarts uint64
 	// releasing holds attempts that are over for the caller but may run on.
 	releasing map[fleet.GrantID]*attempt
-	targets   map[fleet.TargetID]fleet.Announcement
+	targets   map[fleet.TargetID]knownTarget
 	served    map[servedKey]fleet.Cost
 
 	stopping  bool
@@ -79,7 +86,7 @@
 		requests:  map[fleet.RequestID]*request{},
 		waiting:   waitingCount{perCustomer: map[fleet.CustomerName]int{}},
 		releasing: map[fleet.GrantID]*attempt{},
-		targets:   map[fleet.TargetID]fleet.Announcement{},
+		targets:   map[fleet.TargetID]knownTarget{},
 		served:    map[servedKey]fleet.Cost{},
 	}
 	for _, p := range cfg.Dispatchers {
@@ -104,6 +111,8 @@
 		r.accept(now, ev)
 	case LedgerBegun:
 		r.ledgerBegun(now, ev)
+	case LedgerEnded:
+		r.ledgerEnded(now, ev)
 	case DispatcherUp:
 		r.dispatcherUp(ev.Peer)
 	case DispatcherDown:
@@ -112,6 +121,8 @@
 		r.reportLost(ev.Peer)
 	case GrantsReceived:
 		r.grantsReceived(now, ev)
+	case AnswerBegun:
+		r.answerBegun(ev)
 	case AttemptProgressed:
 		r.attemptProgressed(ev)
 	case AttemptEnded:
@@ -121,7 +132,7 @@
 	case CallerGone:
 		r.callerGone(now, ev.Request)
 	case TargetAnnounced:
-		r.targetAnnounced(ev.Announcement)
+		r.targetAnnounced(now, ev.Announcement)
 	case ConfigConfirmed:
 		r.configConfirmed(ev)
 	case StopRequested:
@@ -133,7 +144,7 @@
 	case Tick:
 		r.tick(now)
 	default:
-		invariant(false, "event %s is not known to the router", ev.EventName())
+		invariant.Check(false, "KnownEvent", "event %s is not known to the router", ev.EventName())
 	}
 }
 
--- a/router/internal/caller/server.go
+++ b/router/internal/caller/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,11 +29,8 @@
 	maxHeader = 32 << 10
 	// parsedHeader is the largest header that is parsed, in bytes.
 	parsedHeader = 256 << 10
-	// writeTimeout bounds the write of one part of an answer.
-	writeTimeout = 10 * time.Second
-	// bodyGrace and bodyRate bound reading a body: the grace, and the bytes a second.
-	bodyGrace = 5 * time.Second
-	bodyRate  = 16 << 10
+	// bodyRate is the least rate at which a body has to come, in bytes a second.
+	bodyRate = 16 << 10
 )
 
 // Configuration is what a Server needs of package configsync.
@@ -59,9 +57,9 @@
 	Refused func(reason fleet.Reason)
 	Clock   fleet.Clock
 	Log     *slog.Logger
-	// WriteTimeout bounds the write of one part of an answer; 0 means the default.
+	// WriteTimeout bounds the write of one part of an answer.
 	WriteTimeout time.Duration
-	// BodyGrace bounds the time before a body's first bytes; 0 means the default.
+	// BodyGrace bounds the wait for a body's first bytes.
 	BodyGrace time.Duration
 }
 
@@ -79,15 +77,9 @@
 
 // New makes a Server.
 func New(cfg Config) *Server {
-	if cfg.WriteTimeout == 0 {
-		cfg.WriteTimeout = writeTimeout
-	}
-	if cfg.BodyGrace == 0 {
-		cfg.BodyGrace = bodyGrace
-	}
 	return &Server{
 		cfg:    cfg,
-		prefix: string(cfg.Host) + "-" + strconv.FormatUint(uint64(cfg.Incarnation), 36) + "-",
+		prefix: strings.ReplaceAll(string(cfg.Host), "/", "-") + "-" + strconv.FormatUint(uint64(cfg.Incarnation), 36) + "-",
 		conns:  connections{open: map[fleet.CustomerName]int{}},
 		calls:  map[fleet.RequestID]*call{},
 	}
@@ -102,7 +94,8 @@
 	e.NoRoute(s.serve)
 	return &http.Server{
 		Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: parsedHeader,
-		ErrorLog: slog.NewLogLogger(s.cfg.Log.Handler(), slog.LevelDebug),
+		WriteTimeout: s.cfg.WriteTimeout,
+		ErrorLog:     slog.NewLogLogger(s.cfg.Log.Handler(), slog.LevelDebug),
 	}
 }
 
--- a/router/internal/engine/engine.go
+++ b/router/internal/engine/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
 )
 
@@ -26,6 +27,8 @@
 	Router *routing.Router
 	Clock  fleet.Clock
 	Log    *slog.Logger
+	// Events, when set, records every event.
+	Events *eventlog.Writer
 }
 
 // Engine feeds events to the reducer one at a time and performs its effects in
@@ -103,20 +106,38 @@
 		return
 	}
 	e.busy = true
-	for len(e.queue) > 0 {
+	e.mu.Unlock()
+	e.work()
+}
+
+// handOver is how many events a goroutine reduces for others before it hands over.
+const handOver = 32
+
+// work empties the queue.
+func (e *Engine) work() {
+	for range handOver {
+		e.mu.Lock()
+		if len(e.queue) == 0 {
+			e.queue, e.busy = nil, false
+			e.mu.Unlock()
+			return
+		}
 		next := e.queue[0]
 		e.queue = e.queue[1:]
 		e.mu.Unlock()
 		next()
-		e.mu.Lock()
 	}
-	e.queue = nil
-	e.busy = false
-	e.mu.Unlock()
+	go e.work()
 }
 
 func (e *Engine) reduce(ev fleet.Event) {
-	for _, eff := range e.cfg.Router.Reduce(e.cfg.Clock.Now(), ev) {
+	now := e.cfg.Clock.Now()
+	if e.cfg.Events != nil {
+		if err := e.cfg.Events.Write(now, ev); err != nil {
+			e.cfg.Log.Error("EventLog", "error", err)
+		}
+	}
+	for _, eff := range e.cfg.Router.Reduce(now, ev) {
 		e.perform(eff)
 	}
 }
--- a/router/internal/routercmd/modules.go
+++ b/router/internal/routercmd/modules.go
@@ -2,13 +2,16 @@
 
 import (
 	"log/slog"
+	"os"
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/pkg/errors"
 	"go.uber.org/fx"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/configsync"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
 	"github.com/fuchsiashed/fuchsiashed/fleet/explain"
 	"github.com/fuchsiashed/fuchsiashed/fleet/program"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
@@ -52,12 +55,21 @@
 	return rpc.NewControl(rpc.ControlConfig{Replicas: s.Control.Replicas, Traffic: t, Log: log})
 }
 
-func newEngine(s Settings, id identity, clock fleet.Clock, log *slog.Logger) *engine.Engine {
+func newEngine(lc fx.Lifecycle, s Settings, id identity, clock fleet.Clock, log *slog.Logger) (*engine.Engine, error) {
 	r := routing.New(routing.Config{
 		Host: id.Host, Incarnation: id.incarnation, DataCentre: id.DataCentre,
 		Dispatchers: dispatcher.Names(s.Dispatchers.Addresses),
 	})
-	return engine.New(engine.Config{Router: r, Clock: clock, Log: log})
+	cfg := engine.Config{Router: r, Clock: clock, Log: log}
+	if s.Router.EventLog != "" {
+		f, err := os.OpenFile(s.Router.EventLog, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, errors.Wrap(err, "open event log")
+		}
+		lc.Append(fx.StopHook(f.Close))
+		cfg.Events = eventlog.NewWriter(f)
+	}
+	return engine.New(cfg), nil
 }
 
 func newFollower(s Settings, id identity, c *rpc.Control, e *engine.Engine, st *stopper, clock fleet.Clock, log *slog.Logger) *configsync.Follower {
@@ -65,6 +77,7 @@
 	f = configsync.New(configsync.Config{
 		Control: c, Clock: clock, Log: log,
 		Heartbeat: func() fleet.StateRequest {
+			st.checkContact(e, clock)
 			cfg, _ := f.Current()
 			return fleet.StateRequest{
 				Host: id.Host, Incarnation: id.incarnation, Role: fleet.RoleRouter, Address: s.Router.Callers.String(),
@@ -91,10 +104,11 @@
 	return target.NewClient(target.Config{Clock: clock})
 }
 
-func newCallers(id identity, f *configsync.Follower, e *engine.Engine, t *target.Client, st *stopper, clock fleet.Clock, log *slog.Logger) *caller.Server {
+func newCallers(s Settings, id identity, f *configsync.Follower, e *engine.Engine, t *target.Client, st *stopper, clock fleet.Clock, log *slog.Logger) *caller.Server {
 	return caller.New(caller.Config{
 		Host: id.Host, Incarnation: id.incarnation, Configuration: f, Events: e, Targets: t,
 		Stopping: st.leavesHosts, Refused: refused, Clock: clock, Log: log,
+		BodyGrace: s.Router.BodyGrace, WriteTimeout: s.Router.WriteTimeout,
 	})
 }
 
--- a/router/internal/target/receive.go
+++ b/router/internal/target/receive.go
@@ -124,15 +124,22 @@
 	if a.begun {
 		return nil
 	}
+	x.sink.Begin()
+	if x.isAborted() {
+		return errors.New("attempt was ended")
+	}
 	a.status, a.length = resp.StatusCode, resp.ContentLength
 	a.contentType = resp.Header.Get("Content-Type")
 	media, _, err := mime.ParseMediaType(a.contentType)
-	a.events = err == nil && media == "text/event-stream" && x.req.Protocol == fleet.ProtocolModel && resp.StatusCode == http.StatusOK
+	a.events = err == nil && media == "text/event-stream" && resp.Header.Get("Content-Encoding") == "" && x.req.Protocol == fleet.ProtocolModel && resp.StatusCode == http.StatusOK
 	a.firstToken = x.client.cfg.Clock.Now().Sub(x.sent)
 	if x.req.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		a.length = 0
 	}
 	a.begun = true
+	if x.written() {
+		x.req.Body = nil
+	}
 	return x.sink.Header(resp.StatusCode, EndToEnd(resp.Header), resp.ContentLength)
 }
 
@@ -182,7 +189,7 @@
 		n, err := body.Read(buf)
 		if n > 0 {
 			x.answer.add(buf[:n])
-			if _, werr := x.sink.Write(buf[:n]); werr != nil {
+			if werr := x.pass(buf[:n]); werr != nil {
 				return errSink{werr}
 			}
 		}
@@ -196,6 +203,26 @@
 	}
 }
 
+// pass passes a part of the body on. The last part of an answer that is kept for the
+// ledger is held back until Finish.
+func (x *Exchange) pass(p []byte) error {
+	if x.answer.once && x.answer.last() {
+		x.answer.held = append([]byte(nil), p...)
+		return nil
+	}
+	_, err := x.sink.Write(p)
+	return err
+}
+
+// Finish passes on what was held back of a complete answer.
+func (x *Exchange) Finish() error {
+	if len(x.answer.held) == 0 {
+		return nil
+	}
+	_, err := x.sink.Write(x.answer.held)
+	return err
+}
+
 // finishConn keeps a connection for another request when its target names the request
 // that each answer belongs to; otherwise a second answer could be taken for the next.
 func (x *Exchange) finishConn(c *conn, resp *http.Response, clean bool) {
@@ -255,7 +282,9 @@
 		x.drop(c)
 		return x.ended(routing.CauseWrong, errors.Errorf("resumed answer belongs to request %s", echo))
 	}
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusPartialContent {
+	// A plain service that knows no streams may answer the path with something else.
+	unnamed := echo == "" && x.req.Protocol != fleet.ProtocolModel
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusPartialContent || unnamed {
 		x.drop(c)
 		return x.ended(routing.CauseUnknownStream, errors.Errorf("target does not resume the answer: %s", resp.Status))
 	}
