Bench: take-over, slopes, message parts and memory of the dispatcher

Cause: what a dispatcher and its links cost by size was not known, nor whether JSON carries it. The model records the events of the active dispatcher; they are replayed alone, so that the CPU is the reducer's, garbage collection included. Wall time was ruled out on a shared machine; process CPU time is read instead.

--- a/bench/internal/experiment/experiment.go
+++ b/bench/internal/experiment/experiment.go
@@ -16,6 +16,10 @@
 func All() []Experiment {
 	return []Experiment{
 		{Name: "Ways", Summary: "the ways of dispatching on the same traces of both deployments", Run: ways},
+		{Name: "TakeOver", Summary: "a dispatcher dies, with and without standing grants", Run: takeOver},
+		{Name: "Slopes", Summary: "CPU and bytes of a dispatcher and its links by the size of a region", Run: slopes},
+		{Name: "Memory", Summary: "memory of a dispatcher by what it holds", Run: memory},
+		{Name: "Messages", Summary: "size and CPU of each part of a message between router and dispatcher", Run: messageParts},
 	}
 }
 
--- a/bench/internal/experiment/ways.go
+++ b/bench/internal/experiment/ways.go
@@ -17,7 +17,7 @@
 const sampleInterval = 50 * time.Millisecond
 
 // progressInterval is the time between two progress reports of a running request.
-const progressInterval = time.Second
+const progressInterval = 250 * time.Millisecond
 
 // way is one way of dispatching.
 type way struct {
--- a/bench/internal/model/fleet.go
+++ b/bench/internal/model/fleet.go
@@ -14,10 +14,6 @@
 
 // Timing of the modelled fleet.
 const (
-	// batchInterval is how long a router gathers changes before it reports.
-	batchInterval = 5 * time.Millisecond
-	// heartbeatInterval is the time between reports of a router without changes.
-	heartbeatInterval = 250 * time.Millisecond
 	// retryPause is how long a router waits after a failed attempt.
 	retryPause = 250 * time.Millisecond
 	// configInterval is the time between two confirmations of the configuration.
--- a/bench/internal/model/link.go
+++ b/bench/internal/model/link.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
 )
 
 // link is a router's connection to one dispatcher.
@@ -28,9 +29,9 @@
 }
 
 func (l *link) run() {
-	l.r.f.queue.After(batchInterval*time.Duration(l.r.index)/time.Duration(l.r.f.cfg.Trace.Routers), l.flush)
-	l.r.f.queue.Every(heartbeatInterval/5, func() {
-		if l.r.f.queue.Now().Sub(l.lastSent) >= heartbeatInterval {
+	l.r.f.queue.After(routing.BatchInterval*time.Duration(l.r.index)/time.Duration(l.r.f.cfg.Trace.Routers), l.flush)
+	l.r.f.queue.Every(routing.HeartbeatInterval/5, func() {
+		if l.r.f.queue.Now().Sub(l.lastSent) >= routing.HeartbeatInterval {
 			l.flush()
 		}
 	})
@@ -42,7 +43,7 @@
 		return
 	}
 	l.planned = true
-	wait := batchInterval
+	wait := routing.BatchInterval
 	if l.r.f.cfg.PerRouter {
 		wait = 0
 	}
@@ -137,7 +138,6 @@
 	if m.StandingSet {
 		l.r.setStanding(m, sentAt)
 	}
-	l.r.renewStanding(sentAt.Add(fleet.ShortenLease(m.Validity)))
 	for _, s := range m.Served {
 		l.r.counters[customerService{s.Customer, s.Service}] = s.Counter
 	}
--- a/bench/internal/model/router.go
+++ b/bench/internal/model/router.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsiashed/fuchsiashed/bench/internal/engine"
 	"github.com/fuchsiashed/fuchsiashed/bench/internal/workload"
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
 )
 
 // router models a router: it queues requests, reports to the dispatchers and uses grants.
@@ -87,7 +88,7 @@
 		r.f.queue.Every(r.f.cfg.ProgressInterval, r.progress)
 	})
 	if r.f.cfg.Standing {
-		r.f.queue.Every(batchInterval, r.useStanding)
+		r.f.queue.Every(routing.TickInterval, r.useStanding)
 	}
 }
 
--- a/bench/internal/model/standing.go
+++ b/bench/internal/model/standing.go
@@ -5,12 +5,9 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
 )
 
-// silenceBeforeStanding is how long the dispatcher must be silent before a router
-// uses its standing grants.
-const silenceBeforeStanding = 600 * time.Millisecond
-
 // standing is a standing grant and its use.
 type standing struct {
 	fleet.StandingGrant
@@ -33,20 +30,11 @@
 	}
 }
 
-// renewStanding extends the standing grants; the dispatcher still counts on them.
-func (r *router) renewStanding(until time.Time) {
-	for i := range r.standing {
-		if until.After(r.standing[i].until) {
-			r.standing[i].until = until
-		}
-	}
-}
-
 // useStanding starts requests on standing grants while the dispatcher is silent.
 func (r *router) useStanding() {
 	now := r.f.queue.Now()
 	for _, l := range r.links {
-		if l.epoch == r.newestEpoch() && now.Sub(l.heard) < silenceBeforeStanding {
+		if l.epoch == r.newestEpoch() && now.Sub(l.heard) < routing.ContactTimeout {
 			return
 		}
 	}
