--- a/fleet/dispatch/reducer.go
+++ b/fleet/dispatch/reducer.go
@@ -46,6 +46,7 @@
 	posts      []*router
 	nextGrant  uint64
 	nextTicket uint64
+	revisions  uint64
 	scannedAt  time.Time
 	// parkedMayRun says that a parked ticket may have become eligible.
 	parkedMayRun bool
@@ -96,6 +97,7 @@
 		r.expired(e.Effect)
 	}
 	r.dispatch()
+	r.tellContents()
 	r.flush()
 	return r.effects
 }
@@ -156,6 +158,7 @@
 		}
 	}
 	r.config = e.Config
+	r.parkedMayRun = true
 	for _, s := range r.serviceList {
 		s.spec, s.known = fleet.Service{}, false
 		if spec, ok := e.Config.Fleet.Services[s.name]; ok {
@@ -186,7 +189,7 @@
 	r.expireContents()
 	r.parkedMayRun = true
 	r.settle()
-	r.spread()
+	r.tellLimits()
 	for _, s := range r.serviceList {
 		r.checkCounters(s)
 	}
@@ -222,6 +225,7 @@
 			t.missing = true
 			r.targetMissing(t)
 		}
+		r.observeOverdue(t)
 		r.expireDoubt(t)
 		r.expireStanding(t)
 		r.refresh(t)
@@ -273,6 +277,9 @@
 		})
 	}
 	clear(o.touched)
+	for _, s := range r.serviceList {
+		totals = append(totals, fleet.ServedTotal{Service: s.name, Counter: fleet.Cost(s.virtual / counterScale)})
+	}
 	slices.SortFunc(totals, func(a, b fleet.ServedTotal) int {
 		return cmp.Or(compare(a.Service, b.Service), compare(a.Customer, b.Customer))
 	})
--- a/fleet/dispatch/retained.go
+++ b/fleet/dispatch/retained.go
@@ -12,6 +12,9 @@
 // limitKeepers is the number of routers that remember the limit of a target.
 const limitKeepers = 3
 
+// revisionBits is the number of bits for the changes under one epoch.
+const revisionBits = 40
+
 // news collects what routers have to remember for a successor.
 type news struct {
 	contents []*content
@@ -27,26 +30,38 @@
 
 // limitChanged lets a few routers keep the limit of a target.
 func (r *Reducer) limitChanged(t *target) {
+	r.revisions++
+	t.limiter.revision = fleet.Sequence(r.lease.epoch)<<revisionBits | fleet.Sequence(r.revisions)
 	if !slices.Contains(r.news.targets, t) {
 		r.news.targets = append(r.news.targets, t)
 	}
 }
 
-// spread sends the news.
-func (r *Reducer) spread() {
-	collected := r.news
-	r.news = news{}
+// tellContents sends what is new about contents to all routers at once, since the
+// dispatcher may not live to do it later.
+func (r *Reducer) tellContents() {
+	contents := r.news.contents
+	r.news.contents = nil
 	if r.phase != active {
 		return
 	}
-	for _, c := range collected.contents {
+	for _, c := range contents {
 		for _, o := range r.routerList {
 			if o.connected {
 				r.tellContent(o, c)
 			}
 		}
 	}
-	for _, t := range collected.targets {
+}
+
+// tellLimits sends the limits that changed since the last scan to a few routers each.
+func (r *Reducer) tellLimits() {
+	targets := r.news.targets
+	r.news.targets = nil
+	if r.phase != active {
+		return
+	}
+	for _, t := range targets {
 		r.tellLimit(t)
 	}
 }
@@ -57,8 +72,9 @@
 		box.quarantined = append(box.quarantined, fleet.Quarantine{Content: c.hash, For: left})
 	}
 	suspect := fleet.Suspect{Content: c.hash}
-	if len(c.deaths) > 0 {
+	for _, d := range c.deaths {
 		suspect.For = c.forgottenAt.Sub(r.now)
+		suspect.Deaths = append(suspect.Deaths, fleet.TargetDeath{Target: d.target.id, Incarnation: d.incarnation})
 	}
 	box.suspects = append(box.suspects, suspect)
 }
@@ -73,38 +89,57 @@
 		told++
 		box := r.post(o)
 		box.limits = append(box.limits, fleet.TargetLimit{
-			Target: t.id, Incarnation: t.last.Incarnation, Limit: t.limiter.limit,
+			Target: t.id, Incarnation: t.last.Incarnation, Limit: t.limiter.limit, Revision: t.limiter.revision,
 		})
 	}
 }
 
 // applyRemembered takes in what a router kept for a new lease holder.
 func (r *Reducer) applyRemembered(m *fleet.RouterReport) {
-	if r.phase != active && !r.cfg.off.retainedCounters {
+	if r.cfg.off.retained {
+		return
+	}
+	if r.phase != active {
 		r.applyServed(m.Served)
 	}
 	for _, q := range m.Quarantined {
 		r.applyQuarantine(q.Content, q.For)
 	}
-	for _, s := range m.Suspects {
-		if s.For > 0 && r.contents[s.Content] == nil && r.phase != active {
-			c := r.suspectOf(s.Content)
-			c.forgottenAt = r.now.Add(s.For)
-			c.deaths = []death{{confirmed: true}}
-		}
-	}
 	if r.phase == active {
 		return
 	}
+	for i := range m.Suspects {
+		if m.Suspects[i].For > 0 {
+			r.applySuspect(&m.Suspects[i])
+		}
+	}
 	for _, l := range m.Limits {
 		t := r.target(l.Target)
 		if t.known && t.last.Incarnation != l.Incarnation {
 			continue
 		}
-		if t.limiter.retained == 0 || l.Limit < t.limiter.retained {
-			t.limiter.retained = max(1, l.Limit)
+		if l.Revision > t.limiter.revision {
+			t.limiter.retained, t.limiter.revision = max(1, l.Limit), l.Revision
+		}
+	}
+}
+
+// applySuspect takes in what an earlier lease holder laid on a content. The targets'
+// next announcements tell which of them really died.
+func (r *Reducer) applySuspect(m *fleet.Suspect) {
+	if r.cfg.off.suspects {
+		return
+	}
+	c := r.suspectOf(m.Content)
+	c.forgottenAt = r.now.Add(m.For)
+	for _, d := range m.Deaths {
+		t := r.target(d.Target)
+		c.addDeath(t, d.Incarnation, !t.known || t.last.Incarnation > d.Incarnation, r.now)
+		if !slices.Contains(t.blamed, c) {
+			t.blamed = append(t.blamed, c)
 		}
 	}
+	r.judge(c)
 }
 
 // applyQuarantine bars a content that an earlier lease holder barred.
@@ -119,10 +154,39 @@
 	}
 }
 
+// applyServed takes in the counters of an earlier lease holder. The entry without a
+// customer is the highest counter at which the service granted.
 func (r *Reducer) applyServed(totals []fleet.ServedTotal) {
 	for _, st := range totals {
-		c := r.customer(r.service(st.Service), st.Customer)
-		c.counter = max(c.counter, counter(st.Counter)*counterScale)
+		s := r.service(st.Service)
+		value := counter(st.Counter) * counterScale
+		if st.Customer == "" {
+			s.virtual = max(s.virtual, value)
+			continue
+		}
+		c := r.customer(s, st.Customer)
+		if !c.restored || value > c.counter {
+			c.counter, c.restored = value, true
+			c.resort()
+		}
+	}
+}
+
+// restoreCounters gives the customers whose counter no router remembers neither credit
+// nor debt, and keeps the others as near to each other as the bound says they were.
+func (r *Reducer) restoreCounters(s *service) {
+	reach := r.spread(s)
+	for _, c := range s.sorted() {
+		if c.restored {
+			s.virtual = max(s.virtual, c.counter-reach)
+		}
+	}
+	for _, c := range s.sorted() {
+		if !c.restored {
+			c.counter = s.virtual
+		}
+		c.counter = max(c.counter, s.virtual-reach)
+		c.floor, c.restored = c.counter, false
 		c.resort()
 	}
 }
