Router: only streamed answers report a time to the first token

Cause: an answer in one piece begins when all of it is generated, so its first byte looked to the dispatcher like a cold target and limits fell to 1; with a stand-in that resumed whole answers as streams, requests ended TargetShortAnswer and callers went on for minutes. Ruled out: the lease and resync of the successor (status of the successor showed all slots held in doubt or limited to 1, no ticket lost). Before: TestDispatcherTakeOver 361 s, 5 and 3 requests unanswered. After: 33 s, none unanswered, longest pause between runs 0.47 s after a kill and 0.43 s after a freeze (go test ./e2e -run TestDispatcherTakeOver). Conclusion: first-token figures must come from streams alone.

--- a/router/internal/target/receive.go
+++ b/router/internal/target/receive.go
@@ -132,7 +132,11 @@
 	a.contentType = resp.Header.Get("Content-Type")
 	media, _, err := mime.ParseMediaType(a.contentType)
 	a.events = err == nil && media == "text/event-stream" && resp.Header.Get("Content-Encoding") == "" && x.req.Protocol == fleet.ProtocolModel && resp.StatusCode == http.StatusOK
-	a.firstToken = x.client.cfg.Clock.Now().Sub(x.sent)
+	if a.events {
+		// An answer in one piece begins when all of it is generated, which says nothing
+		// of how warm the target is.
+		a.firstToken = x.client.cfg.Clock.Now().Sub(x.sent)
+	}
 	if x.req.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		a.length = 0
 	}
