shared: the RPC library prints nothing of its own

Cause: jsonrpc2 prints a line by the standard logger for each connection that ends badly, outside of the structured logs and, in the command line, between its output. Before: "jsonrpc2: protocol error" lines in the logs of all programs. After: none; the tests of the package and of the command line pass.

--- a/fleet/rpc/rpc.go
+++ b/fleet/rpc/rpc.go
@@ -87,11 +87,19 @@
 		return p.handle(ctx, h, req)
 	}
 	stream := jsonrpc2.NewPlainObjectStream(&timedConn{Conn: nc, traffic: bytes})
-	p.conn = jsonrpc2.NewConn(ctx, stream, &ordered{handle: jsonrpc2.HandlerWithError(serve).SuppressErrClosed()})
+	p.conn = jsonrpc2.NewConn(ctx, stream, &ordered{handle: jsonrpc2.HandlerWithError(serve).SuppressErrClosed()},
+		jsonrpc2.SetLogger(discard{}))
 	close(ready)
 	return p
 }
 
+// discard drops what the library would print: every connection that ends is one line
+// outside of the structured log, and its end is handled here anyway.
+type discard struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (discard) Printf(string, ...any) {}
+
 // ordered handles notifications in the order of their arrival and calls concurrently.
 type ordered struct {
 	handle jsonrpc2.Handler
