--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Starts a small fleet on loopback, sends it requests, takes a data centre out and
 # back, and stops everything. The last line is "demo ok". It needs the programs in
-# bin/ (make build) and the ports from FUCHSIASHED_DEMO_PORT (7100) to 99 above.
+# bin/ (make build) and the ports from FUCHSIASHED_DEMO_PORT (7100) to 99 above. The
+# fleet stays up for FUCHSIASHED_DEMO_HOLD seconds (0) before it is stopped.
 set -eu
 cd "$(dirname "$0")/.."
 
@@ -193,6 +194,13 @@
 until_true 10 "6 serving targets" serving 6
 cli fleet history
 
+if [ "${FUCHSIASHED_DEMO_HOLD:-0}" -gt 0 ]; then
+  say "holding for $FUCHSIASHED_DEMO_HOLD seconds; to use the command line meanwhile:"
+  echo "export FUCHSIASHED_CONTROL=$FUCHSIASHED_CONTROL"
+  echo "export FUCHSIASHED_ADMIN=$FUCHSIASHED_ADMIN"
+  sleep "$FUCHSIASHED_DEMO_HOLD"
+fi
+
 say "stopping everything by process id"
 for i in "${!pids[@]}"; do kill -TERM "${pids[$i]}"; done
 failed=0
