--- a/fleet/quorum/config.go
+++ b/fleet/quorum/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/internal/fault"
 )
 
 // Timing of the protocol.
@@ -30,6 +31,10 @@
 	snapshotPartSize = 256 << 10
 )
 
+// keptEntries is how many entries before the snapshot stay in memory, so that a replica
+// that lags a little needs no snapshot.
+const keptEntries = 2048
+
 // DefaultSnapshotEntries is the number of entries after which a snapshot is taken.
 const DefaultSnapshotEntries = 500
 
@@ -59,16 +64,6 @@
 	// Records is what the storage holds.
 	Records []Record
 
-	fault fault
-}
-
-// fault switches off one mechanism, so that tests show what it is needed for.
-type fault struct {
-	skipVoteSync     bool
-	skipEntrySync    bool
-	ignoreLeader     bool
-	keepIncarnation  bool
-	commitOldTerms   bool
-	promoteAtOnce    bool
-	answerWhenSilent bool
+	// Faults is for tests.
+	Faults fault.Set
 }
--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -18,7 +18,7 @@
 
 // hearsLeader says whether a leader was heard so lately that its lease may hold.
 func (r *Replica) hearsLeader() bool {
-	if r.cfg.fault.ignoreLeader {
+	if r.cfg.Faults.IgnoreLeader {
 		return false
 	}
 	if r.leading {
@@ -102,7 +102,7 @@
 			r.setVote(Vote{Term: m.Term, For: m.From})
 		}
 	}
-	if r.cfg.fault.skipVoteSync {
+	if r.cfg.Faults.SkipVoteSync {
 		r.emit(Send{Message: answer})
 		return
 	}
@@ -156,7 +156,7 @@
 	if !r.leading {
 		return time.Time{}
 	}
-	if r.cfg.fault.answerWhenSilent {
+	if r.cfg.Faults.AnswerUnconfirmed {
 		return r.now.Add(time.Hour)
 	}
 	confirmed, ok := r.confirmedAt()
--- a/fleet/quorum/event.go
+++ b/fleet/quorum/event.go
@@ -44,6 +44,8 @@
 type Replace struct {
 	ID   ProposalID
 	Host fleet.HostID
+	// Operation tells a resend from another replacement.
+	Operation fleet.OperationID
 }
 
 // EventName implements fleet.Event.
--- a/fleet/quorum/follower.go
+++ b/fleet/quorum/follower.go
@@ -40,7 +40,7 @@
 
 func (r *Replica) receiveAppend(m *Message) {
 	answer := r.reply(KindAppendReply, m)
-	if m.LastIndex < r.log.snapshot.Index {
+	if m.LastIndex < r.log.base {
 		answer.Granted, answer.Match = true, r.commit
 		r.sendDurably(answer)
 		return
@@ -56,7 +56,7 @@
 	}
 	answer.Granted, answer.Match = true, m.LastIndex+fleet.Index(len(m.Entries))
 	r.setCommit(min(m.Commit, answer.Match))
-	if r.cfg.fault.skipEntrySync {
+	if r.cfg.Faults.SkipEntrySync {
 		r.emit(Send{Message: answer})
 		return
 	}
@@ -110,10 +110,13 @@
 		invariant.Check(false, "SnapshotRestored", "snapshot %d of the leader: %s", in.Index, err)
 		return
 	}
-	if term, known := r.log.term(in.Index); !known || term != in.Term {
+	snapshot := Snapshot{Index: in.Index, Term: in.Term, Members: in.Members, Data: in.Data}
+	if term, known := r.log.term(in.Index); known && term == in.Term {
+		r.log.compact(snapshot)
+	} else {
 		r.truncateLog(r.log.snapshot.Index + 1)
+		r.log = newEntryLog(snapshot)
 	}
-	r.log.compact(Snapshot{Index: in.Index, Term: in.Term, Members: in.Members, Data: in.Data})
 	r.commit, r.applied = in.Index, in.Index
 	r.rewrite()
 }
--- a/fleet/quorum/leader.go
+++ b/fleet/quorum/leader.go
@@ -167,7 +167,8 @@
 	case KindAppendReply:
 		r.receiveAppendReply(p, m)
 	case KindSnapshotReply:
-		if p.snapshot == m.LastIndex && m.Offset > p.offset {
+		// The offset goes back when the follower was restarted in between.
+		if p.snapshot == m.LastIndex && m.Offset != p.offset {
 			p.offset, p.waiting = m.Offset, false
 		}
 	}
@@ -192,7 +193,7 @@
 func (r *Replica) advanceCommit() {
 	i := r.majorityMatch()
 	term, known := r.log.term(i)
-	if i <= r.commit || !known || term != r.vote.Term && !r.cfg.fault.commitOldTerms {
+	if i <= r.commit || !known || term != r.vote.Term && !r.cfg.Faults.CommitOldTerms {
 		return
 	}
 	r.setCommit(i)
--- a/fleet/quorum/members.go
+++ b/fleet/quorum/members.go
@@ -15,6 +15,14 @@
 	return r.initial
 }
 
+// committedMembers returns the members that no failure takes back.
+func (r *Replica) committedMembers() []Member {
+	if m := r.log.members(r.commit); len(m) > 0 {
+		return m
+	}
+	return r.initial
+}
+
 // memberOf returns the member that a host is.
 func (r *Replica) memberOf(host fleet.HostID) (Member, bool) {
 	for _, m := range r.members() {
--- a/fleet/quorum/message.go
+++ b/fleet/quorum/message.go
@@ -65,6 +65,8 @@
 	Incarnation fleet.Incarnation
 	// Voter is false for a learner, which receives entries and does not count.
 	Voter bool
+	// Operation is the Replace that admitted it; empty for a founder.
+	Operation fleet.OperationID `json:",omitempty"`
 }
 
 // SnapshotPart is a piece of a snapshot under transfer.
--- a/fleet/quorum/replace.go
+++ b/fleet/quorum/replace.go
@@ -26,18 +26,17 @@
 		return
 	}
 	old, isMember := r.memberOf(ev.Host)
-	inc, waits := r.hello.strangers[ev.Host]
-	switch {
-	case waits && ev.Host != r.identity.Host && (!isMember || old.Incarnation != inc):
-	case isMember && !old.Voter:
+	if isMember && ev.Operation != "" && old.Operation == ev.Operation {
 		r.emit(Committed{ID: ev.ID})
 		return
-	default:
+	}
+	inc, waits := r.hello.strangers[ev.Host]
+	if !waits || isMember && old.Incarnation == inc {
 		reason := fmt.Sprintf("replica %q has not come back with an empty data folder; start it with one first", ev.Host)
 		r.emit(Dropped{ID: ev.ID, Refused: true, Reason: reason})
 		return
 	}
-	members := []Member{{Host: ev.Host, Incarnation: inc, Voter: r.cfg.fault.promoteAtOnce}}
+	members := []Member{{Host: ev.Host, Incarnation: inc, Operation: ev.Operation}}
 	for _, m := range r.members() {
 		if m.Host != ev.Host {
 			members = append(members, m)
--- a/fleet/quorum/replica.go
+++ b/fleet/quorum/replica.go
@@ -95,7 +95,7 @@
 	case rec.Initial != nil:
 		r.initial = rec.Initial.Members
 	case rec.Snapshot != nil:
-		r.log = entryLog{snapshot: *rec.Snapshot}
+		r.log = newEntryLog(*rec.Snapshot)
 	case rec.Entry != nil:
 		return r.loadEntry(rec.Entry)
 	default:
--- a/fleet/quorum/status.go
+++ b/fleet/quorum/status.go
@@ -18,14 +18,15 @@
 // KnownLeader returns the leader that the replica follows, or "".
 func (r *Replica) KnownLeader() fleet.HostID { return r.leader }
 
-// Status returns the replica's view of the quorum.
+// Status returns the replica's view of the quorum. Its members are the committed ones:
+// a change under way is still lost if its leader is.
 func (r *Replica) Status() fleet.StatusReply {
 	s := fleet.StatusReply{
 		Host: r.identity.Host, Incarnation: r.identity.Incarnation,
 		Standing: string(r.Standing()), Leader: r.leader, Term: r.vote.Term,
 		Last: r.log.last(), Commit: r.commit, Snapshot: r.log.snapshot.Index,
 	}
-	for _, m := range r.members() {
+	for _, m := range r.committedMembers() {
 		state := fleet.MemberState{Host: m.Host, Incarnation: m.Incarnation, Voter: m.Voter}
 		switch {
 		case r.isSelf(m):
--- a/fleet/quorum/storage.go
+++ b/fleet/quorum/storage.go
@@ -111,8 +111,7 @@
 		records = append(records, Record{Initial: &Initial{Members: r.initial}})
 	}
 	records = append(records, Record{Snapshot: &snapshot})
-	for i := range r.log.entries {
-		e := r.log.entries[i]
+	for _, e := range r.log.after() {
 		records = append(records, Record{Entry: &e})
 	}
 	r.storage.dirty, r.storage.replace = records, true
--- a/fleet/registry/ask.go
+++ b/fleet/registry/ask.go
@@ -38,7 +38,7 @@
 		s.askHistory(id, r.History)
 	case r.Replace != nil:
 		s.submit(waiter{call: id}, func(p quorum.ProposalID) fleet.Event {
-			return quorum.Replace{ID: p, Host: r.Replace.Host}
+			return quorum.Replace{ID: p, Host: r.Replace.Host, Operation: r.Replace.Operation}
 		})
 	default:
 		s.fail(id, fleet.CodeInvalid, "the request is empty")
@@ -112,6 +112,9 @@
 		s.answerLeased(id, &reply)
 		return
 	}
+	if s.faults.GrantEarly {
+		s.answer(id, &fleet.LedgerBeginReply{State: fleet.LedgerGranted})
+	}
 	s.propose(waiter{call: id}, Command{Begin: r})
 }
 
--- /dev/null
+++ b/fleet/registry/cluster_test.go
@@ -0,0 +1,399 @@
+package registry_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/internal/fault"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
+	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
+	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// checkedEntries is the distance of the entries after which states are compared.
+const checkedEntries = 8
+
+// cluster runs replicas on fakes for disk, network and clocks, in virtual time.
+type cluster struct {
+	rng    *rand.Rand
+	now    time.Duration
+	queue  schedule
+	order  int
+	nodes  []*node
+	faults fault.Set
+	// cut holds the one-way links that lose everything, loss the share of other
+	// messages lost.
+	cut       map[[2]int]bool
+	loss      float64
+	calls     map[registry.CallID]func(registry.Answer)
+	lastCall  registry.CallID
+	leaders   map[fleet.Term]fleet.HostID
+	states    map[fleet.Index]uint64
+	violation string
+	// keepIncarnation lets a replica that lost its disk come back as the member it was.
+	keepIncarnation bool
+	recorder        func(n *node, now time.Time, ev fleet.Event)
+}
+
+// node is one replica with its disk and clock.
+type node struct {
+	c       *cluster
+	id      int
+	host    fleet.HostID
+	server  *registry.Server
+	rate    float64
+	run     int
+	up      bool
+	frozen  bool
+	freeze  bool
+	backlog []func()
+	durable [][]byte
+	pending []quorum.Write
+	syncing bool
+	inc     fleet.Incarnation
+	slow    time.Duration
+	checked fleet.Index
+}
+
+type task struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+// schedule is a heap of tasks by time.
+type schedule []task
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].order < s[j].order
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(task)) }
+func (s *schedule) Pop() any {
+	old := *s
+	t := old[len(old)-1]
+	*s = old[:len(old)-1]
+	return t
+}
+
+func newCluster(n int, seed uint64, faults fault.Set) *cluster {
+	c := &cluster{
+		rng: rand.New(rand.NewPCG(seed, 1)), faults: faults,
+		cut: map[[2]int]bool{}, calls: map[registry.CallID]func(registry.Answer){},
+		leaders: map[fleet.Term]fleet.HostID{}, states: map[fleet.Index]uint64{},
+	}
+	for i := range n {
+		rate := 1 + (c.rng.Float64()-0.5)*fleet.MaxClockRateError/1000
+		c.nodes = append(c.nodes, &node{c: c, id: i, host: fleet.HostID(fmt.Sprintf("control-%d", i)), rate: rate})
+	}
+	for _, n := range c.nodes {
+		n.start()
+	}
+	return c
+}
+
+// after runs f in virtual time.
+func (c *cluster) after(d time.Duration, f func()) {
+	c.order++
+	heap.Push(&c.queue, task{at: c.now + d, order: c.order, do: f})
+}
+
+func (c *cluster) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(c.rng.Int64N(int64(high-low)))
+}
+
+// runFor runs all tasks of the next d, unless an invariant is violated.
+func (c *cluster) runFor(d time.Duration) {
+	defer func() {
+		if v, ok := recover().(*invariant.Violation); ok {
+			c.violate("%s", v)
+		} else if v != nil {
+			panic(v)
+		}
+	}()
+	end := c.now + d
+	for len(c.queue) > 0 && c.queue[0].at <= end && c.violation == "" {
+		t := heap.Pop(&c.queue).(task)
+		c.now = t.at
+		t.do()
+	}
+	c.now = end
+}
+
+func (c *cluster) violate(format string, args ...any) {
+	if c.violation == "" {
+		c.violation = fmt.Sprintf("%s: ", c.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (n *node) clock() time.Time {
+	return epoch.Add(time.Duration(float64(n.c.now) * n.rate))
+}
+
+// start runs the replica from what its disk holds; an empty disk draws a new incarnation.
+func (n *node) start() {
+	c := n.c
+	records := make([]quorum.Record, len(n.durable))
+	for i, raw := range n.durable {
+		var err error
+		if records[i], err = quorum.DecodeRecord(raw); err != nil {
+			panic(err)
+		}
+	}
+	if n.inc == 0 {
+		n.inc = fleet.Incarnation(c.now) + fleet.Incarnation(n.id) + 1
+	}
+	var hosts []fleet.HostID
+	for _, other := range c.nodes {
+		hosts = append(hosts, other.host)
+	}
+	server, err := registry.NewServer(n.clock(), quorum.Config{
+		Host: n.host, Incarnation: n.inc, Hosts: hosts, Bootstrap: true,
+		SnapshotEntries: 40, Records: records, Faults: c.faults,
+	})
+	if err != nil {
+		c.violate("%s does not start: %s", n.host, err)
+		return
+	}
+	n.server, n.up, n.frozen, n.freeze, n.syncing = server, true, false, false, false
+	n.run++
+	n.tick(n.run)
+}
+
+func (n *node) tick(run int) {
+	if run != n.run || !n.up {
+		return
+	}
+	n.handle(quorum.Tick{Random: n.c.rng.Uint64()})
+	n.c.after(quorum.TickInterval, func() { n.tick(run) })
+}
+
+// crash loses what is not synced; a sync under way may or may not have reached the disk.
+func (n *node) crash() {
+	if n.syncing && n.c.rng.IntN(2) == 0 {
+		n.persist(n.pending)
+	}
+	n.up, n.pending, n.backlog = false, nil, nil
+	n.run++
+}
+
+func (n *node) wipe() {
+	n.crash()
+	n.durable = nil
+	if !n.c.keepIncarnation {
+		n.inc = 0
+	}
+}
+
+// thaw goes on after a freeze with all that has waited.
+func (n *node) thaw() {
+	if !n.frozen {
+		return
+	}
+	n.frozen = false
+	backlog := n.backlog
+	n.backlog = nil
+	for _, f := range backlog {
+		n.do(f)
+	}
+}
+
+// do calls f now, or after a freeze.
+func (n *node) do(f func()) {
+	if n.frozen {
+		n.backlog = append(n.backlog, f)
+		return
+	}
+	f()
+}
+
+func (n *node) handle(ev fleet.Event) {
+	if !n.up {
+		return
+	}
+	if n.frozen {
+		n.backlog = append(n.backlog, func() { n.handle(ev) })
+		return
+	}
+	now := n.clock()
+	if n.c.recorder != nil {
+		n.c.recorder(n, now, ev)
+	}
+	effects := n.server.Reduce(now, ev)
+	n.c.checkState(n)
+	if n.freeze {
+		n.freeze, n.frozen = false, true
+	}
+	for _, e := range effects {
+		n.do(func() { n.perform(e) })
+	}
+}
+
+func (n *node) perform(e fleet.Effect) {
+	if x, ok := e.(fleet.Expiring); ok && !n.clock().Before(x.NotAfter()) {
+		n.handle(fleet.Expired{Effect: x})
+		return
+	}
+	switch e := e.(type) {
+	case quorum.Send:
+		n.c.send(n, e.Message)
+	case quorum.Write:
+		n.pending = append(n.pending, e)
+		n.sync()
+	case quorum.StandingChanged:
+		n.c.checkLeader(e)
+	case registry.Answer:
+		n.c.answer(e)
+	case registry.LeasedAnswer:
+		n.c.answer(e.Answer)
+	}
+}
+
+// sync makes all pending writes durable after a while.
+func (n *node) sync() {
+	if n.syncing || len(n.pending) == 0 {
+		return
+	}
+	n.syncing = true
+	run, batch := n.run, n.pending
+	n.c.after(n.slow+n.c.between(time.Millisecond, 30*time.Millisecond), func() {
+		if run != n.run {
+			return
+		}
+		n.persist(batch)
+		n.pending = n.pending[len(batch):]
+		n.syncing = false
+		n.handle(quorum.Written{Sequence: batch[len(batch)-1].Sequence})
+		n.sync()
+	})
+}
+
+func (n *node) persist(batch []quorum.Write) {
+	for _, w := range batch {
+		if w.Replace {
+			n.durable = nil
+		}
+		for i := range w.Records {
+			raw, err := quorum.EncodeRecord(&w.Records[i])
+			if err != nil {
+				panic(err)
+			}
+			n.durable = append(n.durable, raw)
+		}
+	}
+}
+
+// send delivers a message after a while, perhaps twice or never.
+func (c *cluster) send(from *node, m quorum.Message) {
+	raw, err := quorum.EncodeMessage(&m)
+	if err != nil {
+		panic(err)
+	}
+	for _, to := range c.nodes {
+		if to.host != m.To {
+			continue
+		}
+		for range 1 + c.rng.IntN(20)/19 {
+			c.transmit(from.id, to, raw)
+		}
+	}
+}
+
+func (c *cluster) transmit(from int, to *node, raw []byte) {
+	if c.cut[[2]int{from, to.id}] || c.rng.Float64() < c.loss {
+		return
+	}
+	delay := c.between(500*time.Microsecond, 2*time.Millisecond)
+	if c.rng.IntN(50) == 0 {
+		delay = c.between(time.Millisecond, 700*time.Millisecond)
+	}
+	c.after(delay, func() {
+		m, err := quorum.DecodeMessage(raw)
+		if err != nil {
+			panic(err)
+		}
+		to.handle(quorum.Received{Message: m})
+	})
+}
+
+// ask sends a request to a replica; then gets its answer unless either is lost.
+func (c *cluster) ask(to *node, r registry.Request, then func(registry.Answer)) {
+	c.lastCall++
+	id := c.lastCall
+	c.calls[id] = then
+	for range 1 + c.rng.IntN(10)/9 {
+		if c.rng.Float64() >= c.loss {
+			c.after(c.between(time.Millisecond, 4*time.Millisecond), func() { to.handle(registry.Asked{ID: id, Request: r}) })
+		}
+	}
+}
+
+func (c *cluster) answer(a registry.Answer) {
+	then := c.calls[a.ID]
+	if then == nil || c.rng.Float64() < c.loss {
+		return
+	}
+	delete(c.calls, a.ID)
+	c.after(c.between(time.Millisecond, 4*time.Millisecond), func() { then(a) })
+}
+
+// checkLeader checks that a term has one leader.
+func (c *cluster) checkLeader(e quorum.StandingChanged) {
+	if e.Leader == "" {
+		return
+	}
+	if seen, ok := c.leaders[e.Term]; ok && seen != e.Leader {
+		c.violate("%s and %s lead term %d", seen, e.Leader, e.Term)
+	}
+	c.leaders[e.Term] = e.Leader
+}
+
+// checkState checks that all replicas reach the same state with the same entry.
+func (c *cluster) checkState(n *node) {
+	state := n.server.State()
+	// Comparing every state would take most of the time of a run.
+	if state.Index() == n.checked || state.Index()%checkedEntries != 0 {
+		return
+	}
+	n.checked = state.Index()
+	sum := xxhash.Sum64(state.Snapshot())
+	if seen, ok := c.states[state.Index()]; ok && seen != sum {
+		c.violate("%s has another state after entry %d", n.host, state.Index())
+	}
+	c.states[state.Index()] = sum
+}
+
+// leading returns the replica that leads and is confirmed, or nil.
+func (c *cluster) leading() *node {
+	for _, n := range c.nodes {
+		if n.up && !n.frozen && n.server.Confirmed() {
+			return n
+		}
+	}
+	return nil
+}
+
+// repaired says whether every replica votes under the incarnation that its disk has.
+func (c *cluster) repaired() bool {
+	l := c.leading()
+	if l == nil {
+		return false
+	}
+	voters := 0
+	for _, m := range l.server.Status().Members {
+		for _, n := range c.nodes {
+			if n.host == m.Host && n.inc == m.Incarnation && m.Voter {
+				voters++
+			}
+		}
+	}
+	return voters == len(c.nodes)
+}
--- a/fleet/registry/leases.go
+++ b/fleet/registry/leases.go
@@ -20,7 +20,7 @@
 func (s *Server) inheritLeases() {
 	for name, l := range s.state.data.Leases {
 		t := &leaseTerm{}
-		if l.Holder != "" && !s.fault.forgetLeases {
+		if l.Holder != "" && !s.faults.ForgetLeases {
 			t.until = s.now.Add(l.Duration)
 		}
 		s.tenure.leases[name] = t
--- /dev/null
+++ b/fleet/registry/random_test.go
@@ -0,0 +1,175 @@
+package registry_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/internal/fault"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
+	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "6"} {
+		setDefault(name, value)
+	}
+	for name, value := range map[string]string{"rapid.nofailfile": "true", "rapid.shrinktime": "10s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	invariant.PanicOnViolation(true)
+	os.Exit(m.Run())
+}
+
+// setDefault sets a flag unless the command line gives it.
+func setDefault(name, value string) {
+	f := flag.Lookup(name)
+	if f.Value.String() != f.DefValue {
+		return
+	}
+	if err := flag.Set(name, value); err != nil {
+		panic(err)
+	}
+}
+
+// harm is one thing that goes wrong.
+type harm struct {
+	Kind  string
+	Node  int
+	Other int
+	For   time.Duration
+	Pause time.Duration
+}
+
+var harms = []string{"Crash", "CrashAll", "Freeze", "FreezeLeader", "Isolate", "IsolateLeader", "CutOneWay", "Loss", "Wipe", "WipeTwice"}
+
+// durations are sampled evenly, where drawn integers would mostly be small.
+var durations = []time.Duration{
+	4 * time.Second, 2500 * time.Millisecond, 1500 * time.Millisecond,
+	900 * time.Millisecond, 300 * time.Millisecond, 20 * time.Millisecond,
+}
+
+func drawHarm(t *rapid.T) harm {
+	return harm{
+		Kind:  rapid.SampledFrom(harms).Draw(t, "kind"),
+		Node:  rapid.IntRange(0, 4).Draw(t, "node"),
+		Other: rapid.IntRange(0, 4).Draw(t, "other"),
+		For:   rapid.SampledFrom(durations).Draw(t, "for"),
+		Pause: rapid.SampledFrom(durations).Draw(t, "pause"),
+	}
+}
+
+// inflict does harm and undoes it after a while.
+func (w *workload) inflict(h harm) {
+	n, other := w.nodes[h.Node%len(w.nodes)], w.nodes[h.Other%len(w.nodes)]
+	if l := w.leading(); l != nil && (h.Kind == "FreezeLeader" || h.Kind == "IsolateLeader") {
+		n = l
+	}
+	switch h.Kind {
+	case "Crash":
+		w.restart(n, h.For)
+	case "CrashAll":
+		for _, n := range w.nodes {
+			w.restart(n, h.For)
+		}
+	case "Freeze", "FreezeLeader":
+		n.freeze = n.up
+		w.after(h.For, func() { n.freeze = false; n.thaw() })
+	case "Isolate", "IsolateLeader":
+		for _, o := range w.nodes {
+			w.cutBoth(n, o, h.For)
+		}
+	case "CutOneWay":
+		w.cutOneWay(n, other, h.For)
+	case "Loss":
+		w.loss = 0.2
+		w.after(h.For, func() { w.loss = 0 })
+	case "Wipe":
+		w.replaceDisk(n, h.For, nil)
+	case "WipeTwice":
+		w.replaceDisk(n, h.For, func() { w.replaceDisk(other, h.For, nil) })
+	}
+}
+
+func (w *workload) restart(n *node, after time.Duration) {
+	if !n.up {
+		return
+	}
+	n.crash()
+	w.after(after, n.start)
+}
+
+func (w *workload) cutOneWay(from, to *node, d time.Duration) {
+	link := [2]int{from.id, to.id}
+	w.cut[link] = true
+	w.after(d, func() { delete(w.cut, link) })
+}
+
+func (w *workload) cutBoth(a, b *node, d time.Duration) {
+	w.cutOneWay(a, b, d)
+	w.cutOneWay(b, a, d)
+}
+
+// replaceDisk loses the disk of a replica, if all are in order, and has it admitted
+// again; then is called at the moment when it votes.
+func (w *workload) replaceDisk(n *node, after time.Duration, then func()) {
+	if !w.repaired() || !n.up {
+		return
+	}
+	n.wipe()
+	w.replaced++
+	operation := fleet.OperationID(fmt.Sprintf("replace-%d", w.replaced))
+	w.after(min(after, 300*time.Millisecond), n.start)
+	var repair func()
+	repair = func() {
+		if n.up && w.repaired() {
+			if then != nil {
+				then()
+			}
+			return
+		}
+		for _, to := range w.nodes {
+			w.ask(to, registry.Request{Replace: &fleet.ReplaceRequest{Operation: operation, Host: n.host}}, func(registry.Answer) {})
+		}
+		w.after(20*time.Millisecond, repair)
+	}
+	w.after(min(after, 300*time.Millisecond)+20*time.Millisecond, repair)
+}
+
+// runPlan runs the workload through all harms, heals everything, and returns what was
+// violated. In the end a change must be accepted.
+func runPlan(c *cluster, plan []harm) (*workload, string) {
+	w := startWorkload(c)
+	w.runFor(4 * time.Second)
+	for _, h := range plan {
+		w.after(0, func() { w.inflict(h) })
+		w.runFor(h.Pause)
+	}
+	w.runFor(12 * time.Second)
+	before := w.changes
+	w.runFor(5 * time.Second)
+	if w.changes == before {
+		w.violate("no change was accepted after everything was healed")
+	}
+	return w, w.violation
+}
+
+func TestRandomRuns(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		rapid.Check(t, func(t *rapid.T) {
+			plan := rapid.SliceOfN(rapid.Custom(drawHarm), 4, 16).Draw(t, "plan")
+			c := newCluster(size, rapid.Uint64().Draw(t, "seed"), fault.Set{})
+			if _, violation := runPlan(c, plan); violation != "" {
+				t.Fatalf("%d replicas: %s", size, violation)
+			}
+		})
+	}
+}
--- a/fleet/registry/server.go
+++ b/fleet/registry/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/internal/fault"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 )
 
@@ -30,13 +31,7 @@
 	proposals quorum.ProposalID
 	waiting   map[quorum.ProposalID]waiter
 	tenure    tenure
-	fault     fault
-}
-
-// fault switches off one mechanism, so that tests show what it is needed for.
-type fault struct {
-	forgetLeases bool
-	skipLogTime  bool
+	faults    fault.Set
 }
 
 // waiter is a request that waits for the log.
@@ -63,7 +58,9 @@
 
 // NewServer makes a server over an empty state; cfg.Machine is set by it.
 func NewServer(now time.Time, cfg quorum.Config) (*Server, error) {
-	s := &Server{state: NewState(), waiting: map[quorum.ProposalID]waiter{}}
+	s := &Server{state: NewState(), waiting: map[quorum.ProposalID]waiter{}, faults: cfg.Faults}
+	s.state.faults = cfg.Faults
+	s.state.reset()
 	cfg.Machine = s.state
 	replica, err := quorum.New(now, cfg)
 	if err != nil {
--- a/fleet/registry/state.go
+++ b/fleet/registry/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/internal/fault"
 	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
@@ -22,6 +23,7 @@
 type State struct {
 	data   stateData
 	ledger ledger
+	faults fault.Set
 }
 
 // stateData is what a snapshot holds besides the ledger.
@@ -75,6 +77,9 @@
 // Version returns the version of the accepted configuration.
 func (s *State) Version() fleet.Version { return s.data.Version }
 
+// Index returns the last entry of the log that changed the state.
+func (s *State) Index() fleet.Index { return s.data.Index }
+
 func (s *State) reset() {
 	s.data = stateData{
 		Retention:  DefaultRetention,
--- a/fleet/registry/text.go
+++ b/fleet/registry/text.go
@@ -97,7 +97,7 @@
 		return reply
 	}
 	reply := fleet.ChangeReply{Version: s.data.Version}
-	if c.base != s.data.Version {
+	if c.base != s.data.Version && !s.faults.SkipCompare {
 		reply.Conflict = &fleet.Conflict{Base: c.base, Current: s.data.Version}
 		return s.remember(c, reply)
 	}
@@ -121,6 +121,7 @@
 // for anything else.
 func (s *State) operationReply(id fleet.OperationID, content uint64) (fleet.ChangeReply, bool) {
 	op, known := s.data.Operations[id]
+	known = known && !s.faults.ForgetOperations
 	if known && op.Content != content {
 		return fleet.ChangeReply{
 			Version: s.data.Version,
@@ -132,6 +133,7 @@
 
 func (s *State) remember(c change, reply fleet.ChangeReply) fleet.ChangeReply {
 	_, known := s.data.Operations[c.operation]
+	known = known && !s.faults.ForgetOperations
 	if !invariant.Check(!known, "OneResultPerOperation", "operation %q got a second result", c.operation) {
 		return reply
 	}
--- /dev/null
+++ b/fleet/registry/workload_test.go
@@ -0,0 +1,235 @@
+package registry_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
+)
+
+const fleetText = `
+[Fleet]
+Region = lv-riga
+[DataCentre riga-a]
+[DataCentre riga-b]
+[Service drafter]
+Protocol = Model
+MaxCost = 4000
+[Customer riga-centrs]
+KeyHash = 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef
+`
+
+// workload is what the clients of a cluster were promised.
+type workload struct {
+	*cluster
+	// quiet stops new changes and calls.
+	quiet    bool
+	floor    fleet.Version
+	accepted map[fleet.Version]fleet.OperationID
+	results  map[fleet.OperationID]fleet.ChangeReply
+	holder   fleet.HostID
+	until    time.Duration
+	epoch    fleet.Epoch
+	runs     map[fleet.IdempotencyKey]int
+	done     map[fleet.IdempotencyKey]string
+	keys     int
+	changes  int
+	replaced int
+}
+
+func startWorkload(c *cluster) *workload {
+	w := &workload{
+		cluster: c, accepted: map[fleet.Version]fleet.OperationID{},
+		results: map[fleet.OperationID]fleet.ChangeReply{},
+		runs:    map[fleet.IdempotencyKey]int{}, done: map[fleet.IdempotencyKey]string{},
+	}
+	for i := range 3 {
+		w.after(0, func() { w.operator(i, 0, 0) })
+		w.after(0, func() { w.reader(i) })
+		w.after(0, func() { w.dispatcher(fleet.HostID(fmt.Sprintf("d%d", i)), 0) })
+		w.after(0, func() {
+			w.router(fleet.AttemptID{Router: fleet.HostID(fmt.Sprintf("r%d", i)), Incarnation: 1, Attempt: 1})
+		})
+	}
+	return w
+}
+
+// retry sends a request to one replica after another until one gives a reply.
+func (w *workload) retry(r registry.Request, then func(reply any)) {
+	answered := false
+	var try func()
+	try = func() {
+		if answered {
+			return
+		}
+		w.ask(w.nodes[w.rng.IntN(len(w.nodes))], r, func(a registry.Answer) {
+			if a.Failure == nil && !answered {
+				answered = true
+				then(a.Reply)
+			}
+		})
+		w.after(w.between(50*time.Millisecond, 250*time.Millisecond), try)
+	}
+	try()
+}
+
+// operator changes the configuration again and again, racing the others, and resends
+// each operation once more after its result.
+func (w *workload) operator(id, n int, base fleet.Version) {
+	if w.quiet {
+		w.after(100*time.Millisecond, func() { w.operator(id, n, base) })
+		return
+	}
+	op := fleet.OperationID(fmt.Sprintf("op-%d-%d", id, n))
+	r := registry.Request{Apply: &fleet.ApplyRequest{
+		Operation: op, Base: base, Operator: "tester", Text: fmt.Sprintf("%s; %s\n", fleetText, op),
+	}}
+	if n%4 == 3 {
+		r = registry.Request{DataCentre: &fleet.DataCentreRequest{
+			Operation: op, Base: base, DataCentre: "riga-b", Out: n%8 == 3,
+		}}
+	}
+	w.retry(r, func(reply any) {
+		c := *reply.(*fleet.ChangeReply)
+		w.checkChange(op, base, c)
+		w.retry(r, func(again any) { w.checkChange(op, base, *again.(*fleet.ChangeReply)) })
+		next := c.Version
+		w.after(w.between(10*time.Millisecond, 200*time.Millisecond), func() { w.operator(id, n+1, next) })
+	})
+}
+
+func (w *workload) checkChange(op fleet.OperationID, base fleet.Version, c fleet.ChangeReply) {
+	first, known := w.results[op]
+	if known && (first.Accepted != c.Accepted || first.Version != c.Version) {
+		w.violate("operation %s got %+v and then %+v", op, first, c)
+	}
+	w.results[op] = c
+	if !c.Accepted {
+		return
+	}
+	if other, taken := w.accepted[c.Version]; taken && other != op || c.Version != base+1 {
+		w.violate("version %d based on %d goes to %s and %s", c.Version, base, other, op)
+	}
+	w.accepted[c.Version] = op
+	w.floor = max(w.floor, c.Version)
+	w.changes++
+}
+
+// reader checks that what it reads is no older than what anyone knew before it asked.
+func (w *workload) reader(id int) {
+	floor := w.floor
+	r := registry.Request{State: &fleet.StateRequest{Host: fleet.HostID(fmt.Sprintf("reader%d", id)), Role: fleet.RoleRouter}}
+	for _, n := range w.nodes {
+		w.ask(n, r, func(a registry.Answer) {
+			s, ok := a.Reply.(*fleet.StateReply)
+			if !ok {
+				return
+			}
+			if s.Version < floor {
+				w.violate("version %d was read after version %d", s.Version, floor)
+			}
+			w.floor = max(w.floor, s.Version)
+		})
+	}
+	w.after(w.between(20*time.Millisecond, 100*time.Millisecond), func() { w.reader(id) })
+}
+
+// dispatcher acquires and renews one lease and checks that no other holds it.
+func (w *workload) dispatcher(host fleet.HostID, epoch fleet.Epoch) {
+	const duration = 3 * time.Second
+	asked, next := w.now, epoch
+	r := registry.Request{Lease: &fleet.LeaseRequest{
+		Name: "Dispatch/lv-riga", Holder: host, Incarnation: 1, Epoch: epoch, Duration: duration,
+	}}
+	answer := func(a registry.Answer) {
+		l, ok := a.Reply.(*fleet.LeaseReply)
+		if !ok {
+			return
+		}
+		next = 0
+		if l.Granted {
+			next = l.Epoch
+			w.holds(host, l.Epoch, asked+fleet.ShortenLease(duration))
+		}
+	}
+	for _, n := range w.nodes {
+		w.ask(n, r, answer)
+	}
+	pause := w.between(200*time.Millisecond, 500*time.Millisecond)
+	if w.rng.IntN(8) == 0 {
+		pause += 4 * time.Second
+	}
+	w.after(pause, func() { w.dispatcher(host, next) })
+}
+
+// holds notes that a host may act as the holder from now until a moment. Its clock may
+// be as slow as ShortenLease allows for.
+func (w *workload) holds(host fleet.HostID, epoch fleet.Epoch, until time.Duration) {
+	if until <= w.now {
+		return
+	}
+	if w.holder != host && w.now < w.until {
+		w.violate("%s holds the lease until %s and %s as well", w.holder, w.until, host)
+	}
+	if epoch < w.epoch || w.holder != host && epoch == w.epoch {
+		w.violate("epoch %d of %s after epoch %d of %s", epoch, host, w.epoch, w.holder)
+	}
+	if w.holder != host {
+		w.until = 0
+	}
+	w.holder, w.epoch, w.until = host, epoch, max(w.until, until)
+}
+
+// router makes an attempt to run a call that may run once, under a new or a recent key.
+func (w *workload) router(by fleet.AttemptID) {
+	if w.quiet {
+		w.after(100*time.Millisecond, func() { w.router(by) })
+		return
+	}
+	if w.rng.IntN(3) == 0 {
+		w.keys++
+	}
+	key := fleet.IdempotencyKey(fmt.Sprintf("key-%d", w.keys))
+	begin := &fleet.LedgerBeginRequest{
+		LedgerKey: fleet.LedgerKey{Customer: "riga-centrs", Service: "permit-desk", Key: key}, Body: "abc", By: by,
+	}
+	answer, isDone := w.done[key]
+	w.retry(registry.Request{LedgerBegin: begin}, func(reply any) {
+		b := reply.(*fleet.LedgerBeginReply)
+		if isDone && (b.State != fleet.LedgerDone || string(b.Answer.Body) != answer) {
+			w.violate("%s ran with answer %q and is %s", key, answer, b.State)
+		}
+		if b.State == fleet.LedgerGranted {
+			w.run(begin)
+		}
+	})
+	by.Attempt++
+	if w.rng.IntN(20) == 0 {
+		by.Incarnation++
+	}
+	w.after(w.between(20*time.Millisecond, 400*time.Millisecond), func() { w.router(by) })
+}
+
+// run sends the call, or finds that it need not, and records the end unless the router
+// is lost before.
+func (w *workload) run(b *fleet.LedgerBeginRequest) {
+	end := &fleet.LedgerEndRequest{LedgerKey: b.LedgerKey, By: b.By, Verdict: fleet.NotRun}
+	if w.rng.IntN(3) > 0 {
+		if w.runs[b.Key]++; w.runs[b.Key] > 1 {
+			w.violate("%s ran twice", b.Key)
+		}
+		end.Verdict = fleet.Ran
+		end.Answer = &fleet.RecordedAnswer{Status: 200, Body: fmt.Appendf(nil, "%s by %d", b.Key, b.By.Attempt)}
+	}
+	if w.rng.IntN(10) == 0 {
+		return
+	}
+	w.after(w.between(time.Millisecond, 300*time.Millisecond), func() {
+		w.retry(registry.Request{LedgerEnd: end}, func(reply any) {
+			if reply.(*fleet.LedgerEndReply).Recorded && end.Verdict == fleet.Ran {
+				w.done[b.Key] = string(end.Answer.Body)
+			}
+		})
+	})
+}
