--- /dev/null
+++ b/control/cmd/fuchsiashed-control/crash_test.go
@@ -0,0 +1,209 @@
+package main_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
+)
+
+// stream makes one change after another in the background, and keeps what went wrong.
+type stream struct {
+	r        *replicas
+	stop     chan struct{}
+	done     chan struct{}
+	accepted atomic.Uint64
+	problem  string
+}
+
+func startStream(r *replicas) *stream {
+	s := &stream{r: r, stop: make(chan struct{}), done: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+func (s *stream) run() {
+	defer close(s.done)
+	for n := fleet.Version(0); s.problem == ""; n++ {
+		select {
+		case <-s.stop:
+			return
+		default:
+			s.change(n)
+		}
+	}
+}
+
+// change makes the change after version n, twice: as if its answer had been lost.
+func (s *stream) change(n fleet.Version) {
+	want := fleet.ChangeReply{Accepted: true, Version: n + 1}
+	for range 2 {
+		got, err := s.r.apply(fmt.Sprintf("op-%d", n), n, fmt.Sprintf("%s; change %d\n", fleetText, n))
+		if err != nil || got != want {
+			s.problem = fmt.Sprintf("change %d: %+v, %v", n, got, err)
+			return
+		}
+	}
+	s.accepted.Store(uint64(n + 1))
+}
+
+// end stops the stream and checks that the quorum has exactly what was accepted.
+func (s *stream) end() {
+	close(s.stop)
+	<-s.done
+	convey.So(s.problem, convey.ShouldBeEmpty)
+	state, err := s.r.state()
+	convey.So(err, convey.ShouldBeNil)
+	convey.So(state.Version, convey.ShouldEqual, fleet.Version(s.accepted.Load()))
+	convey.So(s.accepted.Load(), convey.ShouldBeGreaterThan, 50)
+}
+
+// progress waits for more changes to be accepted.
+func (s *stream) progress(more uint64) {
+	target := s.accepted.Load() + more
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if s.accepted.Load() >= target {
+			return
+		}
+	}
+	convey.So(s.accepted.Load(), convey.ShouldBeGreaterThanOrEqualTo, target)
+}
+
+func TestKillEachReplica(t *testing.T) {
+	convey.Convey("Nothing accepted is lost or doubled while each replica is killed in turn", t, func() {
+		r := startReplicas(t, 21130)
+		s := startStream(r)
+		for i := range replicaCount {
+			s.progress(20)
+			r.kill(i)
+			s.progress(10)
+			r.start(i)
+		}
+		s.progress(10)
+		for i := range replicaCount {
+			r.kill(i)
+		}
+		for i := range replicaCount {
+			r.start(i)
+		}
+		s.progress(10)
+		s.end()
+	})
+}
+
+func TestLoseDataFolder(t *testing.T) {
+	convey.Convey("A replica that lost its data folder votes again only when admitted", t, func() {
+		r := startReplicas(t, 21160)
+		s := startStream(r)
+		s.progress(30)
+		lost := r.leader()
+		r.kill(lost)
+		convey.So(os.RemoveAll(r.dataFolder(lost)), convey.ShouldBeNil)
+		r.start(lost)
+		s.progress(10)
+		convey.So(r.votes(lost), convey.ShouldBeFalse)
+		r.replace(lost)
+
+		next := r.leader()
+		r.kill(next)
+		convey.So(os.RemoveAll(r.dataFolder(next)), convey.ShouldBeNil)
+		r.start(next)
+		r.replace(next)
+		s.progress(10)
+		s.end()
+	})
+}
+
+// votes says whether the incarnation that a replica runs as is a voter at the leader.
+func (r *replicas) votes(i int) bool {
+	own, err := r.status(i)
+	if err != nil {
+		return false
+	}
+	leader, err := r.status(r.leader())
+	if err != nil {
+		return false
+	}
+	for _, m := range leader.Members {
+		if m.Host == own.Host && m.Incarnation == own.Incarnation {
+			return m.Voter
+		}
+	}
+	return false
+}
+
+// replace admits a replica that lost its data folder and waits until it votes.
+func (r *replicas) replace(i int) {
+	req := fleet.ReplaceRequest{Operation: fleet.OperationID(fmt.Sprintf("replace-%d", i)), Host: fleet.HostID(fmt.Sprintf("control-%d", i))}
+	var reply fleet.ReplaceReply
+	for range 300 {
+		err := r.call(fleet.MethodReplace, req, &reply)
+		if err == nil && reply.Accepted && r.votes(i) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	convey.So(reply.Invalid, convey.ShouldEqual, "voter")
+}
+
+func TestFreezeLeader(t *testing.T) {
+	convey.Convey("A leader that was frozen beyond its lease answers nothing old", t, func() {
+		r := startReplicas(t, 21190)
+		s := startStream(r)
+		s.progress(20)
+		frozen := r.leader()
+		r.signal(frozen, syscall.SIGSTOP)
+		s.progress(20)
+		known := fleet.Version(s.accepted.Load())
+		answers := make(chan fleet.StateReply, 20)
+		for range cap(answers) {
+			go r.askOne(frozen, answers)
+		}
+		time.Sleep(100 * time.Millisecond)
+		r.signal(frozen, syscall.SIGCONT)
+		for range cap(answers) {
+			if a := <-answers; a.Validity > 0 {
+				convey.So(a.Version, convey.ShouldBeGreaterThanOrEqualTo, known)
+			}
+		}
+		s.progress(10)
+		s.end()
+	})
+}
+
+// askOne asks one replica for the state; the reply is empty when it gives none.
+func (r *replicas) askOne(i int, answers chan<- fleet.StateReply) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	var s fleet.StateReply
+	if err := r.control.Replica(i).Call(ctx, fleet.MethodState, fleet.StateRequest{Host: "tester", Role: fleet.RoleOperator}, &s); err != nil {
+		s = fleet.StateReply{}
+	}
+	answers <- s
+}
+
+func TestIsolatedLeader(t *testing.T) {
+	convey.Convey("A leader without the others answers nothing after its lease", t, func() {
+		r := startReplicas(t, 21220)
+		_, err := r.state()
+		convey.So(err, convey.ShouldBeNil)
+		alone := r.leader()
+		for i := range replicaCount {
+			if i != alone {
+				r.signal(i, syscall.SIGSTOP)
+			}
+		}
+		time.Sleep(quorum.MinElectionTimeout)
+		answers := make(chan fleet.StateReply, 1)
+		r.askOne(alone, answers)
+		convey.So((<-answers).Validity, convey.ShouldEqual, 0)
+	})
+}
--- /dev/null
+++ b/fleet/quorum/quorum_test.go
@@ -0,0 +1,214 @@
+package quorum_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/internal/fault"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
+	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
+)
+
+func TestMain(m *testing.M) {
+	invariant.PanicOnViolation(true)
+	os.Exit(m.Run())
+}
+
+// machine is a state machine without a state.
+type machine struct{}
+
+func (machine) Apply(fleet.Index, []byte) any { return nil }
+func (machine) Snapshot() []byte              { return []byte{1} }
+func (machine) Restore([]byte) error          { return nil }
+
+var (
+	start   = time.Unix(1_700_000_000, 0)
+	hosts   = []fleet.HostID{"a", "b", "c", "d", "e"}
+	founded = []quorum.Member{
+		{Host: "a", Incarnation: 1, Voter: true},
+		{Host: "b", Incarnation: 1, Voter: true},
+		{Host: "c", Incarnation: 1, Voter: true},
+		{Host: "d", Incarnation: 1, Voter: true},
+		{Host: "e", Incarnation: 1, Voter: true},
+	}
+)
+
+// driver gives events to one replica at given times.
+type driver struct {
+	replica *quorum.Replica
+	now     time.Time
+	// records holds what was asked to be written.
+	records []quorum.Record
+	last    fleet.Sequence
+}
+
+// restart makes replica a from records at a moment.
+func restart(now time.Time, faults fault.Set, records ...quorum.Record) *driver {
+	r, err := quorum.New(now, quorum.Config{
+		Host: "a", Incarnation: 1, Hosts: hosts, Machine: machine{}, Records: records, Faults: faults,
+	})
+	convey.So(err, convey.ShouldBeNil)
+	return &driver{replica: r, now: now, records: records}
+}
+
+func member(entries ...quorum.Entry) []quorum.Record {
+	records := []quorum.Record{
+		{Identity: &quorum.Identity{Host: "a", Incarnation: 1}},
+		{Initial: &quorum.Initial{Members: founded}},
+	}
+	for i := range entries {
+		records = append(records, quorum.Record{Entry: &entries[i]})
+	}
+	return records
+}
+
+// reduce gives an event and returns the messages sent.
+func (d *driver) reduce(ev fleet.Event) []quorum.Message {
+	var sent []quorum.Message
+	for _, e := range d.replica.Reduce(d.now, ev) {
+		switch e := e.(type) {
+		case quorum.Send:
+			sent = append(sent, e.Message)
+		case quorum.Write:
+			d.last = e.Sequence
+			d.records = append(d.records, e.Records...)
+		}
+	}
+	return sent
+}
+
+func (d *driver) receive(m quorum.Message) []quorum.Message {
+	m.To, m.ToIncarnation, m.FromIncarnation = "a", 1, 1
+	return d.reduce(quorum.Received{Message: m})
+}
+
+func (d *driver) sync() []quorum.Message { return d.reduce(quorum.Written{Sequence: d.last}) }
+
+// wait moves the clock beyond the time in which no vote is granted after a start.
+func (d *driver) wait() { d.now = d.now.Add(quorum.MinElectionTimeout) }
+
+// granted says whether one of the messages grants a vote to a host.
+func granted(sent []quorum.Message, to fleet.HostID) bool {
+	for _, m := range sent {
+		if m.Kind == quorum.KindVoteReply && m.To == to && m.Granted {
+			return true
+		}
+	}
+	return false
+}
+
+// votesTwice says whether a replica that crashes right after a vote grants another one
+// in the same term.
+func votesTwice(faults fault.Set) bool {
+	d := restart(start, faults, member()...)
+	d.wait()
+	durable := d.records
+	first := granted(d.receive(quorum.Message{Kind: quorum.KindVote, From: "b", Term: 1}), "b")
+	d = restart(d.now, faults, durable...)
+	d.wait()
+	sent := d.receive(quorum.Message{Kind: quorum.KindVote, From: "c", Term: 1})
+	return first && granted(append(sent, d.sync()...), "c")
+}
+
+func TestVoteIsDurable(t *testing.T) {
+	convey.Convey("A vote is sent once it is durable", t, func() {
+		d := restart(start, fault.Set{}, member()...)
+		d.wait()
+		convey.So(granted(d.receive(quorum.Message{Kind: quorum.KindVote, From: "b", Term: 1}), "b"), convey.ShouldBeFalse)
+		convey.So(granted(d.sync(), "b"), convey.ShouldBeTrue)
+		convey.Convey("and holds after a restart", func() {
+			d = restart(d.now, fault.Set{}, d.records...)
+			d.wait()
+			sent := d.receive(quorum.Message{Kind: quorum.KindVote, From: "c", Term: 1})
+			convey.So(granted(append(sent, d.sync()...), "c"), convey.ShouldBeFalse)
+		})
+	})
+	convey.Convey("A replica that answers before the sync votes twice in one term", t, func() {
+		convey.So(votesTwice(fault.Set{SkipVoteSync: true}), convey.ShouldBeTrue)
+		convey.So(votesTwice(fault.Set{}), convey.ShouldBeFalse)
+	})
+}
+
+// elect makes the replica leader of the given term with the votes of b and c.
+func (d *driver) elect(term fleet.Term) {
+	d.now = d.now.Add(quorum.MaxElectionTimeout)
+	d.reduce(quorum.Tick{})
+	for _, from := range []fleet.HostID{"b", "c"} {
+		d.receive(quorum.Message{Kind: quorum.KindPreVoteReply, From: from, Term: term, Granted: true})
+	}
+	d.sync()
+	for _, from := range []fleet.HostID{"b", "c"} {
+		d.receive(quorum.Message{Kind: quorum.KindVoteReply, From: from, Term: term, Granted: true})
+	}
+	d.sync()
+	convey.So(d.replica.Standing(), convey.ShouldEqual, quorum.Leader)
+}
+
+// commitsOldTerm says whether a leader of term 4 takes an entry of term 2 for committed
+// because a majority has it. Another replica may still be elected with an entry of term
+// 3 in its place.
+func commitsOldTerm(faults fault.Set) bool {
+	records := append(member(
+		quorum.Entry{Index: 1, Term: 1, Kind: quorum.EntryMembers, Members: founded},
+		quorum.Entry{Index: 2, Term: 2, Kind: quorum.EntryCommand},
+	), quorum.Record{Vote: &quorum.Vote{Term: 3}})
+	d := restart(start, faults, records...)
+	d.elect(4)
+	for _, from := range []fleet.HostID{"b", "c"} {
+		d.receive(quorum.Message{Kind: quorum.KindAppendReply, From: from, Term: 4, Granted: true, Match: 2})
+	}
+	return d.replica.Status().Commit >= 2
+}
+
+func TestCommitOfEarlierTerms(t *testing.T) {
+	convey.Convey("Entries of earlier terms are committed by one of the leader's own", t, func() {
+		convey.So(commitsOldTerm(fault.Set{CommitOldTerms: true}), convey.ShouldBeTrue)
+		convey.So(commitsOldTerm(fault.Set{}), convey.ShouldBeFalse)
+	})
+}
+
+func TestLeaderLease(t *testing.T) {
+	convey.Convey("A leader that hears no majority loses its lease before another can be elected", t, func() {
+		d := restart(start, fault.Set{}, member()...)
+		d.elect(1)
+		convey.So(d.replica.LeaseHeld(d.now), convey.ShouldBeFalse)
+		sent := d.now.Sub(start)
+		for _, from := range []fleet.HostID{"b", "c"} {
+			d.receive(quorum.Message{Kind: quorum.KindHeartbeatReply, From: from, Term: 1, Sent: sent})
+		}
+		convey.So(d.replica.LeaseHeld(d.now), convey.ShouldBeTrue)
+		convey.So(d.replica.LeaseHeld(d.now.Add(fleet.ShortenLease(quorum.MinElectionTimeout))), convey.ShouldBeFalse)
+		convey.Convey("and steps down", func() {
+			d.now = d.now.Add(quorum.MaxElectionTimeout + quorum.TickInterval)
+			d.reduce(quorum.Tick{})
+			convey.So(d.replica.Standing(), convey.ShouldNotEqual, quorum.Leader)
+		})
+	})
+}
+
+func TestTwoLeaders(t *testing.T) {
+	convey.Convey("A second leader of a term violates an invariant", t, func() {
+		d := restart(start, fault.Set{}, member()...)
+		d.receive(quorum.Message{Kind: quorum.KindHeartbeat, From: "b", Term: 1})
+		convey.So(func() {
+			d.receive(quorum.Message{Kind: quorum.KindHeartbeat, From: "c", Term: 1})
+		}, convey.ShouldPanic)
+	})
+}
+
+func TestOtherIncarnation(t *testing.T) {
+	convey.Convey("Votes of a host that lost its disk do not count", t, func() {
+		d := restart(start, fault.Set{}, member()...)
+		d.now = d.now.Add(quorum.MaxElectionTimeout)
+		d.reduce(quorum.Tick{})
+		for _, from := range []fleet.HostID{"b", "c", "d", "e"} {
+			m := quorum.Message{Kind: quorum.KindPreVoteReply, From: from, Term: 1, Granted: true, To: "a", ToIncarnation: 1, FromIncarnation: 2}
+			d.reduce(quorum.Received{Message: m})
+		}
+		convey.So(d.replica.Status().Term, convey.ShouldEqual, 0)
+	})
+}
