Dispatch: refusals, placement, ramp and planned stop tested; lapsed leases send nothing

Tests of each refusal reason with its time to come back, of the placement order and slack, of the ramp of a returned data centre, of costs beyond the largest one, and over real connections of a planned stop (the successor is active in under a second) and of malformed reports. A message posted after the lease lapsed is dropped instead of being sent late, and targets that were silent for ten minutes are forgotten.

--- a/dispatcher/internal/dispatchercmd/dispatchercmd_test.go
+++ b/dispatcher/internal/dispatchercmd/dispatchercmd_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-func TestGrantAndTakeOver(t *testing.T) {
+func TestGrantOnSameConnection(t *testing.T) {
 	startControl(t, localAddress(22001))
 	first := startDispatcher(t, "dispatcher-1", localAddress(22002), localAddress(22003), localAddress(22001))
 	defer first.RequireStop()
@@ -88,3 +88,46 @@
 		t.Fatal(err)
 	}
 }
+
+func TestStopReleasesLease(t *testing.T) {
+	startControl(t, localAddress(22011))
+	first := startDispatcher(t, "dispatcher-1", localAddress(22012), localAddress(22013), localAddress(22011))
+	router := newFakeRouter(t, localAddress(22012))
+	router.wait(t, 5*time.Second, func(m *fleet.DispatcherGrants) bool { return m.Epoch == 1 })
+	second := startDispatcher(t, "dispatcher-2", localAddress(22014), localAddress(22015), localAddress(22011))
+	defer second.RequireStop()
+	other := newFakeRouter(t, localAddress(22014))
+
+	convey.Convey("A planned stop hands the lease over within its duration", t, func() {
+		from := time.Now()
+		first.RequireStop()
+		other.wait(t, 5*time.Second, func(m *fleet.DispatcherGrants) bool { return m.Epoch == 2 })
+		convey.So(time.Since(from), convey.ShouldBeLessThan, time.Second)
+		other.report(fleet.RouterReport{Tickets: []fleet.Ticket{testTicket("t2")}})
+		m := other.wait(t, 5*time.Second, hasGrant)
+		convey.So(m.Dispatcher, convey.ShouldEqual, fleet.HostID("dispatcher-2"))
+	})
+}
+
+func TestMalformedReportIsRefused(t *testing.T) {
+	startControl(t, localAddress(22021))
+	app := startDispatcher(t, "dispatcher-1", localAddress(22022), localAddress(22023), localAddress(22021))
+	defer app.RequireStop()
+	router := newFakeRouter(t, localAddress(22022))
+
+	convey.Convey("A malformed report changes nothing and harms no other one", t, func() {
+		router.wait(t, 5*time.Second, func(m *fleet.DispatcherGrants) bool { return m.Epoch == 1 })
+		for _, m := range []fleet.RouterReport{{Router: "router-2"}, {Router: "!", Incarnation: 1, Sequence: 1, DataCentre: "riga-a"}} {
+			convey.So(router.client.Notify(t.Context(), fleet.MethodReport, &m), convey.ShouldBeNil)
+		}
+		router.report(fleet.RouterReport{Tickets: []fleet.Ticket{testTicket("t3")}})
+		router.wait(t, 5*time.Second, hasGrant)
+		var customers []fleet.CustomerStatus
+		getJSON(t, "http://127.0.0.1:22023"+fleet.PathCustomers, &customers)
+		convey.So(len(customers), convey.ShouldEqual, 1)
+		var status fleet.ProcessStatus
+		getJSON(t, "http://127.0.0.1:22023"+fleet.PathStatus, &status)
+		convey.So(status.Active, convey.ShouldEqual, fleet.HostID("dispatcher-1"))
+		convey.So(status.Running, convey.ShouldEqual, 1)
+	})
+}
--- a/fleet/dispatch/config.go
+++ b/fleet/dispatch/config.go
@@ -49,6 +49,8 @@
 	RouterSilentAfter = time.Second
 	// RouterForgottenAfter is how long a router without tickets and attempts is kept.
 	RouterForgottenAfter = time.Minute
+	// TargetForgottenAfter is how long a target that does not announce itself is kept.
+	TargetForgottenAfter = 10 * time.Minute
 	// IdleForgivenAfter is the time after which a customer without waiting and running
 	// requests loses what it was charged beyond the others.
 	IdleForgivenAfter = 5 * time.Second
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
@@ -20,3 +22,152 @@
 		convey.So(len(f.grants()), convey.ShouldEqual, 2)
 	})
 }
+
+// warm gives a target its announced slots.
+func (f *fixture) warm(id fleet.TargetID) {
+	t := f.r.targets[id]
+	t.limiter.limit = t.last.Slots
+	f.r.refresh(t)
+}
+
+func tickets(n int, customer fleet.CustomerName) []fleet.Ticket {
+	list := make([]fleet.Ticket, 0, n)
+	for i := range n {
+		list = append(list, newTicket(fmt.Sprintf("%s-%d", customer, i), customer))
+	}
+	return list
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(f *fixture)
+		ticket  func(t *fleet.Ticket)
+		wait    time.Duration
+		want    fleet.Reason
+		retry   time.Duration
+	}{
+		{"no target of the service", func(*fixture) {}, func(*fleet.Ticket) {}, 0, fleet.ReasonNoTarget, retryLater},
+		{"service without a target that it depends on", func(f *fixture) {
+			f.target("p1", "permit-desk", "riga-a", 4)
+		}, func(t *fleet.Ticket) { t.Service = "permit-desk" }, 0, fleet.ReasonDependencyDown, retryLater},
+		{"all targets missing", func(f *fixture) {
+			f.target("t1", "drafter", "riga-a", 4)
+			f.announce = map[fleet.TargetID]*fleet.Announcement{}
+			f.advance(3 * time.Second)
+		}, func(*fleet.Ticket) {}, 0, fleet.ReasonNoTarget, retryLater},
+		{"all targets out of service", func(f *fixture) {
+			f.target("t1", "drafter", "riga-a", 4)
+			f.config.Version, f.config.DataCentresOut = 2, map[fleet.DataCentreName]bool{"riga-a": true}
+			f.confirm()
+		}, func(*fleet.Ticket) {}, 0, fleet.ReasonNoTarget, retryLater},
+		{"unknown service", func(*fixture) {}, func(t *fleet.Ticket) { t.Service = "nobody" }, 0, fleet.ReasonUnknownService, 0},
+		{"no slot in time", func(f *fixture) {
+			f.target("t1", "drafter", "riga-a", 1)
+			f.report("r2", fleet.RouterReport{Tickets: []fleet.Ticket{newTicket("first", "c00")}})
+		}, func(t *fleet.Ticket) { t.Patience = time.Second }, 2 * time.Second, fleet.ReasonQueueTimeout, retrySoon},
+		{"too many at one router", func(f *fixture) {
+			f.target("t1", "drafter", "riga-a", 1)
+			f.config.Fleet.Policy.QueuePerRouter = 2
+			f.report("r2", fleet.RouterReport{Tickets: tickets(1, "c02")})
+			f.report("r2", fleet.RouterReport{Tickets: tickets(2, "c00")})
+		}, func(*fleet.Ticket) {}, 0, fleet.ReasonHostQueueFull, retrySoon},
+	}
+	for _, tt := range tests {
+		convey.Convey(tt.name+" refuses with a reason and when to come back", t, func() {
+			f := newFixture(Config{})
+			f.advance(fleet.TargetMissingAfter)
+			tt.prepare(f)
+			f.take()
+			m := newTicket("x", "c01")
+			tt.ticket(&m)
+			f.report("r2", fleet.RouterReport{Tickets: []fleet.Ticket{m}})
+			f.advance(tt.wait)
+			refused := f.refusals()
+			convey.So(len(refused), convey.ShouldEqual, 1)
+			convey.So(refused[0].Ticket, convey.ShouldEqual, fleet.TicketID("x"))
+			convey.So(refused[0].Reason, convey.ShouldEqual, tt.want)
+			convey.So(refused[0].RetryAfter, convey.ShouldEqual, tt.retry)
+		})
+	}
+}
+
+func TestPlacement(t *testing.T) {
+	convey.Convey("Among free slots the caller's data centre comes first, then the prefix", t, func() {
+		f := newFixture(Config{})
+		for _, id := range []fleet.TargetID{"a1", "a2"} {
+			f.target(id, "drafter", "riga-a", 4)
+			f.warm(id)
+		}
+		f.target("b1", "drafter", "riga-b", 4)
+		f.warm("b1")
+		f.announce["a2"].Prefixes = []fleet.PrefixHash{7}
+		f.announce["b1"].Prefixes = []fleet.PrefixHash{8}
+		f.report("r1", fleet.RouterReport{})
+		f.take()
+		place := func(id string, dc fleet.DataCentreName, p fleet.PrefixHash) fleet.TargetID {
+			m := newTicket(id, "c00")
+			m.DataCentre, m.Prefix = dc, p
+			f.report("r2", fleet.RouterReport{Tickets: []fleet.Ticket{m}})
+			return f.grants()[0].Target
+		}
+		convey.So(place("1", "riga-a", 7), convey.ShouldEqual, fleet.TargetID("a2"))
+		convey.So(place("2", "riga-a", 8), convey.ShouldEqual, fleet.TargetID("a1"))
+		convey.So(place("3", "riga-b", 0), convey.ShouldEqual, fleet.TargetID("b1"))
+		for i := range 6 {
+			place(fmt.Sprintf("fill-%d", i), "riga-a", 0)
+		}
+		convey.So(place("4", "riga-a", 0), convey.ShouldEqual, fleet.TargetID("b1"))
+	})
+	convey.Convey("The slack lets a better placed customer go first, and no further", t, func() {
+		f := newFixture(Config{})
+		f.config.Fleet.Policy.PlacementSlack = 50
+		f.target("b1", "drafter", "riga-b", 1)
+		f.target("a1", "drafter", "riga-a", 1)
+		f.report("r2", fleet.RouterReport{Tickets: []fleet.Ticket{newTicket("1", "c00"), newTicket("2", "c00")}})
+		held := f.grants()
+		// Two customers wait: the least counter in riga-a, another within the slack in riga-b.
+		other := newTicket("y", "c04")
+		other.DataCentre = "riga-b"
+		f.report("r2", fleet.RouterReport{Tickets: []fleet.Ticket{newTicket("x", "c02"), other}})
+		for _, g := range held {
+			if g.Target == "b1" {
+				f.end("r2", g, fleet.OutcomeCompleted, 10)
+			}
+		}
+		convey.So(f.grants()[0].Ticket, convey.ShouldEqual, fleet.TicketID("y"))
+	})
+}
+
+func TestReturnIsRamped(t *testing.T) {
+	convey.Convey("A data centre back in service is loaded over the policy's time", t, func() {
+		f := newFixture(Config{})
+		f.target("a1", "drafter", "riga-a", 10)
+		f.target("b1", "drafter", "riga-b", 10)
+		f.warm("a1")
+		f.warm("b1")
+		f.config.Version, f.config.DataCentresOut = 2, map[fleet.DataCentreName]bool{"riga-b": true}
+		f.confirm()
+		f.config.Version, f.config.DataCentresOut = 3, map[fleet.DataCentreName]bool{}
+		f.confirm()
+		many := tickets(30, "c00")
+		f.report("r2", fleet.RouterReport{Tickets: many})
+		convey.So(len(f.grants()), convey.ShouldEqual, 11)
+		f.advance(5 * time.Second)
+		convey.So(len(f.grants()), convey.ShouldBeBetweenOrEqual, 3, 5)
+		f.advance(6 * time.Second)
+		convey.So(f.r.targets["b1"].granted, convey.ShouldEqual, fleet.Slots(10))
+	})
+}
+
+func TestCostOverMaxIsChargedInFull(t *testing.T) {
+	convey.Convey("A request beyond the largest cost is charged in full and counted", t, func() {
+		f := newFixture(Config{})
+		f.target("t1", "drafter", "riga-a", 4)
+		f.report("r2", fleet.RouterReport{Tickets: tickets(1, "c00")})
+		f.end("r2", f.grants()[0], fleet.OutcomeCompleted, 5000)
+		convey.So(f.r.services["drafter"].customers["c00"].served, convey.ShouldEqual, fleet.Cost(5000))
+		convey.So(f.r.overMaxCost, convey.ShouldEqual, 1)
+		convey.So(f.r.services["drafter"].largestCost, convey.ShouldEqual, fleet.Cost(5000))
+	})
+}
--- a/fleet/dispatch/mechanisms_test.go
+++ b/fleet/dispatch/mechanisms_test.go
@@ -117,8 +117,13 @@
 		s := newSim(cfg)
 		s.run(20*time.Second, flood(s, 0, 1))
 		for range 4 {
+			// One router is cut off from the successor and goes on with what it has.
+			next := 1 - s.lease.holder
+			s.routers[3].setCut(next, true)
 			s.freeze(s.lease.holder, 3*time.Second)
 			s.run(5*time.Second, flood(s, 0, 1))
+			s.routers[3].setCut(next, false)
+			s.run(3*time.Second, flood(s, 0, 1))
 		}
 		return len(s.broken) + s.overloads
 	}
--- a/fleet/dispatch/reducer.go
+++ b/fleet/dispatch/reducer.go
@@ -221,7 +221,13 @@
 }
 
 func (r *Reducer) scanTargets() {
+	kept := r.targetList[:0]
 	for _, t := range r.targetList {
+		if r.now.Sub(t.heardAt) >= TargetForgottenAfter && len(t.attempts)+len(t.standing) == 0 {
+			r.forgetTarget(t)
+			continue
+		}
+		kept = append(kept, t)
 		if !t.missing && t.known && r.now.Sub(t.heardAt) >= fleet.TargetMissingAfter {
 			t.missing = true
 			r.targetMissing(t)
@@ -232,6 +238,16 @@
 		r.refresh(t)
 		r.checkTarget(t)
 	}
+	clear(r.targetList[len(kept):])
+	r.targetList = kept
+}
+
+func (r *Reducer) forgetTarget(t *target) {
+	if t.service != nil {
+		r.withdraw(t)
+		t.service.addSlots(-t.last.Slots)
+	}
+	delete(r.targets, t.id)
 }
 
 func (r *Reducer) scanRouters() {
--- a/fleet/dispatch/router.go
+++ b/fleet/dispatch/router.go
@@ -91,7 +91,7 @@
 	for _, to := range r.posts {
 		box := to.outbox
 		to.outbox = outbox{}
-		if r.phase == passive || r.routers[to.id] != to || !to.connected && !box.resync {
+		if r.phase == passive || !r.now.Before(r.sendUntil()) || r.routers[to.id] != to || !to.connected && !box.resync {
 			continue
 		}
 		to.answeredAt = r.now
--- a/fleet/dispatch/target.go
+++ b/fleet/dispatch/target.go
@@ -63,7 +63,7 @@
 func (r *Reducer) target(id fleet.TargetID) *target {
 	t, ok := r.targets[id]
 	if !ok {
-		t = &target{id: id, freeIndex: -1}
+		t = &target{id: id, freeIndex: -1, heardAt: r.now}
 		t.limiter.reset()
 		r.targets[id] = t
 		i, _ := slices.BinarySearchFunc(r.targetList, id, func(t *target, id fleet.TargetID) int {
