Dispatch: the usual time to the first token is a high percentile over the service

The limit's baseline was the fastest first token of the target. Now the baseline is the 90th percentile over all targets of the service; slow samples do not teach it unless most samples are slow, and a target that stays slow gets its own.

--- a/fleet/dispatch/attempt.go
+++ b/fleet/dispatch/attempt.go
@@ -193,14 +193,12 @@
 	}
 	a.firstToken = true
 	if a.router != nil && !a.grantedAt.IsZero() {
-		a.router.lag.add(float64(max(0, r.now.Sub(a.grantedAt)-d)))
+		a.router.observeLag(r.now.Sub(a.grantedAt) - d)
 	}
 	before := a.target.limiter.limit
 	s := a.customer.service
-	a.target.limiter.firstToken(d, s.firstToken)
-	if a.target.limiter.slow == 0 {
-		s.firstToken.add(float64(d))
-	}
+	slow := a.target.limiter.firstToken(d, s.firstToken.usual())
+	s.firstToken.observe(d, slow)
 	if a.target.limiter.limit != before {
 		r.limitChanged(a.target)
 		r.refresh(a.target)
@@ -210,29 +208,36 @@
 // observeOverdue takes a first token that is late by far for a slow one, without
 // waiting for it.
 func (r *Reducer) observeOverdue(t *target) {
-	base := t.limiter.baseline
-	if !base.known || r.cfg.off.latency {
+	if t.service == nil || len(t.attempts) == 0 || r.cfg.off.latency {
+		return
+	}
+	late := t.limiter.late(t.service.firstToken.usual())
+	if late == 0 {
 		return
 	}
-	late := slowFactor*time.Duration(base.value) + slowFloor
 	for _, a := range t.attempts {
-		if a.firstToken || a.inDoubt || a.router == nil || !a.router.lag.known || a.grantedAt.IsZero() {
+		if a.firstToken || a.inDoubt || a.router == nil || a.router.lag == 0 || a.grantedAt.IsZero() {
 			continue
 		}
-		lag := lagFactor * (time.Duration(a.router.lag.value) + leastLag)
-		if waited := r.now.Sub(a.grantedAt); waited > late+lag {
+		if waited := r.now.Sub(a.grantedAt); waited > late+lagFactor*(a.router.lag+leastLag) {
 			r.observeFirstToken(a, waited)
 		}
 	}
 }
 
 // The time that a grant and the report of a first token take may be lagFactor times
-// its running mean, which is taken to be at least leastLag.
+// the longest of late, which is taken to be at least leastLag.
 const (
-	lagFactor = 4
+	lagFactor = 2
 	leastLag  = 10 * time.Millisecond
+	lagDecay  = 0.995
 )
 
+// observeLag takes in the time that a grant and the report of a first token took.
+func (o *router) observeLag(d time.Duration) {
+	o.lag = max(d, time.Duration(float64(o.lag)*lagDecay), 1)
+}
+
 // ended takes in the end of an attempt.
 func (r *Reducer) ended(a *attempt, e *fleet.GrantEnd) {
 	a.spent = max(a.spent, e.Spent)
--- a/fleet/dispatch/limiter.go
+++ b/fleet/dispatch/limiter.go
@@ -8,23 +8,23 @@
 
 // Rules by which a target's limit follows its behaviour.
 const (
-	// slowFactor is how many times its baseline a slow first token takes.
+	// slowFactor is how many times the usual time a slow first token takes.
 	slowFactor = 3
-	// slowFloor is the least time beyond the baseline that counts as slow.
+	// slowFloor is the least time beyond the usual one that counts as slow.
 	slowFloor = 30 * time.Millisecond
 	// slowHalves and slowCold are the numbers of slow first tokens in a row after
 	// which the limit is halved and after which the target counts as cold.
 	slowHalves = 2
 	slowCold   = 4
-	// steadySlow is the number of slow first tokens in a row at limit 1 after which
-	// they are the target's new baseline.
-	steadySlow = 16
+	// steadySlow is the number of slow first tokens in a row after which they are what
+	// is to be expected of the target.
+	steadySlow = 24
+	// ownDecay is what is left of a target's own usual time after a faster first token.
+	ownDecay = 0.8
 	// firstPause and longestPause bound the time without grants after a target
 	// failed at limit 1.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 2 * time.Second
-	// baselineWeight is the weight of a sample above the baseline.
-	baselineWeight = 1.0 / 16
 )
 
 // limiter keeps the number of requests that a target may run at the same time. It
@@ -33,9 +33,10 @@
 	limit fleet.Slots
 	// round counts the normal completions since the limit changed.
 	round fleet.Slots
-	// baseline is the usual time to the first token; it never learns slow ones, so
-	// that a cold target does not pass for a warm one.
-	baseline mean
+	// own is the usual time to the first token of a target that is steadily slower
+	// than the others of its service.
+	own time.Duration
+	// slow and failures count slow first tokens and failures in a row.
 	slow     int
 	failures int
 	// retained is the limit that routers remember from an earlier lease holder; 0
@@ -46,11 +47,8 @@
 	pausedUntil time.Time
 }
 
-// reset starts over for a new incarnation of the target. The baseline stays, since
-// it is that of a warm target.
-func (l *limiter) reset() {
-	*l = limiter{limit: 1, baseline: l.baseline}
-}
+// reset starts over for a new incarnation of the target.
+func (l *limiter) reset() { *l = limiter{limit: 1, own: l.own} }
 
 // completed takes in a whole answer.
 func (l *limiter) completed(slots fleet.Slots) {
@@ -78,42 +76,33 @@
 	l.pausedUntil = now.Add(pause)
 }
 
-// firstToken takes in the time to the first token. The usual time at other targets
-// of the service stands in for a baseline that is not known yet.
-func (l *limiter) firstToken(d time.Duration, others mean) {
-	base := l.baseline
-	if !base.known {
-		base = others
-	}
-	x := float64(d)
-	if base.known && x > base.value*slowFactor+float64(slowFloor) {
-		l.slowSample(x)
-		return
+// late returns the time from which on a first token is slow; 0 while it is not known.
+func (l *limiter) late(usual time.Duration) time.Duration {
+	if usual == 0 {
+		return 0
 	}
-	l.slow = 0
-	l.learn(x)
+	return slowFactor*max(usual, l.own) + slowFloor
 }
 
-func (l *limiter) learn(x float64) {
-	switch {
-	case !l.baseline.known || x < l.baseline.value:
-		l.baseline = mean{value: x, known: true}
-	default:
-		l.baseline.value += (x - l.baseline.value) * baselineWeight
+// firstToken takes in the time to a first token and says whether it was slow compared
+// with the usual time of the service.
+func (l *limiter) firstToken(d, usual time.Duration) bool {
+	late := l.late(usual)
+	if late == 0 || d <= late {
+		l.slow = 0
+		if d < l.own {
+			l.own = time.Duration(float64(l.own) * ownDecay)
+		}
+		return false
 	}
-}
-
-func (l *limiter) slowSample(x float64) {
 	l.slow++
-	l.round = 0
 	switch {
+	case l.slow >= steadySlow:
+		l.own, l.slow = d, 0
 	case l.slow >= slowCold:
-		l.limit = 1
+		l.limit, l.round = 1, 0
 	case l.slow >= slowHalves:
-		l.limit = max(1, l.limit/2)
-	}
-	if l.slow >= steadySlow {
-		l.baseline = mean{value: x, known: true}
-		l.slow = 0
+		l.limit, l.round = max(1, l.limit/2), 0
 	}
+	return true
 }
--- a/fleet/dispatch/mechanisms_test.go
+++ b/fleet/dispatch/mechanisms_test.go
@@ -69,25 +69,54 @@
 }
 
 func TestOutlierDoesNotCollapseTarget(t *testing.T) {
+	const usual = 20 * time.Millisecond
 	convey.Convey("One slow first token changes nothing, four in a row are a cold target", t, func() {
 		l := limiter{limit: 8}
-		for range 20 {
-			l.firstToken(20*time.Millisecond, mean{})
-		}
-		l.firstToken(2*time.Second, mean{})
+		l.firstToken(2*time.Second, usual)
 		convey.So(l.limit, convey.ShouldEqual, fleet.Slots(8))
-		l.firstToken(20*time.Millisecond, mean{})
-		for range 4 {
-			l.firstToken(2*time.Second, mean{})
+		l.firstToken(usual, usual)
+		for range slowCold {
+			l.firstToken(2*time.Second, usual)
 		}
 		convey.So(l.limit, convey.ShouldEqual, fleet.Slots(1))
-		convey.So(time.Duration(l.baseline.value), convey.ShouldBeLessThan, 25*time.Millisecond)
 	})
 	convey.Convey("A target that stays slow is served at its new pace", t, func() {
 		l := limiter{limit: 8}
-		l.firstToken(20*time.Millisecond, mean{})
 		for range 40 {
-			l.firstToken(300*time.Millisecond, mean{})
+			l.firstToken(300*time.Millisecond, usual)
+			l.completed(8)
+		}
+		convey.So(l.limit, convey.ShouldEqual, fleet.Slots(8))
+	})
+	convey.Convey("Prompts from the cache do not make the others slow", t, func() {
+		var p pace
+		l := limiter{limit: 8}
+		for i := range 400 {
+			d := 200 * time.Millisecond
+			if i%3 != 0 {
+				d /= 4
+			}
+			p.observe(d, l.firstToken(d, p.usual()))
+		}
+		convey.So(l.limit, convey.ShouldEqual, fleet.Slots(8))
+		convey.So(p.usual(), convey.ShouldBeBetween, 150*time.Millisecond, 250*time.Millisecond)
+		for range 10 {
+			p.observe(800*time.Millisecond, l.firstToken(800*time.Millisecond, p.usual()))
+			p.observe(50*time.Millisecond, false)
+			p.observe(50*time.Millisecond, false)
+		}
+		convey.So(l.limit, convey.ShouldEqual, fleet.Slots(1))
+		convey.So(p.usual(), convey.ShouldBeLessThan, 250*time.Millisecond)
+	})
+	convey.Convey("A service that becomes slower at all targets is learned", t, func() {
+		var p pace
+		for range 100 {
+			p.observe(usual, false)
+		}
+		l := limiter{limit: 8}
+		for range 200 {
+			d := 300 * time.Millisecond
+			p.observe(d, l.firstToken(d, p.usual()))
 			l.completed(8)
 		}
 		convey.So(l.limit, convey.ShouldEqual, fleet.Slots(8))
--- a/fleet/dispatch/router.go
+++ b/fleet/dispatch/router.go
@@ -30,9 +30,9 @@
 	// arrivals is the decaying number of tickets per service, for standing grants.
 	arrivals map[fleet.ServiceName]float64
 	// touched lists the customers whose counters the router has to remember.
-	// lag is the running mean of the time from a grant to the report of a first token,
-	// without the time to that token.
-	lag        mean
+	// lag is the longest time of late from a grant to the report of a first token,
+	// without the time to that token; 0 while it is not known.
+	lag        time.Duration
 	touched    map[*customer]bool
 	servedAt   time.Time
 	standingAt time.Time
--- a/fleet/dispatch/service.go
+++ b/fleet/dispatch/service.go
@@ -43,8 +43,7 @@
 	freeTargets int
 	prefixes    map[fleet.PrefixHash][]*target
 	parked      []*ticket
-	// firstToken is the running mean of the time to the first token over warm targets.
-	firstToken mean
+	firstToken  pace
 }
 
 func newService(name fleet.ServiceName, off mechanisms) *service {
