Stand-in: answers name their request, and a resumed answer keeps its media type

Cause: an answer in one piece was resumed as text/event-stream, so a router could not tell its end; without the request's id a router neither reuses connections nor takes a resumed answer of a plain service. Before: 160 of 900 requests of a load failed with TargetShortAnswer when answers in one piece took longer than the idle timeout.

--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -75,6 +75,8 @@
 	Run record.Run
 	// Size is the length of the whole answer in bytes.
 	Size int
+	// ContentType is the media type of the answer.
+	ContentType string
 	// Prefix is the prompt's prefix; 0 means none.
 	Prefix fleet.PrefixHash
 	// FirstDelay is the time until the first part of the answer, Delay until each next one.
@@ -117,6 +119,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := newWork(j.Run.RequestID, j.Size, cancel)
+	w.ContentType = j.ContentType
 	e.works[w.ID] = w
 	e.running[w] = true
 	if e.cached(j.Prefix) {
--- a/standin/internal/engine/work.go
+++ b/standin/internal/engine/work.go
@@ -18,6 +18,8 @@
 	ID fleet.RequestID
 	// Size is the length of the whole answer in bytes.
 	Size int
+	// ContentType is the media type of the answer.
+	ContentType string
 
 	cancel context.CancelFunc
 	ended  chan struct{}
--- a/standin/internal/router/handler.go
+++ b/standin/internal/router/handler.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -93,6 +92,7 @@
 		j.FirstDelay *= fault.SlowFactor
 		j.Delay *= fault.SlowFactor
 	}
+	j.ContentType = rp.contentType
 	j.Run = record.Run{
 		RequestID:   fleet.RequestID(c.GetHeader(headerRequestID)),
 		Key:         fleet.IdempotencyKey(c.GetHeader(headerIdempotencyKey)),
@@ -121,7 +121,8 @@
 		return
 	}
 	c.Status(http.StatusOK)
-	c.Header("Content-Type", rp.contentType)
+	c.Header("Content-Type", w.ContentType)
+	c.Header(headerRequestID, string(w.ID))
 	if !rp.streamed {
 		c.Header("Content-Length", strconv.Itoa(w.Size-rp.offset))
 	}
@@ -204,11 +205,7 @@
 		c.String(http.StatusBadRequest, "Offset is not a number from 0 to %d\n", w.Size)
 		return
 	}
-	contentType := "application/json"
-	if strings.Contains(c.GetHeader("Accept"), eventStream) || h.cfg.Protocol == fleet.ProtocolModel {
-		contentType = eventStream
-	}
-	h.send(c, w, reply{contentType: contentType, streamed: true, offset: offset}, h.cfg.Faults.Take())
+	h.send(c, w, reply{streamed: true, offset: offset}, h.cfg.Faults.Take())
 }
 
 func (h *Handler) cancel(c *gin.Context) {
