Router: reports follow at once unless many do, and answers in one piece are not resumed as streams

An answer in one piece that its target offers to resume as an event stream is awaited on its first connection, which TestStreams covers.

--- a/fleet/routing/effects.go
+++ b/fleet/routing/effects.go
@@ -88,6 +88,9 @@
 	// one that was held back for the ledger.
 	AnswerDone struct{ Request fleet.RequestID }
 
+	// WakeAfter asks for a Tick after a delay.
+	WakeAfter struct{ Delay time.Duration }
+
 	// VersionSeen tells that a peer runs under a newer configuration.
 	VersionSeen struct{ Version fleet.Version }
 
@@ -131,6 +134,9 @@
 // EffectName implements fleet.Effect.
 func (AnswerDone) EffectName() string { return "AnswerDone" }
 
+// EffectName implements fleet.Effect.
+func (WakeAfter) EffectName() string { return "WakeAfter" }
+
 // EffectName implements fleet.Effect.
 func (VersionSeen) EffectName() string { return "VersionSeen" }
 
--- a/fleet/routing/report.go
+++ b/fleet/routing/report.go
@@ -17,8 +17,11 @@
 	name      Peer
 	connected bool
 	// full says that the next report has to be complete.
-	full     bool
-	dirty    bool
+	full  bool
+	dirty bool
+	// credit is how many reports may be sent at once; one is earned each BatchInterval.
+	credit   int
+	credited time.Time
 	sequence fleet.Sequence
 	lastSent time.Time
 	// acked is the newest report that the dispatcher answered.
@@ -146,13 +149,24 @@
 		if !p.connected {
 			continue
 		}
-		since := now.Sub(p.lastSent)
-		if p.dirty && since >= BatchInterval || since >= HeartbeatInterval {
+		if p.dirty && p.earnCredit(now) || now.Sub(p.lastSent) >= HeartbeatInterval {
 			r.sendReport(now, p)
+		} else if p.dirty && !r.waking {
+			r.waking = true
+			r.emit(WakeAfter{Delay: BatchInterval})
 		}
 	}
 }
 
+// earnCredit says whether a report may be sent now.
+func (p *peer) earnCredit(now time.Time) bool {
+	if n := int(now.Sub(p.credited) / BatchInterval); n > 0 {
+		p.credit = min(p.credit+n, reportCredit)
+		p.credited = now
+	}
+	return p.credit > 0
+}
+
 func (r *Router) sendReport(now time.Time, p *peer) {
 	rep := p.pending
 	if p.full {
@@ -160,6 +174,7 @@
 		rep.Ended = p.pending.Ended
 	}
 	p.recordSent(now)
+	p.credit = max(0, p.credit-1)
 	rep.Router, rep.Incarnation, rep.DataCentre = r.cfg.Host, r.cfg.Incarnation, r.cfg.DataCentre
 	rep.Sequence, rep.Epoch, rep.Version = p.sequence, r.epoch, r.config.Version
 	rep.Full, rep.Stopping = p.full, r.stopping
--- a/fleet/routing/router.go
+++ b/fleet/routing/router.go
@@ -9,8 +9,10 @@
 
 // Timing of the router's decisions.
 const (
-	// BatchInterval is the least time between two reports to a dispatcher.
-	BatchInterval = 2 * time.Millisecond
+	// BatchInterval is the mean time between two reports to a dispatcher under load.
+	BatchInterval = 500 * time.Microsecond
+	// reportCredit is how many reports may follow each other without a pause.
+	reportCredit = 16
 	// HeartbeatInterval is the most time between two reports to a dispatcher.
 	HeartbeatInterval = 250 * time.Millisecond
 	// ContactTimeout is the silence of the dispatcher after which standing grants are used.
@@ -71,6 +73,8 @@
 	drainedAt time.Time
 	drained   bool
 
+	// waking says that a Tick has been asked for.
+	waking  bool
 	effects []fleet.Effect
 }
 
--- a/fleet/routing/timers.go
+++ b/fleet/routing/timers.go
@@ -55,6 +55,7 @@
 
 // tick deals with the requests whose time has come.
 func (r *Router) tick(now time.Time) {
+	r.waking = false
 	for {
 		t, ok := r.timers.due(now)
 		if !ok {
--- a/router/internal/caller/handler.go
+++ b/router/internal/caller/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -167,6 +168,7 @@
 		return malformed("the body broke off: " + err.Error())
 	}
 	in.request.Body = body
+	in.request.Stream = in.request.Protocol == fleet.ProtocolModel && asksForStream(body)
 	in.accepted.Bytes = fleet.ByteSize(len(body) + headerSize(r))
 	in.accepted.Content = contentHash(r.Method, in.request.Path, in.request.Query, body)
 	return nil
@@ -208,6 +210,14 @@
 	return n, err
 }
 
+// asksForStream says whether a chat completion is asked for as a stream.
+func asksForStream(body []byte) bool {
+	var completion struct {
+		Stream bool `json:"stream"`
+	}
+	return json.Unmarshal(body, &completion) == nil && completion.Stream
+}
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
--- a/router/internal/engine/engine.go
+++ b/router/internal/engine/engine.go
@@ -148,6 +148,10 @@
 		e.Post(fleet.Expired{Effect: ex})
 		return
 	}
+	if w, ok := eff.(routing.WakeAfter); ok {
+		e.cfg.Clock.AfterFunc(w.Delay, func() { e.Post(routing.Tick{}) })
+		return
+	}
 	p := e.performers[eff.EffectName()]
 	if p == nil {
 		e.cfg.Log.Error("EffectUnknown", "effect", eff.EffectName())
--- a/router/internal/routercmd/fakes_test.go
+++ b/router/internal/routercmd/fakes_test.go
@@ -218,7 +218,7 @@
 	conns  int
 }
 
-func newFakeTarget(t *testing.T, s script) *fakeTarget {
+func newFakeTarget(t testing.TB, s script) *fakeTarget {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -299,7 +299,7 @@
 	force      chan struct{}
 }
 
-func freeAddr(t *testing.T) netip.AddrPort {
+func freeAddr(t testing.TB) netip.AddrPort {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -309,11 +309,17 @@
 	return ln.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func startWorld(t *testing.T) *world {
+func startWorld(t testing.TB) *world {
+	t.Helper()
+	return startWorldWith(t, testText)
+}
+
+// startWorldWith starts a router under a fleet text.
+func startWorldWith(t testing.TB, text string) *world {
 	t.Helper()
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	w := &world{
-		control:    &fakeControl{text: testText, ledger: map[fleet.LedgerKey]*fakeCall{}, hosts: map[fleet.HostID]fleet.HostState{}},
+		control:    &fakeControl{text: text, ledger: map[fleet.LedgerKey]*fakeCall{}, hosts: map[fleet.HostID]fleet.HostState{}},
 		dispatcher: &fakeDispatcher{targets: map[fleet.ServiceName][]netip.AddrPort{}},
 		force:      make(chan struct{}),
 	}
@@ -345,7 +351,7 @@
 }
 
 // waitReady waits until the router has a configuration and a dispatcher.
-func (w *world) waitReady(t *testing.T) {
+func (w *world) waitReady(t testing.TB) {
 	t.Helper()
 	for range 400 {
 		w.dispatcher.mu.Lock()
@@ -364,7 +370,7 @@
 }
 
 // end stops the router at once.
-func (w *world) end(t *testing.T) {
+func (w *world) end(t testing.TB) {
 	t.Helper()
 	close(w.force)
 	if err := w.app.Stop(context.Background()); err != nil {
--- a/router/internal/routercmd/stream_test.go
+++ b/router/internal/routercmd/stream_test.go
@@ -119,6 +119,21 @@
 		convey.So(a.err, convey.ShouldBeNil)
 		convey.So(a.body == e.body, convey.ShouldBeTrue)
 	})
+	convey.Convey("An answer in one piece that is resumed as a stream is awaited instead", t, func() {
+		target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+			if about(r) {
+				send(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 5\r\n\r\nwhole")
+				return
+			}
+			time.Sleep(700 * time.Millisecond)
+			plainAnswer("whole")(t, c, r, body)
+		})
+		w.dispatcher.setTargets("drafter", target.addr)
+		a := w.call("POST", chat, `{}`)
+		convey.So(a.err, convey.ShouldBeNil)
+		convey.So(a.status, convey.ShouldEqual, 200)
+		convey.So(a.body, convey.ShouldEqual, "whole")
+	})
 	convey.Convey("A stream that cannot be resumed ends with an error event and a cut", t, func() {
 		e := newEngineStream(50)
 		e.breakAt, e.unknown = []int{300}, true
--- a/router/internal/target/exchange.go
+++ b/router/internal/target/exchange.go
@@ -26,6 +26,8 @@
 	Header   http.Header
 	Body     []byte
 	Protocol fleet.Protocol
+	// Stream says that a model was asked for a stream of server-sent events.
+	Stream bool
 }
 
 // Sink takes the answer of an exchange, and passes it to the caller.
--- a/router/internal/target/receive.go
+++ b/router/internal/target/receive.go
@@ -119,6 +119,11 @@
 	return min(time.Duration(n)*time.Second, maxRetryAfter)
 }
 
+func isEventStream(resp *http.Response) bool {
+	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && media == "text/event-stream"
+}
+
 func (x *Exchange) beginAnswer(resp *http.Response) error {
 	a := &x.answer
 	if a.begun {
@@ -130,8 +135,7 @@
 	}
 	a.status, a.length = resp.StatusCode, resp.ContentLength
 	a.contentType = resp.Header.Get("Content-Type")
-	media, _, err := mime.ParseMediaType(a.contentType)
-	a.events = err == nil && media == "text/event-stream" && resp.Header.Get("Content-Encoding") == "" && x.req.Protocol == fleet.ProtocolModel && resp.StatusCode == http.StatusOK
+	a.events = isEventStream(resp) && resp.Header.Get("Content-Encoding") == "" && x.req.Protocol == fleet.ProtocolModel && resp.StatusCode == http.StatusOK
 	a.firstToken = x.client.cfg.Clock.Now().Sub(x.sent)
 	if x.req.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		a.length = 0
@@ -284,7 +288,9 @@
 	}
 	// A plain service that knows no streams may answer the path with something else.
 	unnamed := echo == "" && x.req.Protocol != fleet.ProtocolModel
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusPartialContent || unnamed {
+	// A model that resumes every answer as a stream cannot resume one in one piece.
+	unasked := !x.answer.begun && !x.req.Stream && isEventStream(resp)
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusPartialContent || unnamed || unasked {
 		x.drop(c)
 		return x.ended(routing.CauseUnknownStream, errors.Errorf("target does not resume the answer: %s", resp.Status))
 	}
