--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -72,11 +72,8 @@
 
 // Job is a request to run.
 type Job struct {
-	Run record.Run
-	// Size is the length of the whole answer in bytes.
-	Size int
-	// ContentType is the media type of the answer.
-	ContentType string
+	Run    record.Run
+	Answer Answer
 	// Prefix is the prompt's prefix; 0 means none.
 	Prefix fleet.PrefixHash
 	// FirstDelay is the time until the first part of the answer, Delay until each next one.
@@ -118,8 +115,7 @@
 		return nil, Failed, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	w := newWork(j.Run.RequestID, j.Size, cancel)
-	w.ContentType = j.ContentType
+	w := newWork(j.Run.RequestID, j.Answer, cancel)
 	e.works[w.ID] = w
 	e.running[w] = true
 	if e.cached(j.Prefix) {
--- a/standin/internal/router/handler.go
+++ b/standin/internal/router/handler.go
@@ -70,16 +70,8 @@
 	r.NoRoute(h.call)
 }
 
-// reply is how the answer of a work is sent.
-type reply struct {
-	contentType string
-	// streamed answers are sent as they grow; others have a Content-Length.
-	streamed bool
-	offset   int
-}
-
 // start runs the request unless a fault strikes before, and sends its answer.
-func (h *Handler) start(c *gin.Context, body []byte, j engine.Job, rp reply) {
+func (h *Handler) start(c *gin.Context, body []byte, j engine.Job) {
 	order := h.cfg.Faults.Take()
 	if order.Strikes(fault.Reset, fault.Accept) {
 		reset(c)
@@ -92,7 +84,6 @@
 		j.FirstDelay *= fault.SlowFactor
 		j.Delay *= fault.SlowFactor
 	}
-	j.ContentType = rp.contentType
 	j.Run = record.Run{
 		RequestID:   fleet.RequestID(c.GetHeader(headerRequestID)),
 		Key:         fleet.IdempotencyKey(c.GetHeader(headerIdempotencyKey)),
@@ -110,12 +101,12 @@
 	case bytes.Contains(body, []byte(answer.PoisonMarker)):
 		h.cfg.Crash("request contains " + answer.PoisonMarker)
 	default:
-		h.send(c, w, rp, order)
+		h.send(c, w, 0, order)
 	}
 }
 
 // send sends the answer of a work from the offset on.
-func (h *Handler) send(c *gin.Context, w *engine.Work, rp reply, order fault.Order) {
+func (h *Handler) send(c *gin.Context, w *engine.Work, offset int, order fault.Order) {
 	defer h.cfg.Engine.Attach(w)()
 	if order.Phase == fault.Headers && h.strike(c, order) {
 		return
@@ -123,10 +114,9 @@
 	c.Status(http.StatusOK)
 	c.Header("Content-Type", w.ContentType)
 	c.Header(headerRequestID, string(w.ID))
-	if !rp.streamed {
-		c.Header("Content-Length", strconv.Itoa(w.Size-rp.offset))
+	if !w.Streamed {
+		c.Header("Content-Length", strconv.Itoa(w.Size-offset))
 	}
-	offset := rp.offset
 	for whole := false; !whole; {
 		var p []byte
 		var err error
@@ -144,7 +134,7 @@
 			return
 		}
 		offset += len(p)
-		if rp.streamed || struck {
+		if w.Streamed || struck {
 			c.Writer.Flush()
 		}
 		if struck && h.strike(c, order) {
@@ -205,7 +195,7 @@
 		c.String(http.StatusBadRequest, "Offset is not a number from 0 to %d\n", w.Size)
 		return
 	}
-	h.send(c, w, reply{streamed: true, offset: offset}, h.cfg.Faults.Take())
+	h.send(c, w, offset, h.cfg.Faults.Take())
 }
 
 func (h *Handler) cancel(c *gin.Context) {
