--- a/fleet/routing/grants.go
+++ b/fleet/routing/grants.go
@@ -32,7 +32,7 @@
 		r.grantReceived(now, m.Epoch, g, until, current)
 	}
 	r.setStanding(m, until, current)
-	r.remember(m)
+	r.retained.learn(now, &m)
 	for _, refused := range m.Refusals {
 		r.refused(now, refused)
 	}
@@ -50,12 +50,6 @@
 	}
 }
 
-func (r *Router) remember(m fleet.DispatcherGrants) {
-	for _, s := range m.Served {
-		r.served[servedKey{customer: s.Customer, service: s.Service}] = s.Counter
-	}
-}
-
 // ticketOf returns the queued request of a ticket.
 func (r *Router) ticketOf(id fleet.TicketID) *request {
 	q := r.requests[requestOf(id)]
--- a/fleet/routing/report.go
+++ b/fleet/routing/report.go
@@ -149,7 +149,7 @@
 		if !p.connected {
 			continue
 		}
-		if p.dirty && p.earnCredit(now) || now.Sub(p.lastSent) >= HeartbeatInterval {
+		if p.dirty && p.earnCredit(now) || now.Sub(p.lastSent) >= p.heartbeat() {
 			r.sendReport(now, p)
 		} else if p.dirty && !r.waking {
 			r.waking = true
@@ -158,6 +158,15 @@
 	}
 }
 
+// heartbeat returns the most time between two reports. It is shorter while a report is
+// not answered, since dispatchers do not answer each of several that follow closely.
+func (p *peer) heartbeat() time.Duration {
+	if p.acked > 0 && p.acked < p.sequence {
+		return unansweredHeartbeat
+	}
+	return HeartbeatInterval
+}
+
 // earnCredit says whether a report may be sent now.
 func (p *peer) earnCredit(now time.Time) bool {
 	if n := int(now.Sub(p.credited) / BatchInterval); n > 0 {
@@ -205,7 +214,8 @@
 	}
 	r.forgetTargets(now)
 	sort.Slice(rep.Targets, func(i, j int) bool { return rep.Targets[i].Target < rep.Targets[j].Target })
-	rep.Served = r.servedTotals()
+	r.retained.forget(now)
+	r.retained.report(now, &rep)
 	return rep
 }
 
@@ -228,17 +238,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func (r *Router) servedTotals() []fleet.ServedTotal {
-	totals := make([]fleet.ServedTotal, 0, len(r.served))
-	for k, c := range r.served {
-		totals = append(totals, fleet.ServedTotal{Customer: k.customer, Service: k.service, Counter: c})
-	}
-	sort.Slice(totals, func(i, j int) bool {
-		if totals[i].Service != totals[j].Service {
-			return totals[i].Service < totals[j].Service
-		}
-		return totals[i].Customer < totals[j].Customer
-	})
-	return totals
-}
--- /dev/null
+++ b/fleet/routing/retained.go
@@ -0,0 +1,109 @@
+package routing
+
+import (
+	"sort"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// maxLimits is how many targets' limits a router remembers.
+const maxLimits = 16384
+
+// retained is what the router remembers for a dispatcher that takes a lease over.
+type retained struct {
+	served      map[servedKey]fleet.Cost
+	quarantined map[fleet.ContentHash]time.Time
+	suspects    map[fleet.ContentHash]retainedSuspect
+	limits      map[fleet.TargetID]fleet.TargetLimit
+}
+
+type servedKey struct {
+	customer fleet.CustomerName
+	service  fleet.ServiceName
+}
+
+type retainedSuspect struct {
+	fleet.Suspect
+	until time.Time
+}
+
+func newRetained() retained {
+	return retained{
+		served:      map[servedKey]fleet.Cost{},
+		quarantined: map[fleet.ContentHash]time.Time{},
+		suspects:    map[fleet.ContentHash]retainedSuspect{},
+		limits:      map[fleet.TargetID]fleet.TargetLimit{},
+	}
+}
+
+// learn keeps what a message tells to be remembered.
+func (k *retained) learn(now time.Time, m *fleet.DispatcherGrants) {
+	for _, s := range m.Served {
+		k.served[servedKey{customer: s.Customer, service: s.Service}] = s.Counter
+	}
+	for _, q := range m.Quarantined {
+		k.quarantined[q.Content] = now.Add(q.For)
+	}
+	for _, s := range m.Suspects {
+		if s.For <= 0 {
+			delete(k.suspects, s.Content)
+			continue
+		}
+		k.suspects[s.Content] = retainedSuspect{Suspect: s, until: now.Add(s.For)}
+	}
+	for _, l := range m.Limits {
+		old, known := k.limits[l.Target]
+		if l.Revision > old.Revision && (known || len(k.limits) < maxLimits) {
+			k.limits[l.Target] = l
+		}
+	}
+}
+
+// forget drops what has lapsed.
+func (k *retained) forget(now time.Time) {
+	for c, until := range k.quarantined {
+		if !now.Before(until) {
+			delete(k.quarantined, c)
+		}
+	}
+	for c, s := range k.suspects {
+		if !now.Before(s.until) {
+			delete(k.suspects, c)
+		}
+	}
+}
+
+// barred returns how long a content is still quarantined.
+func (k *retained) barred(now time.Time, c fleet.ContentHash) time.Duration {
+	return max(0, k.quarantined[c].Sub(now))
+}
+
+// suspected says whether a content may have crashed a target.
+func (k *retained) suspected(now time.Time, c fleet.ContentHash) bool {
+	return now.Before(k.suspects[c].until) || k.barred(now, c) > 0
+}
+
+// report adds what is remembered to a full report.
+func (k *retained) report(now time.Time, rep *fleet.RouterReport) {
+	for key, c := range k.served {
+		rep.Served = append(rep.Served, fleet.ServedTotal{Customer: key.customer, Service: key.service, Counter: c})
+	}
+	sort.Slice(rep.Served, func(i, j int) bool {
+		a, b := rep.Served[i], rep.Served[j]
+		return a.Service < b.Service || a.Service == b.Service && a.Customer < b.Customer
+	})
+	for c, until := range k.quarantined {
+		rep.Quarantined = append(rep.Quarantined, fleet.Quarantine{Content: c, For: until.Sub(now)})
+	}
+	sort.Slice(rep.Quarantined, func(i, j int) bool { return rep.Quarantined[i].Content < rep.Quarantined[j].Content })
+	for _, s := range k.suspects {
+		s.For = s.until.Sub(now)
+		rep.Suspects = append(rep.Suspects, s.Suspect)
+	}
+	sort.Slice(rep.Suspects, func(i, j int) bool { return rep.Suspects[i].Content < rep.Suspects[j].Content })
+	for _, l := range k.limits {
+		rep.Limits = append(rep.Limits, l)
+	}
+	sort.Slice(rep.Limits, func(i, j int) bool { return rep.Limits[i].Target < rep.Limits[j].Target })
+}
--- a/fleet/routing/router.go
+++ b/fleet/routing/router.go
@@ -15,6 +15,8 @@
 	reportCredit = 16
 	// HeartbeatInterval is the most time between two reports to a dispatcher.
 	HeartbeatInterval = 250 * time.Millisecond
+	// unansweredHeartbeat is the same while the dispatcher has not answered the last one.
+	unansweredHeartbeat = 160 * time.Millisecond
 	// ContactTimeout is the silence of the dispatcher after which standing grants are used.
 	ContactTimeout = 300 * time.Millisecond
 	// CutOffAfter is the silence of the dispatcher after which requests are refused.
@@ -67,7 +69,7 @@
 	// releasing holds attempts that are over for the caller but may run on.
 	releasing map[fleet.GrantID]*attempt
 	targets   map[fleet.TargetID]knownTarget
-	served    map[servedKey]fleet.Cost
+	retained  retained
 
 	stopping  bool
 	drainedAt time.Time
@@ -78,11 +80,6 @@
 	effects []fleet.Effect
 }
 
-type servedKey struct {
-	customer fleet.CustomerName
-	service  fleet.ServiceName
-}
-
 // New makes a Router that knows nothing yet.
 func New(cfg Config) *Router {
 	r := &Router{
@@ -91,7 +88,7 @@
 		waiting:   waitingCount{perCustomer: map[fleet.CustomerName]int{}},
 		releasing: map[fleet.GrantID]*attempt{},
 		targets:   map[fleet.TargetID]knownTarget{},
-		served:    map[servedKey]fleet.Cost{},
+		retained:  newRetained(),
 	}
 	for _, p := range cfg.Dispatchers {
 		r.peers = append(r.peers, newPeer(p))
--- a/router/internal/caller/limits.go
+++ b/router/internal/caller/limits.go
@@ -7,10 +7,39 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 )
 
+// errBodyMemory is returned while the bodies in hand take all the memory they may.
+var errBodyMemory = errors.New("the bodies of other requests take all the memory that this host has for them")
+
+// bodyMemory counts the bytes of all bodies in hand.
+type bodyMemory struct {
+	n atomic.Int64
+}
+
+// heldBody is the part of one body that is in hand.
+type heldBody struct {
+	memory *bodyMemory
+	most   int64
+	n      int64
+}
+
+// grow counts bytes that were read, and says whether they may be kept.
+func (b *heldBody) grow(n int64) bool {
+	b.n += n
+	return b.memory.n.Add(n) <= b.most
+}
+
+func (b *heldBody) release() {
+	b.memory.n.Add(-b.n)
+	b.n = 0
+}
+
 // connections counts the open requests of each customer.
 type connections struct {
 	mu   sync.Mutex
--- a/router/internal/caller/server.go
+++ b/router/internal/caller/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,8 +22,6 @@
 
 // Limits of callers' connections.
 const (
-	// headerTimeout bounds reading a request's header.
-	headerTimeout = 5 * time.Second
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = time.Minute
 	// maxHeader is the largest header that is taken, in bytes.
@@ -59,8 +58,10 @@
 	Log     *slog.Logger
 	// WriteTimeout bounds the write of one part of an answer.
 	WriteTimeout time.Duration
-	// BodyGrace bounds the wait for a body's first bytes.
+	// BodyGrace bounds the wait for a header, and for a body's first bytes.
 	BodyGrace time.Duration
+	// MaxConnections bounds the open connections of all callers.
+	MaxConnections int
 }
 
 // Server answers callers.
@@ -69,7 +70,9 @@
 	prefix   string
 	sequence atomic.Uint64
 	rotation atomic.Uint64
+	open     atomic.Int64
 	conns    connections
+	bodies   bodyMemory
 
 	mu    sync.Mutex
 	calls map[fleet.RequestID]*call
@@ -93,9 +96,23 @@
 	e.GET("/v1/hosts", s.hosts)
 	e.NoRoute(s.serve)
 	return &http.Server{
-		Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: parsedHeader,
-		WriteTimeout: s.cfg.WriteTimeout,
-		ErrorLog:     slog.NewLogLogger(s.cfg.Log.Handler(), slog.LevelDebug),
+		Handler: e, ReadHeaderTimeout: s.cfg.BodyGrace, IdleTimeout: idleTimeout, MaxHeaderBytes: parsedHeader,
+		WriteTimeout: s.cfg.WriteTimeout, ConnState: s.connState,
+		ErrorLog: slog.NewLogLogger(s.cfg.Log.Handler(), slog.LevelDebug),
+	}
+}
+
+// connState counts open connections and closes those beyond the limit at once.
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if s.open.Add(1) > int64(s.cfg.MaxConnections) {
+			s.cfg.Refused(fleet.ReasonTooManyConnections)
+			// The server learns of the close when it reads.
+			_ = c.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
 	}
 }
 
--- a/router/internal/routercmd/metrics.go
+++ b/router/internal/routercmd/metrics.go
@@ -6,6 +6,8 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/explain"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+	"github.com/fuchsiashed/fuchsiashed/router/internal/engine"
 )
 
 // Counters that operators read at /debug/vars.
@@ -14,6 +16,7 @@
 	retries   = expvar.NewMap("RouterRetries")
 	resumes   = expvar.NewMap("RouterResumes")
 	decisions = expvar.NewMap("RouterDecisions")
+	gauges    = expvar.NewMap("RouterGauges")
 )
 
 // recorder records decisions and counts their reasons.
@@ -39,5 +42,18 @@
 	}
 }
 
+// publish shows what the router has in hand and what its connections carried.
+func publish(e *engine.Engine, t *rpc.Traffic) {
+	gauges.Set("Waiting", expvar.Func(func() any { n, _ := counts(e); return n }))
+	gauges.Set("Running", expvar.Func(func() any { _, n := counts(e); return n }))
+	gauges.Set("ControlBytesRead", expvar.Func(func() any { return t.Read() }))
+	gauges.Set("ControlBytesWritten", expvar.Func(func() any { return t.Written() }))
+}
+
+func counts(e *engine.Engine) (waiting, running int) {
+	e.Inspect(func(r *routing.Router) { waiting, running = r.Counts() })
+	return waiting, running
+}
+
 // refused counts a refusal that the reducer did not decide.
 func refused(reason fleet.Reason) { refusals.Add(string(reason), 1) }
--- a/router/internal/routercmd/misuse_test.go
+++ b/router/internal/routercmd/misuse_test.go
@@ -157,6 +157,31 @@
 		convey.So(resp.Header.Get("Fuchsiashed-Reason"), convey.ShouldEqual, "SlowCaller")
 		convey.So(time.Since(began), convey.ShouldBeLessThan, 2*testBodyGrace)
 	})
+	convey.Convey("A header that comes too slowly ends the connection", t, func() {
+		c, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = c.Close() }()
+		_ = c.SetReadDeadline(time.Now().Add(4 * testBodyGrace))
+		send(c, "GET /services/desk")
+		_, err = io.ReadAll(c)
+		convey.So(err, convey.ShouldBeNil)
+	})
+	convey.Convey("No more connections are held than the limit", t, func() {
+		before := counted(fleet.ReasonTooManyConnections)
+		var conns []net.Conn
+		for range 520 {
+			c, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+			convey.So(err, convey.ShouldBeNil)
+			conns = append(conns, c)
+		}
+		time.Sleep(50 * time.Millisecond)
+		convey.So(counted(fleet.ReasonTooManyConnections)-before, convey.ShouldBeGreaterThanOrEqualTo, 20)
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		time.Sleep(50 * time.Millisecond)
+		convey.So(w.call("GET", "/services/desk/unknown", "").status, convey.ShouldEqual, 400)
+	})
 	convey.Convey("The stream of a caller that stopped reading is cancelled", t, func() {
 		e := newEngineStream(200_000)
 		target := newFakeTarget(t, e.script)
@@ -172,6 +197,30 @@
 			t.Error("the stream was not cancelled")
 		}
 	})
+	convey.Convey("Bodies in hand take no more memory than allowed", t, func() {
+		release := make(chan struct{})
+		target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+			<-release
+			plainAnswer("filed")(t, c, r, body)
+		})
+		w.dispatcher.setTargets("drafter", target.addr)
+		results := make(chan answerGot, 5)
+		body := strings.Repeat("x", 60000)
+		for range 5 {
+			go func() { results <- w.call("POST", chat, body) }()
+		}
+		refusedCalls := 0
+		for range 2 {
+			if a := <-results; a.reason() == "HostQueueFull" && a.verdict() == "NotRun" {
+				refusedCalls++
+			}
+		}
+		convey.So(refusedCalls, convey.ShouldEqual, 2)
+		close(release)
+		for range 3 {
+			convey.So((<-results).status, convey.ShouldEqual, 200)
+		}
+	})
 	convey.Convey("A customer has no more than its share of open requests", t, func() {
 		target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
 			time.Sleep(400 * time.Millisecond)
--- a/router/internal/routercmd/modules.go
+++ b/router/internal/routercmd/modules.go
@@ -35,7 +35,7 @@
 			newTargets, newCallers, newStopper, newTraffic,
 			func() *explain.Record { return explain.NewRecord(explain.DefaultCapacity) },
 		),
-		fx.Invoke(serveAdmin, startControl, startEngine, startListeners, registerStop),
+		fx.Invoke(serveAdmin, publish, startControl, startEngine, startListeners, registerStop),
 	)
 }
 
@@ -108,7 +108,7 @@
 	return caller.New(caller.Config{
 		Host: id.Host, Incarnation: id.incarnation, Configuration: f, Events: e, Targets: t,
 		Stopping: st.leavesHosts, Refused: refused, Clock: clock, Log: log,
-		BodyGrace: s.Router.BodyGrace, WriteTimeout: s.Router.WriteTimeout,
+		BodyGrace: s.Router.BodyGrace, WriteTimeout: s.Router.WriteTimeout, MaxConnections: s.Router.MaxConnections,
 	})
 }
 
--- a/router/internal/routercmd/settings.go
+++ b/router/internal/routercmd/settings.go
@@ -23,8 +23,10 @@
 	Targets netip.AddrPort
 	// StopLimit bounds a planned stop.
 	StopLimit time.Duration `default:"15m" min:"1s" max:"24h"`
-	// BodyGrace bounds the wait for a body's first bytes, WriteTimeout the write of one
-	// part of an answer to a caller.
+	// MaxConnections bounds the open connections of all callers.
+	MaxConnections int `default:"20000" min:"1" max:"1000000"`
+	// BodyGrace bounds the wait for a header and for a body's first bytes, WriteTimeout
+	// the write of one part of an answer to a caller.
 	BodyGrace    time.Duration `default:"5s" min:"100ms" max:"10m"`
 	WriteTimeout time.Duration `default:"10s" min:"100ms" max:"10m"`
 	// EventLog is a file that records the events of the reducer; empty for none.
