--- a/router/internal/caller/call.go
+++ b/router/internal/caller/call.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
@@ -18,7 +19,7 @@
 type call struct {
 	server   *Server
 	id       fleet.RequestID
-	w        http.ResponseWriter
+	w        gin.ResponseWriter
 	rc       *http.ResponseController
 	exchange *target.Exchange
 	commands *mailbox
@@ -111,6 +112,7 @@
 	}
 	c.events = strings.HasPrefix(out.Get("Content-Type"), eventStream)
 	c.w.WriteHeader(status)
+	c.w.WriteHeaderNow()
 	return nil
 }
 
--- a/router/internal/caller/handler.go
+++ b/router/internal/caller/handler.go
@@ -59,7 +59,7 @@
 }
 
 // perform hands the request to the reducer and performs what it decides.
-func (s *Server) perform(w http.ResponseWriter, r *http.Request, in *incoming) {
+func (s *Server) perform(w gin.ResponseWriter, r *http.Request, in *incoming) {
 	c := &call{
 		server: s, id: in.accepted.Request, w: w, rc: http.NewResponseController(w), commands: newMailbox(),
 		customer: in.accepted.Customer, service: in.accepted.Service,
--- a/router/internal/routercmd/path_test.go
+++ b/router/internal/routercmd/path_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,6 +41,29 @@
 		time.Sleep(50 * time.Millisecond)
 		convey.So(fmt.Sprint(w.dispatcher.outcomes()), convey.ShouldEqual, "[Completed]")
 	})
+	convey.Convey("Answers of any status and length pass unchanged", t, func() {
+		for _, head := range []string{
+			"404 Not Found\r\nContent-Length: 0\r\n", "404 Not Found\r\nTransfer-Encoding: chunked\r\n", "204 No Content\r\n",
+			"302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n", "500 Broken\r\nContent-Length: 0\r\n",
+		} {
+			other := newFakeTarget(t, func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+				send(c, "HTTP/1.1 %sX-Of: target\r\n\r\n", head)
+				if strings.Contains(head, "chunked") {
+					send(c, "0\r\n\r\n")
+				}
+			})
+			w.dispatcher.setTargets("desk", other.addr)
+			a := w.call("GET", "/services/desk/status/1", "")
+			convey.So(a.err, convey.ShouldBeNil)
+			convey.So(fmt.Sprint(a.status), convey.ShouldEqual, head[:3])
+			convey.So(a.body, convey.ShouldBeBlank)
+			convey.So(a.header.Get("X-Of"), convey.ShouldEqual, "target")
+		}
+		w.dispatcher.setTargets("desk", target.addr)
+		a := w.call("HEAD", "/services/desk/status/1", "", "Idempotency-Key", "head")
+		convey.So(a.status, convey.ShouldEqual, 200)
+		convey.So(a.header.Get("Content-Length"), convey.ShouldEqual, "5")
+	})
 	convey.Convey("A call that may run once is recorded and replayed", t, func() {
 		before := target.runs()
 		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "k1")
