--- a/router/internal/target/receive.go
+++ b/router/internal/target/receive.go
@@ -136,7 +136,11 @@
 	a.status, a.length = resp.StatusCode, resp.ContentLength
 	a.contentType = resp.Header.Get("Content-Type")
 	a.events = isEventStream(resp) && resp.Header.Get("Content-Encoding") == "" && x.req.Protocol == fleet.ProtocolModel && resp.StatusCode == http.StatusOK
-	a.firstToken = x.client.cfg.Clock.Now().Sub(x.sent)
+	if a.events {
+		// An answer in one piece begins when all of it is generated, which says nothing
+		// of how warm the target is.
+		a.firstToken = x.client.cfg.Clock.Now().Sub(x.sent)
+	}
 	if x.req.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		a.length = 0
 	}
