--- /dev/null
+++ b/e2e/router_bench_test.go
@@ -0,0 +1,242 @@
+package e2e_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/e2e/internal/harness"
+)
+
+// usage is what a router tells of itself at /debug/vars.
+type usage struct {
+	RouterGauges struct {
+		CPUMicroseconds     int64
+		ControlBytesWritten int64
+		ControlBytesRead    int64
+	}
+	MemStats struct{ HeapInuse, StackInuse int64 } `json:"memstats"`
+}
+
+func usageOf(b *testing.B, p *harness.Process) usage {
+	b.Helper()
+	var u usage
+	resp, err := http.Get("http://" + p.Admin + "/debug/vars")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&u); err != nil {
+		b.Fatal(err)
+	}
+	return u
+}
+
+// benchFleet boots a fleet of one router, one plain and one model target.
+func benchFleet(b *testing.B) *harness.Fleet {
+	b.Helper()
+	list := []harness.Target{
+		{Name: "desk-1", Service: harness.Plain, Protocol: "Plain", DataCentre: "dc-a", Slots: 256, Extra: "ServiceTime = 1ms"},
+		{Name: "drafter-1", Service: harness.Model, Protocol: "Model", DataCentre: "dc-a", Slots: 1024, Extra: "FirstToken = 5ms\nTokenInterval = 500ms"},
+	}
+	text := strings.Replace(harness.Text(0), "[Policy]\n", "[Policy]\nConnectionsPerCustomer = 2000\nQueuePerCustomer = 2000\n", 1)
+	f, err := harness.New(harness.Config{Bin: bin, Folder: b.TempDir(), Text: text, Control: 3, Dispatchers: 2, Routers: 1, Targets: list})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.Close)
+	if err := f.Boot(); err != nil {
+		b.Fatal(err)
+	}
+	return f
+}
+
+// way is the same service reached through a router or without one.
+type way struct {
+	name, plain, model string
+}
+
+func ways(f *harness.Fleet) []way {
+	router := "http://" + f.Routers[0].Address + "/services/"
+	return []way{
+		{"direct", "http://" + f.Targets[0].Address, "http://" + f.Targets[1].Address},
+		{"router", router + harness.Plain, router + harness.Model},
+	}
+}
+
+func request(method, url, body string) (*http.Request, error) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	r.Header.Set("Authorization", "Bearer key-large")
+	return r, nil
+}
+
+// shortCall makes one short call and returns how long it took.
+func shortCall(c *http.Client, url string) (time.Duration, error) {
+	r, err := request(http.MethodGet, url+"/status/1", "")
+	if err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	resp, err := c.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Errorf("answered %s: %s", resp.Status, body)
+	}
+	return time.Since(began), err
+}
+
+// openStream opens a stream and returns it with the time to its first token.
+func openStream(c *http.Client, url string, tokens int) (io.ReadCloser, time.Duration, error) {
+	body := fmt.Sprintf(`{"messages":[{"role":"user","content":"hello"}],"stream":true,"max_tokens":%d}`, tokens)
+	r, err := request(http.MethodPost, url+completions, body)
+	if err != nil {
+		return nil, 0, err
+	}
+	began := time.Now()
+	resp, err := c.Do(r)
+	if err != nil {
+		return nil, 0, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, 0, errors.Errorf("answered %s", resp.Status)
+	}
+	_, err = bufio.NewReaderSize(resp.Body, 16).ReadString('\n')
+	return resp.Body, time.Since(began), err
+}
+
+func reportLatency(b *testing.B, times []time.Duration) {
+	slices.Sort(times)
+	for _, p := range []int{50, 95, 99} {
+		b.ReportMetric(float64(times[(len(times)-1)*p/100].Microseconds()), fmt.Sprintf("p%d-us", p))
+	}
+}
+
+// warm makes the dispatcher trust the targets with all their slots.
+func warm(b *testing.B, w way) {
+	b.Helper()
+	client := &http.Client{}
+	for range 40 {
+		if _, err := shortCall(client, w.plain); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkShortCall(b *testing.B) {
+	f := benchFleet(b)
+	for _, w := range ways(f) {
+		warm(b, w)
+		b.Run(w.name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{}}
+			times := make([]time.Duration, 0, b.N)
+			for range b.N {
+				d, err := shortCall(client, w.plain)
+				if err != nil {
+					b.Fatal(err)
+				}
+				times = append(times, d)
+			}
+			reportLatency(b, times)
+		})
+	}
+}
+
+func BenchmarkFirstToken(b *testing.B) {
+	f := benchFleet(b)
+	for _, w := range ways(f) {
+		b.Run(w.name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{}}
+			times := make([]time.Duration, 0, b.N)
+			for range b.N {
+				body, d, err := openStream(client, w.model, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				times = append(times, d)
+				// The one token has arrived.
+				_, _ = io.Copy(io.Discard, body)
+				_ = body.Close()
+			}
+			reportLatency(b, times)
+		})
+	}
+}
+
+// BenchmarkRouterLoad reports the processor time and the control traffic of a router
+// for each short call, with 32 callers at a time.
+func BenchmarkRouterLoad(b *testing.B) {
+	const callers = 32
+	f := benchFleet(b)
+	w := ways(f)[1]
+	warm(b, w)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	before := usageOf(b, f.Routers[0])
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	work := make(chan struct{})
+	for range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for range work {
+				if _, err := shortCall(client, w.plain); err != nil {
+					b.Error(err)
+				}
+			}
+		}()
+	}
+	for range b.N {
+		work <- struct{}{}
+	}
+	close(work)
+	wg.Wait()
+	after := usageOf(b, f.Routers[0])
+	cpu := float64(after.RouterGauges.CPUMicroseconds-before.RouterGauges.CPUMicroseconds) / float64(b.N)
+	b.ReportMetric(cpu, "router-cpu-us/op")
+	b.ReportMetric(1e6/cpu, "requests/core-s")
+	b.ReportMetric(float64(after.RouterGauges.ControlBytesWritten-before.RouterGauges.ControlBytesWritten)/float64(b.N), "sent-bytes/op")
+	b.ReportMetric(float64(after.RouterGauges.ControlBytesRead-before.RouterGauges.ControlBytesRead)/float64(b.N), "received-bytes/op")
+}
+
+// BenchmarkOpenStreams reports the memory of a router for each open stream. Its
+// memory is read when all are open, and includes garbage that was not collected yet.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 500
+	f := benchFleet(b)
+	w := ways(f)[1]
+	warm(b, w)
+	client := &http.Client{Transport: &http.Transport{}}
+	for range b.N {
+		before := usageOf(b, f.Routers[0])
+		var open []io.ReadCloser
+		for range streams {
+			body, _, err := openStream(client, w.model, 100)
+			if err != nil {
+				b.Fatal(err)
+			}
+			open = append(open, body)
+		}
+		after := usageOf(b, f.Routers[0])
+		used := after.MemStats.HeapInuse + after.MemStats.StackInuse - before.MemStats.HeapInuse - before.MemStats.StackInuse
+		b.ReportMetric(float64(used)/streams, "bytes/stream")
+		for _, body := range open {
+			_ = body.Close()
+		}
+	}
+}
--- a/router/internal/routercmd/bench_test.go
+++ b/router/internal/routercmd/bench_test.go
@@ -8,7 +8,6 @@
 	"runtime"
 	"slices"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -65,14 +64,6 @@
 	b.Run("router", func(b *testing.B) { measure(b, through) })
 }
 
-func cpuTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // saturate reports the CPU time of a call, of all that runs in this process.
 func saturate(b *testing.B, url string) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
--- a/router/internal/routercmd/metrics.go
+++ b/router/internal/routercmd/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"expvar"
+	"syscall"
+	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/explain"
@@ -46,10 +48,20 @@
 func publish(e *engine.Engine, t *rpc.Traffic) {
 	gauges.Set("Waiting", expvar.Func(func() any { n, _ := counts(e); return n }))
 	gauges.Set("Running", expvar.Func(func() any { _, n := counts(e); return n }))
+	gauges.Set("CPUMicroseconds", expvar.Func(func() any { return cpuTime().Microseconds() }))
 	gauges.Set("ControlBytesRead", expvar.Func(func() any { return t.Read() }))
 	gauges.Set("ControlBytesWritten", expvar.Func(func() any { return t.Written() }))
 }
 
+// cpuTime returns the processor time that the process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func counts(e *engine.Engine) (waiting, running int) {
 	e.Inspect(func(r *routing.Router) { waiting, running = r.Counts() })
 	return waiting, running
