--- a/fleet/routing/router.go
+++ b/fleet/routing/router.go
@@ -9,10 +9,14 @@
 
 // Timing of the router's decisions.
 const (
-	// BatchInterval is the least time between two reports to a dispatcher.
-	BatchInterval = 2 * time.Millisecond
+	// BatchInterval is the mean time between two reports to a dispatcher under load.
+	BatchInterval = 500 * time.Microsecond
+	// reportCredit is how many reports may follow each other without a pause.
+	reportCredit = 16
 	// HeartbeatInterval is the most time between two reports to a dispatcher.
 	HeartbeatInterval = 250 * time.Millisecond
+	// unansweredHeartbeat is the same while the dispatcher has not answered the last one.
+	unansweredHeartbeat = 160 * time.Millisecond
 	// ContactTimeout is the silence of the dispatcher after which standing grants are used.
 	ContactTimeout = 300 * time.Millisecond
 	// CutOffAfter is the silence of the dispatcher after which requests are refused.
@@ -65,20 +69,17 @@
 	// releasing holds attempts that are over for the caller but may run on.
 	releasing map[fleet.GrantID]*attempt
 	targets   map[fleet.TargetID]knownTarget
-	served    map[servedKey]fleet.Cost
+	retained  retained
 
 	stopping  bool
 	drainedAt time.Time
 	drained   bool
 
+	// waking says that a Tick has been asked for.
+	waking  bool
 	effects []fleet.Effect
 }
 
-type servedKey struct {
-	customer fleet.CustomerName
-	service  fleet.ServiceName
-}
-
 // New makes a Router that knows nothing yet.
 func New(cfg Config) *Router {
 	r := &Router{
@@ -87,7 +88,7 @@
 		waiting:   waitingCount{perCustomer: map[fleet.CustomerName]int{}},
 		releasing: map[fleet.GrantID]*attempt{},
 		targets:   map[fleet.TargetID]knownTarget{},
-		served:    map[servedKey]fleet.Cost{},
+		retained:  newRetained(),
 	}
 	for _, p := range cfg.Dispatchers {
 		r.peers = append(r.peers, newPeer(p))
--- a/standin/internal/router/handler.go
+++ b/standin/internal/router/handler.go
@@ -113,6 +113,7 @@
 	}
 	c.Status(http.StatusOK)
 	c.Header("Content-Type", w.ContentType)
+	c.Header(headerRequestID, string(w.ID))
 	if !w.Streamed {
 		c.Header("Content-Length", strconv.Itoa(w.Size-offset))
 	}
