Bench: figures of running control replicas and routers

Cause: changes per second, restart, election gap and the router's added latency were not measured. scripts/bench.sh starts the processes, kills and freezes replicas by their ids and gives the addresses to fuchsiashed-bench, which starts nothing itself. Before: no figure.

--- a/bench/internal/benchcmd/benchcmd.go
+++ b/bench/internal/benchcmd/benchcmd.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"regexp"
 	"time"
 
@@ -24,6 +25,44 @@
 	List bool   `long:"list" description:"list the experiments and exit"`
 	JSON string `long:"json" value-name:"FILE" description:"also write the figures to FILE as JSON"`
 	Add  string `long:"add" value-name:"FILE" description:"write the figures of FILE, from an earlier run, too"`
+
+	Figures map[string]string `long:"figure" key-value-delimiter:"=" value-name:"NAME=VALUE UNIT" description:"print and keep a figure that was taken elsewhere"`
+
+	Label     string         `long:"label" value-name:"WORD" default:"Processes" description:"goes into the names of control's figures"`
+	Control   []address      `long:"control" value-name:"IP:PORT" description:"control replica; may be repeated"`
+	Router    address        `long:"router" value-name:"IP:PORT" description:"where a router takes callers"`
+	Plain     address        `long:"plain" value-name:"IP:PORT" description:"stand-in target of the service plain"`
+	Model     address        `long:"model" value-name:"IP:PORT" description:"stand-in target of the service model"`
+	Key       string         `long:"key" description:"bearer key of the customer"`
+	Processes map[string]int `long:"pid" value-name:"ROLE:PID" description:"process to measure, Router, Dispatcher or Control; may be repeated"`
+}
+
+// address is an address and port on the command line.
+type address struct {
+	netip.AddrPort
+}
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (a *address) UnmarshalFlag(value string) error {
+	return a.UnmarshalText([]byte(value))
+}
+
+// processes returns the running processes that the options name, nil for none.
+func (o *options) processes() *experiment.Processes {
+	if len(o.Control) == 0 && !o.Router.IsValid() {
+		return nil
+	}
+	procs := &experiment.Processes{
+		Label: o.Label, Router: o.Router.AddrPort, Plain: o.Plain.AddrPort, Model: o.Model.AddrPort, Key: o.Key,
+		PIDs: map[fleet.Role]int{},
+	}
+	for _, a := range o.Control {
+		procs.Control = append(procs.Control, a.AddrPort)
+	}
+	for role, pid := range o.Processes {
+		procs.PIDs[fleet.Role(role)] = pid
+	}
+	return procs
 }
 
 const examples = `fuchsiashed-bench --only '^Ways$' --json ways.json
@@ -74,7 +113,11 @@
 			return program.ExitError
 		}
 	}
-	if err := runAll(io, p, only, clock); err != nil {
+	if err := printGiven(p, opts.Figures); err != nil {
+		fmt.Fprintln(io.Err, err)
+		return program.ExitUsage
+	}
+	if err := runAll(io, p, only, opts.processes(), clock); err != nil {
 		fmt.Fprintln(io.Err, err)
 		return program.ExitError
 	}
@@ -87,13 +130,26 @@
 	return program.ExitOK
 }
 
-func runAll(io *iostreams.IOStreams, p *figures.Printer, only *regexp.Regexp, clock fleet.Clock) error {
+// printGiven prints figures that were taken elsewhere.
+func printGiven(p *figures.Printer, given map[string]string) error {
+	for name, text := range given {
+		var value float64
+		var unit string
+		if _, err := fmt.Sscan(text, &value, &unit); err != nil {
+			return errors.Wrapf(err, "figure %s has value %q; write VALUE UNIT", name, text)
+		}
+		p.Print(name, value, unit)
+	}
+	return nil
+}
+
+func runAll(io *iostreams.IOStreams, p *figures.Printer, only *regexp.Regexp, procs *experiment.Processes, clock fleet.Clock) error {
 	for _, e := range experiment.All() {
-		if !only.MatchString(e.Name) {
+		if !only.MatchString(e.Name) || e.Processes && procs == nil {
 			continue
 		}
 		began := clock.Now()
-		if err := e.Run(p); err != nil {
+		if err := e.Run(p, procs); err != nil {
 			return errors.Wrapf(err, "experiment %s", e.Name)
 		}
 		fmt.Fprintf(io.Err, "%s took %s\n", e.Name, clock.Now().Sub(began).Round(time.Millisecond))
--- /dev/null
+++ b/bench/internal/control/control.go
@@ -0,0 +1,128 @@
+// Package control drives the control replicas with changes and ledger calls.
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+)
+
+// Driver sends calls to whichever replica leads.
+type Driver struct {
+	Control *rpc.Control
+	// Prefix makes the identifiers of this run its own.
+	Prefix string
+}
+
+// callTimeout bounds one call, retries at other replicas included.
+const callTimeout = 15 * time.Second
+
+func (d *Driver) call(ctx context.Context, method string, params, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return d.Control.Call(ctx, method, params, reply)
+}
+
+// State asks for the confirmed state once.
+func (d *Driver) State(ctx context.Context) (fleet.StateReply, error) {
+	var reply fleet.StateReply
+	err := d.call(ctx, fleet.MethodState, &fleet.StateRequest{
+		Host: fleet.HostID(d.Prefix), Incarnation: 1, Role: fleet.RoleOperator,
+	}, &reply)
+	return reply, err
+}
+
+// Changes takes a data centre out and brings it back until n changes are accepted.
+func (d *Driver) Changes(ctx context.Context, dc fleet.DataCentreName, n int) error {
+	state, err := d.State(ctx)
+	if err != nil {
+		return err
+	}
+	version := state.Version
+	for i := range n {
+		var reply fleet.ChangeReply
+		err := d.call(ctx, fleet.MethodDataCentre, &fleet.DataCentreRequest{
+			Operation: fleet.OperationID(fmt.Sprintf("%s-%d", d.Prefix, i)), Base: version,
+			DataCentre: dc, Out: i%2 == 0, Operator: "bench",
+		}, &reply)
+		if err != nil {
+			return err
+		}
+		if !reply.Accepted {
+			return errors.Errorf("change %d on version %d was refused: %+v", i, version, reply)
+		}
+		version = reply.Version
+	}
+	return nil
+}
+
+// Ledger records the begin and end of calls from a number of workers for d, and
+// returns how many calls were recorded whole.
+func (d *Driver) Ledger(ctx context.Context, workers int, duration time.Duration) (int, error) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var first error
+	total := 0
+	end := time.Now().Add(duration)
+	for w := range workers {
+		wg.Go(func() {
+			n := 0
+			var err error
+			for ; err == nil && time.Now().Before(end); n++ {
+				err = d.record(ctx, fmt.Sprintf("%s-%d-%d-%d", d.Prefix, workers, w, n))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			total += n
+			if first == nil {
+				first = err
+			}
+		})
+	}
+	wg.Wait()
+	return total, first
+}
+
+// record records one call with an answer of answerBytes.
+func (d *Driver) record(ctx context.Context, key string) error {
+	const answerBytes = 256
+	id := fleet.LedgerKey{Customer: "customer-1", Service: "permit-desk", Key: fleet.IdempotencyKey(key)}
+	by := fleet.AttemptID{Router: fleet.HostID(d.Prefix), Incarnation: 1, Attempt: 1}
+	var begun fleet.LedgerBeginReply
+	err := d.call(ctx, fleet.MethodLedgerBegin, &fleet.LedgerBeginRequest{LedgerKey: id, Body: "00", By: by}, &begun)
+	if err != nil {
+		return err
+	}
+	if begun.State != fleet.LedgerGranted {
+		return errors.Errorf("call %s is %s in the ledger", key, begun.State)
+	}
+	var ended fleet.LedgerEndReply
+	return d.call(ctx, fleet.MethodLedgerEnd, &fleet.LedgerEndRequest{
+		LedgerKey: id, By: by, Verdict: fleet.Ran,
+		Answer: &fleet.RecordedAnswer{Status: 200, ContentType: "application/json", Body: make([]byte, answerBytes)},
+	}, &ended)
+}
+
+// LongestGap reads the state again and again for d and returns the longest time
+// between two answers.
+func (d *Driver) LongestGap(ctx context.Context, duration time.Duration) (time.Duration, error) {
+	const pause = 10 * time.Millisecond
+	longest := time.Duration(0)
+	began := time.Now()
+	last := began
+	for time.Since(began) < duration {
+		if _, err := d.State(ctx); err != nil {
+			return 0, err
+		}
+		now := time.Now()
+		longest, last = max(longest, now.Sub(last)), now
+		time.Sleep(pause)
+	}
+	return longest, nil
+}
--- /dev/null
+++ b/bench/internal/process/process_test.go
@@ -0,0 +1,24 @@
+package process_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/bench/internal/process"
+)
+
+func TestRead(t *testing.T) {
+	convey.Convey("A busy process uses processor time and memory", t, func() {
+		before, err := process.Read(os.Getpid())
+		convey.So(err, convey.ShouldBeNil)
+		for began := time.Now(); time.Since(began) < 200*time.Millisecond; {
+		}
+		after, err := process.Read(os.Getpid())
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(after.CPU, convey.ShouldBeGreaterThan, before.CPU)
+		convey.So(after.Resident, convey.ShouldBeGreaterThan, 1<<20)
+	})
+}
