--- a/bench/internal/benchcmd/benchcmd.go
+++ b/bench/internal/benchcmd/benchcmd.go
@@ -30,6 +30,7 @@
 
 	Label     string         `long:"label" value-name:"WORD" default:"Processes" description:"goes into the names of control's figures"`
 	Control   []address      `long:"control" value-name:"IP:PORT" description:"control replica; may be repeated"`
+	Admin     []address      `long:"admin" value-name:"IP:PORT" description:"operators' address of a router or dispatcher; may be repeated"`
 	Router    address        `long:"router" value-name:"IP:PORT" description:"where a router takes callers"`
 	Plain     address        `long:"plain" value-name:"IP:PORT" description:"stand-in target of the service plain"`
 	Model     address        `long:"model" value-name:"IP:PORT" description:"stand-in target of the service model"`
@@ -59,6 +60,9 @@
 	for _, a := range o.Control {
 		procs.Control = append(procs.Control, a.AddrPort)
 	}
+	for _, a := range o.Admin {
+		procs.Admin = append(procs.Admin, a.AddrPort)
+	}
 	for role, pid := range o.Processes {
 		procs.PIDs[fleet.Role(role)] = pid
 	}
--- a/bench/internal/control/control.go
+++ b/bench/internal/control/control.go
@@ -38,28 +38,29 @@
 	return reply, err
 }
 
-// Changes takes a data centre out and brings it back until n changes are accepted.
-func (d *Driver) Changes(ctx context.Context, dc fleet.DataCentreName, n int) error {
+// Changes takes a data centre out and brings it back, or the other way round, until n
+// changes are accepted. It returns the last version.
+func (d *Driver) Changes(ctx context.Context, dc fleet.DataCentreName, out bool, n int) (fleet.Version, error) {
 	state, err := d.State(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	version := state.Version
 	for i := range n {
 		var reply fleet.ChangeReply
 		err := d.call(ctx, fleet.MethodDataCentre, &fleet.DataCentreRequest{
 			Operation: fleet.OperationID(fmt.Sprintf("%s-%d", d.Prefix, i)), Base: version,
-			DataCentre: dc, Out: i%2 == 0, Operator: "bench",
+			DataCentre: dc, Out: out == (i%2 == 0), Operator: "bench",
 		}, &reply)
 		if err != nil {
-			return err
+			return version, err
 		}
 		if !reply.Accepted {
-			return errors.Errorf("change %d on version %d was refused: %+v", i, version, reply)
+			return version, errors.Errorf("change %d on version %d was refused: %+v", i, version, reply)
 		}
 		version = reply.Version
 	}
-	return nil
+	return version, nil
 }
 
 // Ledger records the begin and end of calls from a number of workers for d, and
--- a/bench/internal/engine/engine.go
+++ b/bench/internal/engine/engine.go
@@ -51,6 +51,8 @@
 	Customer fleet.CustomerName
 	Cost     fleet.Cost
 	Prefix   fleet.PrefixHash
+	// Crashes makes the job crash the engine at its first token.
+	Crashes bool
 	// FirstToken is called at the first token with the time since the job began.
 	FirstToken func(time.Duration)
 	// Ended is called once, with the cost spent and whether the job was completed.
@@ -80,8 +82,9 @@
 	sequence    fleet.Sequence
 
 	// Overloads counts admissions above what the engine bears, Falls the times it fell
-	// over, Hits the prompts found in its cache and Admitted all admissions.
-	Overloads, Falls, Hits, Admitted int
+	// over, Crashes the times a job crashed it, Hits the prompts found in its cache and
+	// Admitted all admissions.
+	Overloads, Falls, Crashes, Hits, Admitted int
 	// LastStart is when it admitted its newest job.
 	LastStart time.Time
 }
@@ -263,6 +266,11 @@
 	for _, j := range append([]*Job(nil), e.jobs...) {
 		if !j.started && j.prefill <= 0 {
 			j.started = true
+			if j.Crashes {
+				e.Crashes++
+				e.restart()
+				return
+			}
 			j.FirstToken(now.Sub(j.began))
 		}
 		if j.done >= float64(j.Cost)-1e-6 {
@@ -275,6 +283,10 @@
 
 func (e *Engine) fall() {
 	e.Falls++
+	e.restart()
+}
+
+func (e *Engine) restart() {
 	e.Stop()
 	e.cfg.Queue.After(e.cfg.Restart, e.Start)
 }
--- a/bench/internal/experiment/control.go
+++ b/bench/internal/experiment/control.go
@@ -23,7 +23,7 @@
 	d, stop := procs.driver(fmt.Sprintf("bench-%d", time.Now().UnixNano()))
 	defer stop()
 	began := time.Now()
-	if err := d.Changes(ctx, changedCentre, controlChanges); err != nil {
+	if _, err := d.Changes(ctx, changedCentre, true, controlChanges); err != nil {
 		return err
 	}
 	name := "Control." + procs.Label + "."
@@ -42,7 +42,8 @@
 func fill(_ *figures.Printer, procs *Processes) error {
 	d, stop := procs.driver(fmt.Sprintf("bench-%d", time.Now().UnixNano()))
 	defer stop()
-	return d.Changes(context.Background(), changedCentre, restartChanges)
+	_, err := d.Changes(context.Background(), changedCentre, true, restartChanges)
+	return err
 }
 
 // election measures the longest time without an answer while the caller of the
--- /dev/null
+++ b/bench/internal/experiment/crashing.go
@@ -0,0 +1,22 @@
+package experiment
+
+import (
+	"github.com/fuchsiashed/fuchsiashed/bench/internal/figures"
+	"github.com/fuchsiashed/fuchsiashed/bench/internal/workload"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// crashing counts the targets that one crashing request takes down.
+func crashing(p *figures.Printer) error {
+	for _, w := range append(baselines(), chosen()[2]) {
+		trace := workload.Crashing(seed)
+		r := w.run(trace)
+		s := r.Services["model"]
+		name := "Crashing." + w.name + "."
+		p.Print(name+"Crashes", float64(s.Crashes), "targets")
+		p.Print(name+"BrokenAttempts", float64(s.Failed[fleet.OutcomeBroken]), "attempts")
+		p.Print(name+"Quarantined", float64(r.Refusals[fleet.ReasonQuarantined]), "requests")
+		p.Print(name+"Refused", float64(r.Refused()), "requests")
+	}
+	return nil
+}
--- a/bench/internal/experiment/processes.go
+++ b/bench/internal/experiment/processes.go
@@ -16,6 +16,8 @@
 	// Label goes into the names of the figures, such as the way of syncing.
 	Label   string
 	Control []netip.AddrPort
+	// Admin lists operators' addresses of routers and dispatchers.
+	Admin []netip.AddrPort
 	// Router is where a router takes callers.
 	Router netip.AddrPort
 	// Plain and Model are stand-in targets.
--- a/bench/internal/model/fleet.go
+++ b/bench/internal/model/fleet.go
@@ -29,6 +29,8 @@
 	electDelay = 100 * time.Millisecond
 	// drainLimit is how long targets of a data centre taken out keep running.
 	drainLimit = 90 * time.Second
+	// mostBroken is how many broken attempts a router tries again.
+	mostBroken = 4
 	// engineWarmUp and engineRestart are those of all modelled engines.
 	engineWarmUp  = 20 * time.Second
 	engineRestart = 5 * time.Second
@@ -173,6 +175,7 @@
 		s := f.result.service(e.Config().Service)
 		s.Overloads += e.Overloads
 		s.Falls += e.Falls
+		s.Crashes += e.Crashes
 		s.PrefixHits += e.Hits
 		s.Admitted += e.Admitted
 	}
--- a/bench/internal/model/result.go
+++ b/bench/internal/model/result.go
@@ -43,6 +43,8 @@
 	Delivered float64
 	// Overloads counts admissions above what a target bore, Falls the targets that fell over.
 	Overloads, Falls int
+	// Crashes counts the targets that a crashing request took down.
+	Crashes int
 	// PrefixHits counts prompts found in a cache, Admitted all admissions.
 	PrefixHits, Admitted int
 	Completed            int
--- a/bench/internal/model/router.go
+++ b/bench/internal/model/router.go
@@ -44,6 +44,7 @@
 	waits   bool
 	// served says that a target admitted it; its wait has been recorded.
 	served bool
+	broken int
 }
 
 // attempt is a request that was sent to a target.
@@ -108,7 +109,7 @@
 	req.ticket = fleet.Ticket{
 		ID: fleet.TicketID(fmt.Sprintf("%s.%d", req.id, n)), Request: req.id,
 		Customer: req.Customer, Service: req.Service, DataCentre: r.dc,
-		Hint: req.Hint, Prefix: req.Prefix, Content: fleet.ContentHash(fmt.Sprintf("%032s", req.id)),
+		Hint: req.Hint, Prefix: req.Prefix, Content: req.content(),
 		Attempt: n, Waited: now.Sub(req.arrived), Patience: time.Hour,
 	}
 	req.waits = true
@@ -122,6 +123,13 @@
 	}
 }
 
+func (q *request) content() fleet.ContentHash {
+	if q.Crashes {
+		return "crashing"
+	}
+	return fleet.ContentHash(fmt.Sprintf("%032s", q.id))
+}
+
 // dequeue ends the wait of a request.
 func (r *router) dequeue(req *request) {
 	req.waits = false
@@ -153,6 +161,7 @@
 	}
 	a.job = &engine.Job{
 		Request: a.req.id, Customer: a.req.Customer, Cost: a.req.Cost, Prefix: a.req.Prefix,
+		Crashes:    a.req.Crashes,
 		FirstToken: func(d time.Duration) { a.firstToken = d + 2*r.f.cfg.Trace.OneWay },
 		Ended: func(spent fleet.Cost, completed bool) {
 			outcome := fleet.OutcomeBroken
@@ -186,6 +195,13 @@
 		return
 	}
 	s.Failed[outcome]++
+	if outcome == fleet.OutcomeBroken {
+		a.req.broken++
+		if a.req.broken > mostBroken {
+			r.f.result.refuse(fleet.ReasonRetryBudget)
+			return
+		}
+	}
 	r.f.queue.After(retryPause, func() { r.enqueue(a.req) })
 }
 
--- a/bench/internal/workload/generate.go
+++ b/bench/internal/workload/generate.go
@@ -51,10 +51,14 @@
 			all = append(all, draw(rnd, d, at, routers))
 		}
 	}
-	slices.SortStableFunc(all, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	sortArrivals(all)
 	return all
 }
 
+func sortArrivals(all []Arrival) {
+	slices.SortStableFunc(all, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+}
+
 func draw(rnd *rand.Rand, d *Demand, at time.Duration, routers int) Arrival {
 	a := Arrival{At: at, Customer: d.Customer, Service: d.Service, Router: rnd.IntN(routers)}
 	if rnd.Float64() < homeShare {
--- a/bench/internal/workload/sized.go
+++ b/bench/internal/workload/sized.go
@@ -56,3 +56,20 @@
 	t.Arrivals = generate(seed, s.Routers, demands)
 	return t
 }
+
+// Crashing makes a region in which one request crashes its targets; its caller sends
+// it again through other routers, each time as a new request.
+func Crashing(seed uint64) *Trace {
+	t := Sized(seed, Size{
+		Routers: 8, Targets: 18, Customers: 16, Slots: 16, Rate: 20, Cost: 200,
+		UnitInterval: 20 * time.Millisecond, Duration: 4 * time.Minute,
+	})
+	for i := range 5 {
+		t.Arrivals = append(t.Arrivals, Arrival{
+			At: 90*time.Second + time.Duration(i)*20*time.Second, Customer: t.Smallest, Service: "model",
+			Router: i, Cost: 200, Crashes: true,
+		})
+	}
+	sortArrivals(t.Arrivals)
+	return t
+}
--- a/bench/internal/workload/workload.go
+++ b/bench/internal/workload/workload.go
@@ -31,6 +31,9 @@
 	// Hint is the caller's rough estimate; 0 means none.
 	Hint   fleet.Cost
 	Prefix fleet.PrefixHash
+	// Crashes makes every target that runs the request crash. All such requests of a
+	// trace have the same content.
+	Crashes bool
 }
 
 // Disturbance is something that happens to the fleet during a trace.
