--- a/fleet/routing/report.go
+++ b/fleet/routing/report.go
@@ -17,8 +17,11 @@
 	name      Peer
 	connected bool
 	// full says that the next report has to be complete.
-	full     bool
-	dirty    bool
+	full  bool
+	dirty bool
+	// credit is how many reports may be sent at once; one is earned each BatchInterval.
+	credit   int
+	credited time.Time
 	sequence fleet.Sequence
 	lastSent time.Time
 	// acked is the newest report that the dispatcher answered.
@@ -146,13 +149,33 @@
 		if !p.connected {
 			continue
 		}
-		since := now.Sub(p.lastSent)
-		if p.dirty && since >= BatchInterval || since >= HeartbeatInterval {
+		if p.dirty && p.earnCredit(now) || now.Sub(p.lastSent) >= p.heartbeat() {
 			r.sendReport(now, p)
+		} else if p.dirty && !r.waking {
+			r.waking = true
+			r.emit(WakeAfter{Delay: BatchInterval})
 		}
 	}
 }
 
+// heartbeat returns the most time between two reports. It is shorter while a report is
+// not answered, since dispatchers do not answer each of several that follow closely.
+func (p *peer) heartbeat() time.Duration {
+	if p.acked > 0 && p.acked < p.sequence {
+		return unansweredHeartbeat
+	}
+	return HeartbeatInterval
+}
+
+// earnCredit says whether a report may be sent now.
+func (p *peer) earnCredit(now time.Time) bool {
+	if n := int(now.Sub(p.credited) / BatchInterval); n > 0 {
+		p.credit = min(p.credit+n, reportCredit)
+		p.credited = now
+	}
+	return p.credit > 0
+}
+
 func (r *Router) sendReport(now time.Time, p *peer) {
 	rep := p.pending
 	if p.full {
@@ -160,6 +183,7 @@
 		rep.Ended = p.pending.Ended
 	}
 	p.recordSent(now)
+	p.credit = max(0, p.credit-1)
 	rep.Router, rep.Incarnation, rep.DataCentre = r.cfg.Host, r.cfg.Incarnation, r.cfg.DataCentre
 	rep.Sequence, rep.Epoch, rep.Version = p.sequence, r.epoch, r.config.Version
 	rep.Full, rep.Stopping = p.full, r.stopping
@@ -190,7 +214,8 @@
 	}
 	r.forgetTargets(now)
 	sort.Slice(rep.Targets, func(i, j int) bool { return rep.Targets[i].Target < rep.Targets[j].Target })
-	rep.Served = r.servedTotals()
+	r.retained.forget(now)
+	r.retained.report(now, &rep)
 	return rep
 }
 
@@ -213,17 +238,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func (r *Router) servedTotals() []fleet.ServedTotal {
-	totals := make([]fleet.ServedTotal, 0, len(r.served))
-	for k, c := range r.served {
-		totals = append(totals, fleet.ServedTotal{Customer: k.customer, Service: k.service, Counter: c})
-	}
-	sort.Slice(totals, func(i, j int) bool {
-		if totals[i].Service != totals[j].Service {
-			return totals[i].Service < totals[j].Service
-		}
-		return totals[i].Customer < totals[j].Customer
-	})
-	return totals
-}
--- a/router/internal/routercmd/fakes_test.go
+++ b/router/internal/routercmd/fakes_test.go
@@ -49,6 +49,7 @@
 KeyHash = b49b68a26722e03fc65347f17f2ef6b457310c2af82bef948884cfe7cc7fdf02
 [Policy]
 MaxBody = 65536
+QueueBytesPerRouter = 200000
 ConnectionsPerCustomer = 16
 HostsValidity = 200ms
 `
@@ -218,7 +219,7 @@
 	conns  int
 }
 
-func newFakeTarget(t *testing.T, s script) *fakeTarget {
+func newFakeTarget(t testing.TB, s script) *fakeTarget {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -299,7 +300,7 @@
 	force      chan struct{}
 }
 
-func freeAddr(t *testing.T) netip.AddrPort {
+func freeAddr(t testing.TB) netip.AddrPort {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -309,11 +310,17 @@
 	return ln.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func startWorld(t *testing.T) *world {
+func startWorld(t testing.TB) *world {
+	t.Helper()
+	return startWorldWith(t, testText)
+}
+
+// startWorldWith starts a router under a fleet text.
+func startWorldWith(t testing.TB, text string) *world {
 	t.Helper()
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	w := &world{
-		control:    &fakeControl{text: testText, ledger: map[fleet.LedgerKey]*fakeCall{}, hosts: map[fleet.HostID]fleet.HostState{}},
+		control:    &fakeControl{text: text, ledger: map[fleet.LedgerKey]*fakeCall{}, hosts: map[fleet.HostID]fleet.HostState{}},
 		dispatcher: &fakeDispatcher{targets: map[fleet.ServiceName][]netip.AddrPort{}},
 		force:      make(chan struct{}),
 	}
@@ -327,7 +334,7 @@
 	}
 	var s Settings
 	s.Host = program.HostSection{Host: "router-1", DataCentre: "riga-a", Admin: freeAddr(t)}
-	s.Router = RouterSection{Callers: freeAddr(t), Targets: freeAddr(t), StopLimit: 10 * time.Second, BodyGrace: testBodyGrace, WriteTimeout: time.Second}
+	s.Router = RouterSection{Callers: freeAddr(t), Targets: freeAddr(t), StopLimit: 10 * time.Second, BodyGrace: testBodyGrace, WriteTimeout: time.Second, MaxConnections: 500}
 	s.Control.Replicas = []netip.AddrPort{w.control.srv.Addr()}
 	s.Dispatchers.Addresses = []netip.AddrPort{w.dispatcher.srv.Addr()}
 	w.url, w.admin, w.announce = "http://"+s.Router.Callers.String(), "http://"+s.Host.Admin.String(), "http://"+s.Router.Targets.String()
@@ -345,7 +352,7 @@
 }
 
 // waitReady waits until the router has a configuration and a dispatcher.
-func (w *world) waitReady(t *testing.T) {
+func (w *world) waitReady(t testing.TB) {
 	t.Helper()
 	for range 400 {
 		w.dispatcher.mu.Lock()
@@ -364,7 +371,7 @@
 }
 
 // end stops the router at once.
-func (w *world) end(t *testing.T) {
+func (w *world) end(t testing.TB) {
 	t.Helper()
 	close(w.force)
 	if err := w.app.Stop(context.Background()); err != nil {
@@ -392,7 +399,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return answerGot{err: err}
 	}
--- a/router/internal/routercmd/metrics.go
+++ b/router/internal/routercmd/metrics.go
@@ -2,10 +2,14 @@
 
 import (
 	"expvar"
+	"syscall"
+	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/explain"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+	"github.com/fuchsiashed/fuchsiashed/router/internal/engine"
 )
 
 // Counters that operators read at /debug/vars.
@@ -14,6 +18,7 @@
 	retries   = expvar.NewMap("RouterRetries")
 	resumes   = expvar.NewMap("RouterResumes")
 	decisions = expvar.NewMap("RouterDecisions")
+	gauges    = expvar.NewMap("RouterGauges")
 )
 
 // recorder records decisions and counts their reasons.
@@ -39,5 +44,28 @@
 	}
 }
 
+// publish shows what the router has in hand and what its connections carried.
+func publish(e *engine.Engine, t *rpc.Traffic) {
+	gauges.Set("Waiting", expvar.Func(func() any { n, _ := counts(e); return n }))
+	gauges.Set("Running", expvar.Func(func() any { _, n := counts(e); return n }))
+	gauges.Set("CPUMicroseconds", expvar.Func(func() any { return cpuTime().Microseconds() }))
+	gauges.Set("ControlBytesRead", expvar.Func(func() any { return t.Read() }))
+	gauges.Set("ControlBytesWritten", expvar.Func(func() any { return t.Written() }))
+}
+
+// cpuTime returns the processor time that the process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func counts(e *engine.Engine) (waiting, running int) {
+	e.Inspect(func(r *routing.Router) { waiting, running = r.Counts() })
+	return waiting, running
+}
+
 // refused counts a refusal that the reducer did not decide.
 func refused(reason fleet.Reason) { refusals.Add(string(reason), 1) }
