--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -182,3 +182,35 @@
 		changes.check()
 	})
 }
+
+func TestOperatorsRace(t *testing.T) {
+	f := boot(t, 3, 0, 0, nil)
+	convey.Convey("Of operators racing on one version exactly one wins, and the others learn of it", t, func() {
+		const operators = 6
+		dir := t.TempDir()
+		errs := make([]error, operators)
+		var wg sync.WaitGroup
+		for i := range operators {
+			path := filepath.Join(dir, fmt.Sprintf("fleet-%d.ini", i))
+			convey.So(os.WriteFile(path, []byte(harness.Text(100+i)), 0o600), convey.ShouldBeNil)
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				_, errs[i] = f.CLI("fleet", "apply", "--base", "1", path)
+			}()
+		}
+		wg.Wait()
+		won := 0
+		for _, err := range errs {
+			if err == nil {
+				won++
+				continue
+			}
+			convey.So(err.Error(), convey.ShouldContainSubstring, "based on version 1, but version 2 is in force")
+		}
+		convey.So(won, convey.ShouldEqual, 1)
+		history, err := f.History()
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(len(history), convey.ShouldEqual, 2)
+	})
+}
--- a/e2e/internal/harness/load.go
+++ b/e2e/internal/harness/load.go
@@ -22,6 +22,7 @@
 	Cut, CutStreams, ConnectionErrors, NoHosts               int
 	Verdicts                                                 map[string]int
 	Reasons                                                  map[string]int
+	Served                                                   map[string]int
 	RanTwice, FalseNotRun, Lost                              []string
 }
 
--- a/e2e/target_test.go
+++ b/e2e/target_test.go
@@ -1,6 +1,7 @@
 package e2e_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -122,3 +123,49 @@
 		convey.So(res.Unanswered-res.InDoubt, convey.ShouldEqual, 0)
 	})
 }
+
+func TestColdTargets(t *testing.T) {
+	targets := harness.Targets(2, 1)
+	for i := range targets {
+		// A target that took twice the slots before it had a full round would crash.
+		targets[i].Extra = "ColdSlots = 4\nWarmAfter = 6\nColdFailure = Crash"
+	}
+	f := boot(t, 3, 2, 2, targets)
+	convey.Convey("Targets that crash under load while they are cold are started gently", t, func() {
+		l := load(t, f, 10*time.Second, 48, 80)
+		time.Sleep(3 * time.Second)
+		restarted := f.Targets[0]
+		convey.So(restarted.Kill(), convey.ShouldBeNil)
+		time.Sleep(time.Second)
+		convey.So(restarted.Start(), convey.ShouldBeNil)
+		res, err := l.Wait()
+		convey.So(err, convey.ShouldBeNil)
+		for _, p := range f.Targets {
+			convey.So(p.Name+fmt.Sprint(p.Running()), convey.ShouldEqual, p.Name+"true")
+		}
+		t.Logf("%d answered, reasons %v", res.Answered, res.Reasons)
+		convey.So(res.Unanswered-res.InDoubt, convey.ShouldEqual, 0)
+	})
+}
+
+// floodShare is the least part of its calm service that a small customer keeps in a flood.
+const floodShare = 3
+
+func TestFloodByOneCustomer(t *testing.T) {
+	f := boot(t, 3, 2, 2, harness.Targets(1, 1))
+	convey.Convey("A flood by a large customer leaves the small ones their service", t, func() {
+		served := func(workers int, seed uint64) map[string]int {
+			l := load(t, f, 4*time.Second, workers, seed)
+			res, err := l.Wait()
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(res.Unanswered, convey.ShouldEqual, 0)
+			return res.Served
+		}
+		calm := served(1, 90)
+		flood := served(96, 91)
+		t.Logf("answered in a calm %v, in a flood %v", calm, flood)
+		for _, c := range []string{"small-1", "small-2"} {
+			convey.So(flood[c]*floodShare, convey.ShouldBeGreaterThanOrEqualTo, calm[c])
+		}
+	})
+}
