--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 build:
 	mkdir -p $(BIN)
-	go build -o $(BIN)/ $(addsuffix /cmd/...,$(addprefix ./,router dispatcher control cli standin))
+	go build -o $(BIN)/ $(addsuffix /cmd/...,$(addprefix ./,router dispatcher control cli standin bench))
 
 format:
 	go tool gofumpt -w $(MODULES)
