--- a/control/internal/controlcmd/controlcmd.go
+++ b/control/internal/controlcmd/controlcmd.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
+	"os"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -26,7 +28,7 @@
   fuchsiashed-control --settings control-1.ini --check`
 
 // Main runs the program and returns its exit code.
-func Main(io *iostreams.IOStreams, args []string) int {
+func Main(streams *iostreams.IOStreams, args []string) int {
 	var cfg settingsFile
 	return program.Main(program.Spec{
 		Name:     "fuchsiashed-control",
@@ -37,7 +39,7 @@
 			return program.Identity{Host: cfg.Host.Host, DataCentre: cfg.Host.DataCentre}
 		},
 		Modules: func() fx.Option { return modules(&cfg) },
-	}, io, args)
+	}, streams, args)
 }
 
 func modules(cfg *settingsFile) fx.Option {
@@ -80,6 +82,10 @@
 	if _, isReplica := cfg.Replicas.find(cfg.Host.Host); !isReplica {
 		return nil, errors.Errorf("host %q is not among the Members of [Replicas]", cfg.Host.Host)
 	}
+	record, err := openRecord(lc, cfg.Control.Record)
+	if err != nil {
+		return nil, err
+	}
 	s, err := shell.New(shell.Config{
 		Quorum: quorum.Config{
 			Host:            cfg.Host.Host,
@@ -89,7 +95,7 @@
 			SnapshotEntries: cfg.Control.SnapshotEntries,
 		},
 		Storage: storage, Sender: t, Clock: clock, Log: log,
-		SyncEach: cfg.Control.Sync == syncEach,
+		SyncEach: cfg.Control.Sync == syncEach, Record: record,
 		Failed: func(error) {
 			// The log has the error; a shutdown that has begun already needs no second.
 			_ = down.Shutdown(fx.ExitCode(program.ExitError))
@@ -102,6 +108,19 @@
 	return s, nil
 }
 
+// openRecord opens the event log, which is closed after the replica has ended.
+func openRecord(lc fx.Lifecycle, path string) (io.Writer, error) {
+	if path == "" {
+		return nil, nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	if err != nil {
+		return nil, errors.Wrap(err, "open event log")
+	}
+	lc.Append(fx.StopHook(f.Close))
+	return f, nil
+}
+
 func newServer(lc fx.Lifecycle, cfg *settingsFile, s *shell.Shell, traffic *rpc.Traffic, log *slog.Logger) *rpc.Server {
 	srv := rpc.NewServer(rpc.ServerConfig{
 		Address: cfg.Control.Listen, Handler: &clients.Handler{Replica: s}, Traffic: traffic, Log: log,
--- a/control/internal/controlcmd/settings.go
+++ b/control/internal/controlcmd/settings.go
@@ -33,6 +33,8 @@
 	Sync string `default:"Group" allowed:"Group, Each"`
 	// SnapshotEntries is the number of log entries after which a snapshot is taken.
 	SnapshotEntries int `default:"500" min:"10" max:"1000000"`
+	// Record is the file that the event log is appended to, for replay; empty for none.
+	Record string `default:""`
 }
 
 // replicasSection is the [Replicas] section.
--- a/control/internal/shell/shell.go
+++ b/control/internal/shell/shell.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
 )
@@ -34,6 +36,8 @@
 	Log     *slog.Logger
 	// SyncEach syncs every record by itself rather than all that wait together.
 	SyncEach bool
+	// Record receives the event log; nil when none is wanted.
+	Record io.Writer
 	// Failed is called once when the storage fails; the replica must end then.
 	Failed func(error)
 }
@@ -49,6 +53,10 @@
 	writer *writer
 	stop   chan struct{}
 	wg     sync.WaitGroup
+	// started is the base of the reducer's time, without a monotonic reading: it passes
+	// with the monotonic clock, and an event log holds all of it.
+	started  time.Time
+	recorder *eventlog.Writer
 
 	mu    sync.Mutex
 	calls map[registry.CallID]chan registry.Answer
@@ -68,18 +76,37 @@
 		return nil, err
 	}
 	cfg.Quorum.Records = records
-	server, err := registry.NewServer(cfg.Clock.Now(), cfg.Quorum)
-	if err != nil {
-		return nil, err
-	}
 	s := &Shell{
-		cfg: cfg, server: server,
+		cfg: cfg, started: cfg.Clock.Now(),
 		events: make(chan fleet.Event, eventQueue),
 		stop:   make(chan struct{}),
 		calls:  map[registry.CallID]chan registry.Answer{},
 	}
 	s.writer = newWriter(cfg.Storage, cfg.SyncEach, s.written)
-	return s, nil
+	if cfg.Record != nil {
+		s.recorder = eventlog.NewWriter(cfg.Record)
+	}
+	now := s.now()
+	s.record(now, registry.StartedBy(&cfg.Quorum))
+	s.server, err = registry.NewServer(now, cfg.Quorum)
+	return s, err
+}
+
+// now returns the reducer's time.
+func (s *Shell) now() time.Time {
+	return s.started.Round(0).Add(s.cfg.Clock.Now().Sub(s.started))
+}
+
+// record writes an event into the event log. The replica goes on without one when
+// that fails.
+func (s *Shell) record(now time.Time, ev fleet.Event) {
+	if s.recorder == nil {
+		return
+	}
+	if err := s.recorder.Write(now, registry.Recorded(ev)); err != nil {
+		s.cfg.Log.Error("EventLogEnded", "error", err)
+		s.recorder = nil
+	}
 }
 
 func load(storage fleet.Storage) ([]quorum.Record, error) {
@@ -170,7 +197,9 @@
 		f(s.server)
 		return
 	}
-	for _, e := range s.server.Reduce(s.cfg.Clock.Now(), ev) {
+	now := s.now()
+	s.record(now, ev)
+	for _, e := range s.server.Reduce(now, ev) {
 		s.perform(e)
 	}
 }
@@ -178,7 +207,7 @@
 // perform performs one effect. One that rests on a lease is given back when the clock
 // says that it came too late, as after the process was frozen.
 func (s *Shell) perform(e fleet.Effect) {
-	if x, ok := e.(fleet.Expiring); ok && !s.cfg.Clock.Now().Before(x.NotAfter()) {
+	if x, ok := e.(fleet.Expiring); ok && !s.now().Before(x.NotAfter()) {
 		count("LeaseEnded")
 		s.handle(fleet.Expired{Effect: x})
 		return
--- a/fleet/registry/cluster_test.go
+++ b/fleet/registry/cluster_test.go
@@ -39,7 +39,7 @@
 	violation string
 	// keepIncarnation lets a replica that lost its disk come back as the member it was.
 	keepIncarnation bool
-	recorder        func(n *node, now time.Time, ev fleet.Event)
+	recorder        func(n *node, now time.Time, ev fleet.Event, effects []fleet.Effect)
 }
 
 // node is one replica with its disk and clock.
@@ -84,6 +84,7 @@
 	return t
 }
 
+// newCluster makes a cluster; its replicas start in start.
 func newCluster(n int, seed uint64, faults fault.Set) *cluster {
 	c := &cluster{
 		rng: rand.New(rand.NewPCG(seed, 1)), faults: faults,
@@ -94,10 +95,13 @@
 		rate := 1 + (c.rng.Float64()-0.5)*fleet.MaxClockRateError/1000
 		c.nodes = append(c.nodes, &node{c: c, id: i, host: fleet.HostID(fmt.Sprintf("control-%d", i)), rate: rate})
 	}
+	return c
+}
+
+func (c *cluster) start() {
 	for _, n := range c.nodes {
 		n.start()
 	}
-	return c
 }
 
 // after runs f in virtual time.
@@ -155,10 +159,14 @@
 	for _, other := range c.nodes {
 		hosts = append(hosts, other.host)
 	}
-	server, err := registry.NewServer(n.clock(), quorum.Config{
+	cfg := quorum.Config{
 		Host: n.host, Incarnation: n.inc, Hosts: hosts, Bootstrap: true,
 		SnapshotEntries: 40, Records: records, Faults: c.faults,
-	})
+	}
+	if c.recorder != nil {
+		c.recorder(n, n.clock(), registry.StartedBy(&cfg), nil)
+	}
+	server, err := registry.NewServer(n.clock(), cfg)
 	if err != nil {
 		c.violate("%s does not start: %s", n.host, err)
 		return
@@ -224,10 +232,10 @@
 		return
 	}
 	now := n.clock()
+	effects := n.server.Reduce(now, ev)
 	if n.c.recorder != nil {
-		n.c.recorder(n, now, ev)
+		n.c.recorder(n, now, ev, effects)
 	}
-	effects := n.server.Reduce(now, ev)
 	n.c.checkState(n)
 	if n.freeze {
 		n.freeze, n.frozen = false, true
--- /dev/null
+++ b/fleet/registry/replay.go
@@ -0,0 +1,99 @@
+package registry
+
+import (
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
+	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
+)
+
+// Started is the first event of an event log: what the replica was made from.
+type Started struct {
+	Host            fleet.HostID
+	Incarnation     fleet.Incarnation
+	Hosts           []fleet.HostID
+	Bootstrap       bool
+	SnapshotEntries int
+	Records         []quorum.Record
+}
+
+// EventName implements fleet.Event.
+func (Started) EventName() string { return "Started" }
+
+// StartedBy returns the first event of the log of a replica with this configuration.
+func StartedBy(cfg *quorum.Config) Started {
+	return Started{
+		Host: cfg.Host, Incarnation: cfg.Incarnation, Hosts: cfg.Hosts,
+		Bootstrap: cfg.Bootstrap, SnapshotEntries: cfg.SnapshotEntries, Records: cfg.Records,
+	}
+}
+
+// config returns the configuration that the event stands for.
+func (s *Started) config() quorum.Config {
+	return quorum.Config{
+		Host: s.Host, Incarnation: s.Incarnation, Hosts: s.Hosts,
+		Bootstrap: s.Bootstrap, SnapshotEntries: s.SnapshotEntries, Records: s.Records,
+	}
+}
+
+// AnswerExpired tells that a LeasedAnswer was not sent. It is the recorded form of
+// fleet.Expired.
+type AnswerExpired struct {
+	ID CallID
+}
+
+// EventName implements fleet.Event.
+func (AnswerExpired) EventName() string { return "AnswerExpired" }
+
+// Recorded returns the form of an event that an event log can hold.
+func Recorded(ev fleet.Event) fleet.Event {
+	if x, ok := ev.(fleet.Expired); ok {
+		if a, ok := x.Effect.(LeasedAnswer); ok {
+			return AnswerExpired{ID: a.ID}
+		}
+	}
+	return ev
+}
+
+// DecodeEvent is the eventlog.Decoder of a Server.
+func DecodeEvent(name string, raw json.RawMessage) (fleet.Event, error) {
+	switch name {
+	case Started{}.EventName():
+		return eventlog.DecodeAs[Started](raw)
+	case Asked{}.EventName():
+		return eventlog.DecodeAs[Asked](raw)
+	case AnswerExpired{}.EventName():
+		return eventlog.DecodeAs[AnswerExpired](raw)
+	case quorum.Tick{}.EventName():
+		return eventlog.DecodeAs[quorum.Tick](raw)
+	case quorum.Received{}.EventName():
+		return eventlog.DecodeAs[quorum.Received](raw)
+	case quorum.Written{}.EventName():
+		return eventlog.DecodeAs[quorum.Written](raw)
+	}
+	return nil, errors.Errorf("event %q does not exist in a control replica", name)
+}
+
+// Replay gives the events of a log to a new server, calls f with the effects of each,
+// and returns the server. A log may hold several runs; each begins with Started.
+func Replay(r io.Reader, f func(now time.Time, ev fleet.Event, effects []fleet.Effect)) (*Server, error) {
+	var server *Server
+	err := eventlog.Each(r, DecodeEvent, func(now time.Time, ev fleet.Event) error {
+		if started, ok := ev.(Started); ok {
+			var err error
+			server, err = NewServer(now, started.config())
+			return err
+		}
+		if server == nil {
+			return errors.New("the log does not begin with Started")
+		}
+		f(now, ev, server.Reduce(now, ev))
+		return nil
+	})
+	return server, err
+}
--- a/fleet/registry/server.go
+++ b/fleet/registry/server.go
@@ -86,8 +86,8 @@
 	switch ev := ev.(type) {
 	case Asked:
 		s.ask(ev.ID, &ev.Request)
-	case fleet.Expired:
-		s.expired(ev)
+	case fleet.Expired, AnswerExpired:
+		s.expired(Recorded(ev))
 	default:
 		s.drive(ev)
 		s.keepHouse()
@@ -204,8 +204,8 @@
 	s.out = append(s.out, Answer{ID: id, Failure: &Failure{Code: code, Message: message}})
 }
 
-func (s *Server) expired(ev fleet.Expired) {
-	if a, ok := ev.Effect.(LeasedAnswer); ok {
+func (s *Server) expired(ev fleet.Event) {
+	if a, ok := ev.(AnswerExpired); ok {
 		s.fail(a.ID, fleet.CodeUnavailable, "the leader's lease ended before the answer was sent")
 	}
 }
--- a/fleet/registry/workload_test.go
+++ b/fleet/registry/workload_test.go
@@ -38,12 +38,18 @@
 	replaced int
 }
 
-func startWorkload(c *cluster) *workload {
-	w := &workload{
+// newWorkload starts the replicas without any client.
+func newWorkload(c *cluster) *workload {
+	c.start()
+	return &workload{
 		cluster: c, accepted: map[fleet.Version]fleet.OperationID{},
 		results: map[fleet.OperationID]fleet.ChangeReply{},
 		runs:    map[fleet.IdempotencyKey]int{}, done: map[fleet.IdempotencyKey]string{},
 	}
+}
+
+func startWorkload(c *cluster) *workload {
+	w := newWorkload(c)
 	for i := range 3 {
 		w.after(0, func() { w.operator(i, 0, 0) })
 		w.after(0, func() { w.reader(i) })
