--- /dev/null
+++ b/dispatcher/internal/loop/counters.go
@@ -0,0 +1,20 @@
+package loop
+
+import (
+	"expvar"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+var (
+	decisions = expvar.NewMap("DispatchDecisions")
+	refusals  = expvar.NewMap("DispatchRefusals")
+)
+
+// count counts a decision by its event, and a refusal by its reason.
+func count(d fleet.Decision) {
+	decisions.Add(d.Event, 1)
+	if d.Reason != "" {
+		refusals.Add(string(d.Reason), 1)
+	}
+}
