Router: passive dispatchers hear of tickets and ends only when they may have to act

Cause: every change went to all dispatchers, and a successor asks for a full report anyway. Ruled out: nothing at all to passive ones, which must know routers and targets.

--- a/fleet/routing/report.go
+++ b/fleet/routing/report.go
@@ -19,6 +19,8 @@
 	// full says that the next report has to be complete.
 	full  bool
 	dirty bool
+	// behind says that changes were left out while another dispatcher was active.
+	behind bool
 	// credit is how many reports may be sent at once; one is earned each BatchInterval.
 	credit   int
 	credited time.Time
@@ -79,16 +81,36 @@
 	}
 }
 
-// report adds a change to the next report of every dispatcher.
+// passive says whether a dispatcher needs no details, because another one is active
+// and answers. It gets the targets' announcements with its heartbeats, and a full
+// report as soon as the active one is silent or another one takes over.
+func (r *Router) passive(p *peer) bool {
+	return r.active != nil && p != r.active && r.silence(r.now) < ContactTimeout
+}
+
+// report adds a change to the next report of the dispatchers.
 func (r *Router) report(change func(rep *fleet.RouterReport)) {
 	for _, p := range r.peers {
-		if p.connected {
+		switch {
+		case !p.connected:
+		case r.passive(p):
+			p.behind = true
+		default:
 			change(&p.pending)
 			p.dirty = true
 		}
 	}
 }
 
+// catchUp makes the reports of dispatchers complete that were passive until now.
+func (r *Router) catchUp() {
+	for _, p := range r.peers {
+		if p.behind && !r.passive(p) {
+			p.behind, p.full, p.dirty = false, true, true
+		}
+	}
+}
+
 func (r *Router) reportTicket(t fleet.Ticket) {
 	r.report(func(rep *fleet.RouterReport) { rep.Tickets = append(rep.Tickets, t) })
 }
@@ -140,11 +162,17 @@
 		return
 	}
 	r.targets[a.Target] = knownTarget{Announcement: a, heard: now}
-	r.report(func(rep *fleet.RouterReport) { rep.Targets = append(rep.Targets, a) })
+	for _, p := range r.peers {
+		if p.connected {
+			p.pending.Targets = append(p.pending.Targets, a)
+			p.dirty = p.dirty || !r.passive(p)
+		}
+	}
 }
 
 // flush sends the reports that are due.
 func (r *Router) flush(now time.Time) {
+	r.catchUp()
 	for _, p := range r.peers {
 		if !p.connected {
 			continue
--- a/fleet/routing/router.go
+++ b/fleet/routing/router.go
@@ -75,6 +75,8 @@
 	drainedAt time.Time
 	drained   bool
 
+	// now is the time of the event that is being reduced.
+	now time.Time
 	// waking says that a Tick has been asked for.
 	waking  bool
 	effects []fleet.Effect
@@ -98,7 +100,7 @@
 
 // Reduce implements fleet.Reducer.
 func (r *Router) Reduce(now time.Time, ev fleet.Event) []fleet.Effect {
-	r.effects = nil
+	r.effects, r.now = nil, now
 	r.apply(now, ev)
 	r.useStanding(now)
 	r.flush(now)
