--- a/bench/internal/control/control.go
+++ b/bench/internal/control/control.go
@@ -63,9 +63,25 @@
 	return version, nil
 }
 
-// Ledger records the begin and end of calls from a number of workers for d, and
-// returns how many calls were recorded whole.
+// Ledger records the begin and end of calls from a number of workers for a duration,
+// and returns how many calls were recorded whole.
 func (d *Driver) Ledger(ctx context.Context, workers int, duration time.Duration) (int, error) {
+	return repeat(workers, duration, func(w, n int) error {
+		return d.record(ctx, fmt.Sprintf("%s-%d-%d-%d", d.Prefix, workers, w, n))
+	})
+}
+
+// States asks for the confirmed state from a number of workers for a duration, and
+// returns how many answers came.
+func (d *Driver) States(ctx context.Context, workers int, duration time.Duration) (int, error) {
+	return repeat(workers, duration, func(int, int) error {
+		_, err := d.State(ctx)
+		return err
+	})
+}
+
+// repeat calls f from all workers until the duration has passed or f fails.
+func repeat(workers int, duration time.Duration, f func(worker, n int) error) (int, error) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var first error
@@ -76,7 +92,7 @@
 			n := 0
 			var err error
 			for ; err == nil && time.Now().Before(end); n++ {
-				err = d.record(ctx, fmt.Sprintf("%s-%d-%d-%d", d.Prefix, workers, w, n))
+				err = f(w, n)
 			}
 			mu.Lock()
 			defer mu.Unlock()
--- a/bench/internal/experiment/control.go
+++ b/bench/internal/experiment/control.go
@@ -13,6 +13,7 @@
 	controlChanges   = 300
 	restartChanges   = 1000
 	ledgerDuration   = 3 * time.Second
+	stateWorkers     = 16
 	electionDuration = 10 * time.Second
 	changedCentre    = "dc-3"
 )
@@ -28,6 +29,11 @@
 	}
 	name := "Control." + procs.Label + "."
 	p.Print(name+"ChangesOneAfterTheOther", controlChanges/time.Since(began).Seconds(), "changes/s")
+	n, err := d.States(ctx, stateWorkers, ledgerDuration)
+	if err != nil {
+		return err
+	}
+	p.Print(name+"States", float64(n)/ledgerDuration.Seconds(), "calls/s")
 	for _, workers := range []int{1, 16, 64} {
 		n, err := d.Ledger(ctx, workers, ledgerDuration)
 		if err != nil {
--- a/bench/internal/experiment/memory.go
+++ b/bench/internal/experiment/memory.go
@@ -40,6 +40,14 @@
 // heapOf returns the live heap of a dispatcher that holds h.
 func heapOf(h holding) int64 {
 	before := heapBytes()
+	reducer := h.reducer()
+	after := heapBytes()
+	runtime.KeepAlive(reducer)
+	return after - before
+}
+
+// reducer makes a dispatcher that holds h.
+func (h holding) reducer() *dispatch.Reducer {
 	reducer := dispatch.New(dispatch.Config{Host: "dispatcher-1", StandingGrants: true})
 	now := virtual.Start
 	f := workload.Sized(seed, workload.Size{Routers: h.routers, Targets: 1, Customers: h.customers, Slots: 1, Cost: 400}).Fleet
@@ -50,9 +58,7 @@
 	for i := range h.routers {
 		reducer.Reduce(now, dispatch.ReportReceived{Report: h.report(i)})
 	}
-	after := heapBytes()
-	runtime.KeepAlive(reducer)
-	return after - before
+	return reducer
 }
 
 // report makes the full report of the router with the given index.
@@ -69,7 +75,7 @@
 	}
 	for k := i; k < h.running; k += h.routers {
 		r.Running = append(r.Running, fleet.Running{
-			Grant: fleet.GrantID(fmt.Sprintf("1-%x", k)), Epoch: 1, Ticket: h.ticket(k, "r"),
+			Grant: grantID(k), Epoch: 1, Ticket: h.ticket(k, "r"),
 			Target: h.announcement(k % h.targets).Target, Incarnation: 1, Spent: 200,
 		})
 	}
--- a/bench/internal/experiment/parts.go
+++ b/bench/internal/experiment/parts.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/bench/internal/figures"
+	"github.com/fuchsiashed/fuchsiashed/bench/internal/virtual"
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
 )
 
 // Sizes of the messages whose parts are measured.
@@ -84,10 +86,39 @@
 		if err := grantParts(p, c); err != nil {
 			return err
 		}
+		if err := stateParts(p, c); err != nil {
+			return err
+		}
 	}
+	progressCPU(p)
 	return nil
 }
 
+// progressCPU prints what a dispatcher with many running requests spends on an entry
+// of progress, coding left out.
+func progressCPU(p *figures.Printer) {
+	const rounds = 5
+	h := holding{routers: 90, targets: 625, customers: 250, running: 90000}
+	reducer := h.reducer()
+	n := 0
+	began := cpuTime()
+	for round := range rounds {
+		now := virtual.Start.Add(time.Duration(round+1) * progressInterval)
+		for i := range h.routers {
+			r := fleet.RouterReport{
+				Router: fleet.HostID(fmt.Sprintf("router-%d", i+1)), Incarnation: 1, DataCentre: "dc-1",
+				Sequence: fleet.Sequence(round + 2), Epoch: 1, Version: 1,
+			}
+			for k := i; k < h.running; k += h.routers {
+				r.Progress = append(r.Progress, fleet.Progress{Grant: grantID(k), Spent: fleet.Cost(210 + 10*round)})
+			}
+			n += len(r.Progress)
+			reducer.Reduce(now, dispatch.ReportReceived{Report: r})
+		}
+	}
+	p.Print("Messages.Progress.ReduceCPU", float64((cpuTime()-began).Microseconds())/float64(n), "us")
+}
+
 func grantParts(p *figures.Printer, c codec) error {
 	m := fleet.DispatcherGrants{
 		Dispatcher: "dispatcher-1", Epoch: 1, Version: 1, Router: "router-1", RouterIncarnation: 1764809000000000000,
@@ -129,3 +160,34 @@
 	p.Print(name+"EncodeCPU", float64(cost.encode-base.encode)/n/float64(time.Microsecond), "us")
 	p.Print(name+"DecodeCPU", float64(cost.decode-base.decode)/n/float64(time.Microsecond), "us")
 }
+
+// stateParts prints the parts of the question for the confirmed state and its answer.
+func stateParts(p *figures.Printer, c codec) error {
+	question := fleet.StateRequest{
+		Host: "router-100", Incarnation: 1764809000000000000, Role: fleet.RoleRouter, Address: "10.20.30.40:7121",
+		DataCentre: "dc-1", Version: 3700,
+	}
+	cost, err := measureCodec(c, fleet.MethodState, repeat(question))
+	if err != nil {
+		return err
+	}
+	printPart(p, c, "StateRequest", cost, codecCost{}, 1)
+	answer := fleet.StateReply{Version: 3700, Hash: fmt.Sprintf("%064x", 1), Validity: 5 * time.Second}
+	base, err := measureCodec(c, fleet.MethodState, repeat(answer))
+	if err != nil {
+		return err
+	}
+	printPart(p, c, "StateReply", base, codecCost{}, 1)
+	for i := range partsPerMessage {
+		answer.Hosts = append(answer.Hosts, fleet.HostState{
+			Host: fleet.HostID(fmt.Sprintf("router-%d", i)), Role: fleet.RoleRouter, Address: "10.20.30.40:7121",
+			DataCentre: "dc-1", Version: 3700, Age: time.Second,
+		})
+	}
+	cost, err = measureCodec(c, fleet.MethodState, repeat(answer))
+	if err != nil {
+		return err
+	}
+	printPart(p, c, "StateReplyHost", cost, base, partsPerMessage)
+	return nil
+}
--- a/bench/internal/experiment/router.go
+++ b/bench/internal/experiment/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -60,11 +61,13 @@
 	if err != nil {
 		return err
 	}
+	sent := dispatcherBytes(procs)
 	time.Sleep(idleDuration)
 	after, err := usages(procs)
 	if err != nil {
 		return err
 	}
+	p.Print("Idle.Dispatcher.Bytes", (dispatcherBytes(procs)-sent)/idleDuration.Seconds(), "bytes/s")
 	for _, role := range procs.roles() {
 		cpu := after[role].CPU - before[role].CPU
 		p.Print("Idle."+string(role)+".CPU", cpu.Seconds()/idleDuration.Seconds()*100, "percent-of-core")
@@ -157,6 +160,7 @@
 	if err != nil {
 		return err
 	}
+	sent := dispatcherBytes(procs)
 	var calls, failures atomic.Int64
 	ctx, cancel := context.WithTimeout(context.Background(), throughputDuration)
 	defer cancel()
@@ -178,6 +182,7 @@
 		return err
 	}
 	n := float64(calls.Load())
+	p.Print("Router.ShortCall.DispatcherBytesPerRequest", (dispatcherBytes(procs)-sent)/n, "bytes")
 	p.Print("Router.ShortCall.Throughput", n/throughputDuration.Seconds(), "requests/s")
 	p.Print("Router.ShortCall.Failed", float64(failures.Load()), "requests")
 	for _, role := range procs.roles() {
@@ -229,12 +234,15 @@
 	if err != nil {
 		return err
 	}
+	sent := dispatcherBytes(procs)
 	time.Sleep(hold)
+	sent = dispatcherBytes(procs) - sent
 	held, err := usages(procs)
 	n := float64(open.Load())
 	p.Print("Router.Streams.Open", n, "streams")
 	p.Print("Router.Streams.Waiting", float64(openStreams)-n-float64(failed.Load()), "streams")
 	p.Print("Router.Streams.Failed", float64(failed.Load()), "streams")
+	p.Print("Router.Streams.DispatcherBytesPerStream", sent/hold.Seconds()/n, "bytes/s")
 	p.Print("Router.Streams.ResidentPerStream", float64(opened[fleet.RoleRouter].Resident-before[fleet.RoleRouter].Resident)/n/1024, "KB")
 	for _, role := range procs.roles() {
 		cpu := held[role].CPU - opened[role].CPU
@@ -244,3 +252,21 @@
 	wg.Wait()
 	return err
 }
+
+// dispatcherBytes returns the bytes that a dispatcher received and sent so far; 0 when
+// its operators' address does not answer.
+func dispatcherBytes(procs *Processes) float64 {
+	if len(procs.Admin) == 0 {
+		return 0
+	}
+	resp, err := http.Get("http://" + procs.Admin[0].String() + "/debug/vars")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var vars struct{ BytesRead, BytesWritten float64 }
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		return 0
+	}
+	return vars.BytesRead + vars.BytesWritten
+}
