Router: a keyed call is called not run only once the ledger gave it the key

Cause: a router that can't reach the ledger refused a resend with NotRun although the first sending, through another router, had run; a caller would file again under a new key. Ruled out: asking the ledger before every refusal (a flood of refused calls would each cost a commit). Before: TestCutOffFromControl, extended by the resend of a call that ran, got NotRun. After: MayHaveRun, and still one run. The old expectation (NotRun for a first call while the ledger is away) is replaced: the router can't tell a first call from a resend. Also: the failure body's field is named by its tag, so the linter needs no exception.

--- a/fleet/routing/accept.go
+++ b/fleet/routing/accept.go
@@ -139,7 +139,7 @@
 		r.release(q, fleet.OutcomeCancelled)
 	}
 	if q.recorded {
-		r.ledgerEnd(q, q.verdict(), nil)
+		r.ledgerEnd(q, q.sendVerdict(), nil)
 	}
 	r.emit(AnswerDone{Request: q.Request})
 	r.finish(q)
--- a/fleet/routing/ledger.go
+++ b/fleet/routing/ledger.go
@@ -35,7 +35,7 @@
 	}
 	switch ev.Reply.State {
 	case fleet.LedgerGranted:
-		q.recorded = true
+		q.granted, q.recorded = true, true
 		if q.gone {
 			r.abandon(q)
 			return
--- a/fleet/routing/request.go
+++ b/fleet/routing/request.go
@@ -66,7 +66,9 @@
 	ticket   fleet.Ticket
 	attempt  *attempt
 	attempts int
-	// recorded says that the ledger granted the call to this request.
+	// granted says that the ledger gave the key to this request, recorded that its end is
+	// not on record yet.
+	granted  bool
 	recorded bool
 	ledger   fleet.AttemptID
 	// answered says that a part of an answer may have reached the caller.
@@ -145,14 +147,23 @@
 	}
 }
 
-// verdict returns the verdict of a request that ends without an answer.
-func (q *request) verdict() fleet.Verdict {
+// sendVerdict says whether what this request sent may have run.
+func (q *request) sendVerdict() fleet.Verdict {
 	if q.mayHaveRun {
 		return fleet.MayHaveRun
 	}
 	return fleet.NotRun
 }
 
+// verdict returns the verdict of a request that ends without an answer. Until the ledger
+// gives its key to this request, it may be the resend of a call that ran.
+func (q *request) verdict() fleet.Verdict {
+	if !q.Idempotent && q.Key != "" && !q.granted {
+		return fleet.MayHaveRun
+	}
+	return q.sendVerdict()
+}
+
 // fail ends a request without an answer.
 func (r *Router) fail(now time.Time, q *request, reason fleet.Reason, retryAfter time.Duration, format string, args ...any) {
 	f := fleet.Failure{Verdict: q.verdict(), Reason: reason, Detail: fmt.Sprintf(format, args...), RetryAfter: retryAfter}
@@ -160,7 +171,7 @@
 	r.decide(now, q, EventRefused, reason, f.Detail)
 	if q.recorded || q.state == stateLedger {
 		// A begin without a reply may be recorded all the same; its end frees the key.
-		r.ledgerEnd(q, f.Verdict, nil)
+		r.ledgerEnd(q, q.sendVerdict(), nil)
 	}
 	r.finish(q)
 }
--- a/router/internal/caller/failure.go
+++ b/router/internal/caller/failure.go
@@ -27,7 +27,7 @@
 	Verdict           fleet.Verdict
 	Reason            fleet.Reason
 	Detail            string
-	RequestId         fleet.RequestID //revive:disable-line:var-naming the wire name is fixed
+	RequestID         fleet.RequestID `json:"RequestId"`
 	RetryAfterSeconds int
 }
 
@@ -66,7 +66,7 @@
 
 func failureJSON(id fleet.RequestID, f fleet.Failure) []byte {
 	raw, err := json.Marshal(failureBody{
-		Verdict: f.Verdict, Reason: f.Reason, Detail: f.Detail, RequestId: id, RetryAfterSeconds: seconds(f.RetryAfter),
+		Verdict: f.Verdict, Reason: f.Reason, Detail: f.Detail, RequestID: id, RetryAfterSeconds: seconds(f.RetryAfter),
 	})
 	if err != nil {
 		return []byte("{}")
--- a/router/internal/caller/hosts.go
+++ b/router/internal/caller/hosts.go
@@ -18,7 +18,10 @@
 func (s *Server) hosts(c *gin.Context) {
 	cfg, confirmed := s.cfg.Configuration.Current()
 	if cfg.Fleet == nil {
-		s.refuse(c.Writer, "", fleet.ReasonConfigUnconfirmed, "no configuration is known yet", time.Second)
+		s.refuse(c.Writer, c.Request, "", fleet.Failure{
+			Verdict: fleet.NotRun, Reason: fleet.ReasonConfigUnconfirmed,
+			Detail: "no configuration is known yet", RetryAfter: time.Second,
+		})
 		return
 	}
 	validity := cfg.Fleet.Policy.HostsValidity
