Dispatch: a long stream counts like a completed request in the slow start

With long drafts a round of completions takes the time of a draft, so a started target needed minutes to its announced slots.

--- a/fleet/dispatch/attempt.go
+++ b/fleet/dispatch/attempt.go
@@ -26,9 +26,13 @@
 	grantedAt time.Time
 	// expires is the last moment at which the router may start the request.
 	expires time.Time
-	// firstToken says that the time to the first token was taken in.
-	firstToken bool
-	inDoubt    bool
+	// firstToken says that the time to the first token was taken in; streamingFrom is
+	// when, if it was not slow.
+	firstToken    bool
+	streamingFrom time.Time
+	// counted says that the attempt counts in the round of its target's limit.
+	counted bool
+	inDoubt bool
 	// again is the ticket to queue once the attempt turns out not to run: the router
 	// said that it still waits while the grant was on its way.
 	again *fleet.Ticket
@@ -199,6 +203,9 @@
 	s := a.customer.service
 	slow := a.target.limiter.firstToken(d, s.firstToken.usual())
 	s.firstToken.observe(d, slow)
+	if !slow {
+		a.streamingFrom = r.now
+	}
 	if a.target.limiter.limit != before {
 		r.limitChanged(a.target)
 		r.refresh(a.target)
@@ -225,6 +232,28 @@
 	}
 }
 
+// countStreaming counts the attempts that have streamed for long as normal in the round
+// of their target's limit, for long requests would keep it low for minutes.
+func (r *Reducer) countStreaming(t *target) {
+	before := t.limiter.limit
+	if before >= t.last.Slots {
+		return
+	}
+	for _, a := range t.attempts {
+		if a.counted || a.inDoubt || a.streamingFrom.IsZero() || r.now.Sub(a.streamingFrom) < streamsNormally {
+			continue
+		}
+		a.counted = true
+		t.limiter.counted(t.last.Slots)
+	}
+	if t.limiter.limit != before {
+		r.limitChanged(t)
+	}
+}
+
+// streamsNormally is how long a request streams before it counts like a completed one.
+const streamsNormally = 10 * time.Second
+
 // The time that a grant and the report of a first token take may be lagFactor times
 // the longest of late, which is taken to be at least leastLag.
 const (
@@ -263,7 +292,10 @@
 	if a.targetInc == a.target.last.Incarnation {
 		r.observeFirstToken(a, e.FirstToken)
 		before := a.target.limiter.limit
-		a.target.limiter.completed(a.target.last.Slots)
+		a.target.limiter.failures = 0
+		if !a.counted {
+			a.target.limiter.counted(a.target.last.Slots)
+		}
 		if a.target.limiter.limit != before {
 			r.limitChanged(a.target)
 		}
--- a/fleet/dispatch/limiter.go
+++ b/fleet/dispatch/limiter.go
@@ -50,9 +50,8 @@
 // reset starts over for a new incarnation of the target.
 func (l *limiter) reset() { *l = limiter{limit: 1, own: l.own} }
 
-// completed takes in a whole answer.
-func (l *limiter) completed(slots fleet.Slots) {
-	l.failures = 0
+// counted takes in a request that completed, or streamed for long, as it should.
+func (l *limiter) counted(slots fleet.Slots) {
 	if l.slow > 0 {
 		return
 	}
--- a/fleet/dispatch/reducer.go
+++ b/fleet/dispatch/reducer.go
@@ -233,6 +233,7 @@
 			r.targetMissing(t)
 		}
 		r.observeOverdue(t)
+		r.countStreaming(t)
 		r.expireDoubt(t)
 		r.expireStanding(t)
 		r.refresh(t)
--- a/fleet/dispatch/sim_target_test.go
+++ b/fleet/dispatch/sim_target_test.go
@@ -26,7 +26,8 @@
 	leaving     time.Time
 	// downUntil is when a crashed target starts again.
 	downUntil time.Time
-	// completions since it started or turned cold.
+	// completions since it started or turned cold, in which warmingTokens of a longer
+	// request count as much as a whole shorter one.
 	completions int
 	cold        bool
 	announced   bool
@@ -132,11 +133,12 @@
 	run.spent++
 	t.s.delivered[run.attempt.ticket.Customer]++
 	run.router.progressed(run)
+	if run.spent == warmingTokens {
+		t.warm(run)
+	}
 	if run.spent >= run.attempt.request.cost {
 		t.remove(run)
-		if !run.old {
-			t.completions++
-		}
+		t.warm(run)
 		if t.completions >= 2*int(t.slots) {
 			t.cold = false
 		}
@@ -144,6 +146,17 @@
 	}
 }
 
+// warmingTokens is the part of a long request that warms an engine like a short one.
+const warmingTokens = 1900
+
+// warm counts a run that completed, or has gone on for long, once.
+func (t *simTarget) warm(run *simRun) {
+	if !run.old {
+		t.completions++
+	}
+	run.old = true
+}
+
 func (t *simTarget) remove(run *simRun) {
 	if i := slices.Index(t.running, run); i >= 0 {
 		t.running = slices.Delete(t.running, i, i+1)
