--- a/router/internal/routercmd/misuse_test.go
+++ b/router/internal/routercmd/misuse_test.go
@@ -166,6 +166,27 @@
 		_, err = io.ReadAll(c)
 		convey.So(err, convey.ShouldBeNil)
 	})
+	convey.Convey("The stream of a caller that stopped reading is cancelled", t, func() {
+		e := newEngineStream(200_000)
+		target := newFakeTarget(t, e.script)
+		w.dispatcher.setTargets("drafter", target.addr)
+		c, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = c.Close() }()
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		send(c, "POST %s HTTP/1.1\r\n%sContent-Length: 2\r\n\r\n{}", chat, authorized)
+		select {
+		case <-e.cancelled:
+		case <-time.After(8 * time.Second):
+			t.Error("the stream was not cancelled")
+		}
+	})
+}
+
+func TestLimits(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	defer w.end(t)
 	convey.Convey("No more connections are held than the limit", t, func() {
 		before := counted(fleet.ReasonTooManyConnections)
 		var conns []net.Conn
@@ -182,21 +203,6 @@
 		time.Sleep(50 * time.Millisecond)
 		convey.So(w.call("GET", "/services/desk/unknown", "").status, convey.ShouldEqual, 400)
 	})
-	convey.Convey("The stream of a caller that stopped reading is cancelled", t, func() {
-		e := newEngineStream(200_000)
-		target := newFakeTarget(t, e.script)
-		w.dispatcher.setTargets("drafter", target.addr)
-		c, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
-		convey.So(err, convey.ShouldBeNil)
-		defer func() { _ = c.Close() }()
-		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
-		send(c, "POST %s HTTP/1.1\r\n%sContent-Length: 2\r\n\r\n{}", chat, authorized)
-		select {
-		case <-e.cancelled:
-		case <-time.After(8 * time.Second):
-			t.Error("the stream was not cancelled")
-		}
-	})
 	convey.Convey("Bodies in hand take no more memory than allowed", t, func() {
 		release := make(chan struct{})
 		target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
--- a/router/internal/routercmd/stream_test.go
+++ b/router/internal/routercmd/stream_test.go
@@ -119,6 +119,15 @@
 		convey.So(a.err, convey.ShouldBeNil)
 		convey.So(a.body == e.body, convey.ShouldBeTrue)
 	})
+}
+
+func TestStreamsThatCannotBeResumed(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	defer w.end(t)
+	use := func(e *engineStream) {
+		w.dispatcher.setTargets("drafter", newFakeTarget(t, e.script).addr)
+	}
 	convey.Convey("An answer in one piece that is resumed as a stream is awaited instead", t, func() {
 		target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
 			if about(r) {
@@ -203,6 +212,12 @@
 			t.Error("the request was not cancelled")
 		}
 	})
+}
+
+func TestCallerLeavesRunOnceCall(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	defer w.end(t)
 	convey.Convey("A plain call that may run once goes on for the ledger", t, func() {
 		target := newFakeTarget(t, once(func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
 			time.Sleep(200 * time.Millisecond)
--- /dev/null
+++ b/router/internal/routercmd/world_test.go
@@ -0,0 +1,139 @@
+package routercmd
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/program"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+)
+
+// world is a router among fakes.
+type world struct {
+	control    *fakeControl
+	dispatcher *fakeDispatcher
+	url        string
+	admin      string
+	announce   string
+	app        *fx.App
+	force      chan struct{}
+}
+
+func freeAddr(t testing.TB) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func startWorld(t testing.TB) *world {
+	t.Helper()
+	return startWorldWith(t, testText)
+}
+
+// startWorldWith starts a router under a fleet text.
+func startWorldWith(t testing.TB, text string) *world {
+	t.Helper()
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	w := &world{
+		control:    &fakeControl{text: text, ledger: map[fleet.LedgerKey]*fakeCall{}, hosts: map[fleet.HostID]fleet.HostState{}},
+		dispatcher: &fakeDispatcher{targets: map[fleet.ServiceName][]netip.AddrPort{}},
+		force:      make(chan struct{}),
+	}
+	w.control.srv = rpc.NewServer(rpc.ServerConfig{Address: loopback, Handler: rpc.HandlerFunc(w.control.handle)})
+	w.dispatcher.srv = rpc.NewServer(rpc.ServerConfig{Address: loopback, Handler: rpc.HandlerFunc(w.dispatcher.handle)})
+	for _, s := range []*rpc.Server{w.control.srv, w.dispatcher.srv} {
+		if err := s.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Stop)
+	}
+	var s Settings
+	s.Host = program.HostSection{Host: "router-1", DataCentre: "riga-a", Admin: freeAddr(t)}
+	s.Router = RouterSection{Callers: freeAddr(t), Targets: freeAddr(t), StopLimit: 10 * time.Second, BodyGrace: testBodyGrace, WriteTimeout: time.Second, MaxConnections: 500}
+	s.Control.Replicas = []netip.AddrPort{w.control.srv.Addr()}
+	s.Dispatchers.Addresses = []netip.AddrPort{w.dispatcher.srv.Addr()}
+	w.url, w.admin, w.announce = "http://"+s.Router.Callers.String(), "http://"+s.Host.Admin.String(), "http://"+s.Router.Targets.String()
+	w.app = fx.New(
+		fx.Supply(slog.New(slog.DiscardHandler), program.Force(w.force)),
+		fx.Supply(fx.Annotate(fleet.SystemClock{}, fx.As(new(fleet.Clock)))),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		modules(s),
+	)
+	if err := w.app.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	w.waitReady(t)
+	return w
+}
+
+// waitReady waits until the router has a configuration and a dispatcher.
+func (w *world) waitReady(t testing.TB) {
+	t.Helper()
+	for range 400 {
+		w.dispatcher.mu.Lock()
+		n := len(w.dispatcher.reports)
+		w.dispatcher.mu.Unlock()
+		resp, err := http.Get(w.url + "/v1/hosts")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK && n > 1 {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("router did not become ready")
+}
+
+// end stops the router at once.
+func (w *world) end(t testing.TB) {
+	t.Helper()
+	close(w.force)
+	if err := w.app.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
+// answer is what a caller got.
+type answerGot struct {
+	status int
+	body   string
+	err    error
+	header http.Header
+}
+
+func (a answerGot) verdict() string { return a.header.Get("Fuchsiashed-Verdict") }
+func (a answerGot) reason() string  { return a.header.Get("Fuchsiashed-Reason") }
+
+func (w *world) call(method, path, body string, headers ...string) answerGot {
+	r, err := http.NewRequest(method, w.url+path, strings.NewReader(body))
+	if err != nil {
+		return answerGot{err: err}
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return answerGot{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	return answerGot{status: resp.StatusCode, body: string(got), err: err, header: resp.Header}
+}
