--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -142,6 +142,7 @@
 MaxCost = 10000
 [Policy]
 QueuePerCustomer = 2048
+HostsValidity = 1s
 [Customer customer-1]
 KeyHash = $(printf %s "$key" | sha256sum | cut -d' ' -f1)
 TEXT
@@ -214,9 +215,33 @@
   measure --only '^Router$' --router "$(address 21)" --plain "$(address 41)" --model "$(address 42)" --key "$key" \
     --admin "$(address 12)" \
     --pid "Router:${pids[router-1]}" --pid "Dispatcher:${pids[dispatcher-1]}" --pid "Control:${pids[control-1]}"
+  rolling_restart
   stop_all
 }
 
+# rolling_restart stops and starts both routers in turn under load and prints what the
+# callers saw.
+rolling_restart() {
+  local n load name value unit
+  "$bin/fuchsiashed-standin" load --host "$(address 21)" --host "$(address 25)" --customer "customer-1=$key:8" \
+    --model model --plain plain --duration 20s --target "$(address 41)" --target "$(address 42)" \
+    >"$folder/load.out" 2>"$folder/load.log" &
+  load=$!
+  pids[load]=$load
+  sleep 2
+  for n in 1 2; do
+    kill -TERM "${pids[router-$n]}"
+    wait "${pids[router-$n]}" || echo "router-$n ended with code $?" >&2
+    start "router-$n" fuchsiashed-router
+    sleep 2
+  done
+  wait "$load" || echo "the load ended with code $?" >&2
+  unset 'pids[load]'
+  while read -r name value unit; do
+    print "RollingRestart.$name" "$value" "$unit"
+  done <"$folder/load.out"
+}
+
 export FUCHSIASHED_CONTROL FUCHSIASHED_ADMIN
 FUCHSIASHED_CONTROL=$(address 1),$(address 3),$(address 5)
 FUCHSIASHED_ADMIN=$(address 12),$(address 14),$(address 23),$(address 27)
