--- a/control/internal/shell/shell.go
+++ b/control/internal/shell/shell.go
@@ -270,7 +270,11 @@
 	s.mu.Lock()
 	ch := s.calls[a.ID]
 	s.mu.Unlock()
-	if ch != nil {
-		ch <- a
+	if ch == nil {
+		return
+	}
+	select {
+	case ch <- a:
+	default:
 	}
 }
--- a/fleet/registry/hosts.go
+++ b/fleet/registry/hosts.go
@@ -11,11 +11,17 @@
 // have, until it has heard of all hosts itself.
 const hostsSettle = 3 * time.Second
 
+// hostsInterval is the least time between two versions of the list of hosts, so that
+// many processes that start at once do not make every process fetch it as many times.
+const hostsInterval = 3 * time.Second
+
 // hostTable holds the processes that a leader heard of.
 type hostTable struct {
 	seen    map[fleet.HostID]*seenHost
 	version fleet.Sequence
-	next    time.Time
+	// published is the version that processes are told of, since a moment.
+	published fleet.Sequence
+	at        time.Time
 }
 
 type seenHost struct {
@@ -29,10 +35,8 @@
 const hostVersionBits = 32
 
 func newHostTable(term fleet.Term) hostTable {
-	return hostTable{
-		seen:    map[fleet.HostID]*seenHost{},
-		version: fleet.Sequence(term)<<hostVersionBits + 1,
-	}
+	first := fleet.Sequence(term)<<hostVersionBits + 1
+	return hostTable{seen: map[fleet.HostID]*seenHost{}, version: first, published: first}
 }
 
 // heard takes in a heartbeat; one of an earlier incarnation is left out.
@@ -87,7 +91,10 @@
 
 // list returns the processes in order of their names, or none when the asker has them.
 func (h *hostTable) list(now, since time.Time, seen fleet.Sequence) (fleet.Sequence, []fleet.HostState) {
-	if seen == h.version || seen != 0 && now.Sub(since) < hostsSettle {
+	if h.published != h.version && now.Sub(h.at) >= hostsInterval {
+		h.published, h.at = h.version, now
+	}
+	if seen == h.published || seen != 0 && now.Sub(since) < hostsSettle {
 		return seen, nil
 	}
 	hosts := make([]fleet.HostState, 0, len(h.seen))
@@ -104,5 +111,5 @@
 		}
 		return 1
 	})
-	return h.version, hosts
+	return h.published, hosts
 }
--- a/fleet/registry/leases.go
+++ b/fleet/registry/leases.go
@@ -72,7 +72,13 @@
 }
 
 func (s *Server) changeLease(id CallID, c LeaseCommand) {
-	s.leaseTerm(c.Name).changing = true
+	l, t := s.state.data.Leases[c.Name], s.leaseTerm(c.Name)
+	sole := l.Holder == "" || c.Holder == "" || l.Holder == c.Holder && l.Incarnation == c.Incarnation || !s.now.Before(t.until)
+	if !invariant.Check(sole, "OneLeaseHolder", "lease %q of %s would go to %s", c.Name, l.Holder, c.Holder) {
+		s.refuseLease(id, l)
+		return
+	}
+	t.changing = true
 	s.propose(waiter{call: id, lease: c.Name}, Command{Lease: &c})
 }
 
--- a/fleet/registry/snapshot.go
+++ b/fleet/registry/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
 
 // snapshotData is the encoded form of a State.
@@ -28,6 +29,10 @@
 	if err := decoding.Unmarshal(snapshot, &d); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
+	if !invariant.Check(d.State.Version >= s.data.Version, "VersionNeverReverts",
+		"a snapshot of version %d follows version %d", d.State.Version, s.data.Version) {
+		return errors.Errorf("version %d is lower than %d", d.State.Version, s.data.Version)
+	}
 	s.reset()
 	operations, leases := s.data.Operations, s.data.Leases
 	s.data = d.State
