shared: tickets name where earlier attempts broke; outcome Unreached

A crash whose report was lost with its dispatcher was not known to the successor. A ticket now lists where earlier attempts of its request ended as OutcomeBroken. A failed connect is no crash: OutcomeUnreached tells it apart, so that the request is not suspected. Both are optional; routers that do not send them are treated as before.

--- a/fleet/dispatch.go
+++ b/fleet/dispatch.go
@@ -31,6 +31,9 @@
 	Content ContentHash
 	// Attempt counts from 1.
 	Attempt int
+	// Broken lists where earlier attempts of the request ended as OutcomeBroken, so that
+	// a crash is known even if the report of it was lost with its dispatcher.
+	Broken []TargetDeath `json:",omitempty"`
 	// Waited is how long the request had waited when the ticket was sent.
 	Waited time.Duration `json:",omitempty"`
 	// Patience is how long the request may still wait when the ticket was sent.
@@ -68,6 +71,9 @@
 	OutcomeOverloaded Outcome = "Overloaded"
 	// OutcomeBroken means that the connection broke or the target failed in mid-request.
 	OutcomeBroken Outcome = "Broken"
+	// OutcomeUnreached means that no connection to the target could be opened, so that
+	// no byte was sent.
+	OutcomeUnreached Outcome = "Unreached"
 	// OutcomeCancelled means that the caller left and the target confirmed the cancellation.
 	OutcomeCancelled Outcome = "Cancelled"
 	// OutcomeUnknown means that the request may still run on the target.
