--- a/fleet/dispatch/attempt.go
+++ b/fleet/dispatch/attempt.go
@@ -277,7 +277,7 @@
 	case fleet.OutcomeUnknown:
 		r.doubt(a)
 		return
-	case fleet.OutcomeOverloaded:
+	case fleet.OutcomeOverloaded, fleet.OutcomeUnreached:
 		r.targetFailed(a)
 	case fleet.OutcomeBroken:
 		r.targetFailed(a)
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -247,6 +247,7 @@
 	}
 	if m.Attempt > 1 {
 		r.blameEarlier(o, m.Request)
+		r.applyBroken(m)
 	}
 	s := r.service(m.Service)
 	r.nextTicket++
--- a/fleet/dispatch/retained.go
+++ b/fleet/dispatch/retained.go
@@ -133,10 +133,30 @@
 	c := r.suspectOf(m.Content)
 	c.forgottenAt = r.now.Add(m.For)
 	for _, d := range m.Deaths {
-		t := r.target(d.Target)
-		c.addDeath(t, d.Incarnation, !t.known || t.last.Incarnation > d.Incarnation, r.now)
-		if !slices.Contains(t.blamed, c) {
-			t.blamed = append(t.blamed, c)
+		r.addTold(c, d)
+	}
+	r.judge(c)
+}
+
+// addTold records a death that a router told of. A target that is not known, or has
+// started again, surely died.
+func (r *Reducer) addTold(c *content, d fleet.TargetDeath) bool {
+	t := r.target(d.Target)
+	if !slices.Contains(t.blamed, c) {
+		t.blamed = append(t.blamed, c)
+	}
+	return c.addDeath(t, d.Incarnation, !t.known || t.last.Incarnation > d.Incarnation, r.now)
+}
+
+// applyBroken takes in where earlier attempts of a ticket's request broke.
+func (r *Reducer) applyBroken(m *fleet.Ticket) {
+	if len(m.Broken) == 0 || r.cfg.off.suspects {
+		return
+	}
+	c := r.suspectOf(m.Content)
+	for _, d := range m.Broken {
+		if r.addTold(c, d) {
+			r.remember(c)
 		}
 	}
 	r.judge(c)
--- a/fleet/dispatch/sim_router_test.go
+++ b/fleet/dispatch/sim_router_test.go
@@ -19,8 +19,9 @@
 	submitted time.Time
 	content   fleet.ContentHash
 	attempt   int
-	since     time.Time
-	ticket    fleet.TicketID
+	since    time.Time
+	ticket   fleet.TicketID
+	broken   []fleet.TargetDeath
 }
 
 // simAttempt is a use of a grant.
@@ -122,7 +123,7 @@
 	waited := o.s.now.Sub(q.since)
 	return fleet.Ticket{
 		ID: q.ticket, Request: q.id, Customer: q.customer, Service: q.service,
-		DataCentre: o.dc, Hint: q.hint, Content: q.content, Attempt: q.attempt, Waited: waited, Patience: max(0, 20*time.Second-waited),
+		DataCentre: o.dc, Hint: q.hint, Content: q.content, Broken: q.broken, Attempt: q.attempt, Waited: waited, Patience: max(0, 20*time.Second-waited),
 	}
 }
 
@@ -297,7 +298,7 @@
 
 func (o *simRouter) start(a *simAttempt) bool {
 	if !a.target.start(o, a) {
-		o.end(a.grant, a.ticket.ID, fleet.OutcomeBroken, 0, 0)
+		o.end(a.grant, a.ticket.ID, fleet.OutcomeUnreached, 0, 0)
 		o.retry(a.request)
 		return false
 	}
@@ -341,7 +342,9 @@
 	o.attempts = slices.DeleteFunc(o.attempts, func(a *simAttempt) bool { return a == run.attempt })
 	o.end(run.attempt.grant, run.attempt.ticket.ID, outcome, fleet.Cost(run.spent), 0)
 	if outcome == fleet.OutcomeBroken {
-		o.retry(run.attempt.request)
+		q := run.attempt.request
+		q.broken = append(q.broken, fleet.TargetDeath{Target: run.attempt.target.id, Incarnation: run.attempt.incarnation})
+		o.retry(q)
 		return
 	}
 	o.s.completed++
