--- a/bench/internal/model/fleet.go
+++ b/bench/internal/model/fleet.go
@@ -14,10 +14,6 @@
 
 // Timing of the modelled fleet.
 const (
-	// batchInterval is how long a router gathers changes before it reports.
-	batchInterval = 5 * time.Millisecond
-	// heartbeatInterval is the time between reports of a router without changes.
-	heartbeatInterval = 250 * time.Millisecond
 	// retryPause is how long a router waits after a failed attempt.
 	retryPause = 250 * time.Millisecond
 	// configInterval is the time between two confirmations of the configuration.
@@ -33,6 +29,8 @@
 	electDelay = 100 * time.Millisecond
 	// drainLimit is how long targets of a data centre taken out keep running.
 	drainLimit = 90 * time.Second
+	// mostBroken is how many broken attempts a router tries again.
+	mostBroken = 4
 	// engineWarmUp and engineRestart are those of all modelled engines.
 	engineWarmUp  = 20 * time.Second
 	engineRestart = 5 * time.Second
@@ -177,6 +175,7 @@
 		s := f.result.service(e.Config().Service)
 		s.Overloads += e.Overloads
 		s.Falls += e.Falls
+		s.Crashes += e.Crashes
 		s.PrefixHits += e.Hits
 		s.Admitted += e.Admitted
 	}
--- a/fleet/registry/server.go
+++ b/fleet/registry/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/internal/fault"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 )
 
@@ -30,13 +31,7 @@
 	proposals quorum.ProposalID
 	waiting   map[quorum.ProposalID]waiter
 	tenure    tenure
-	fault     fault
-}
-
-// fault switches off one mechanism, so that tests show what it is needed for.
-type fault struct {
-	forgetLeases bool
-	skipLogTime  bool
+	faults    fault.Set
 }
 
 // waiter is a request that waits for the log.
@@ -63,7 +58,9 @@
 
 // NewServer makes a server over an empty state; cfg.Machine is set by it.
 func NewServer(now time.Time, cfg quorum.Config) (*Server, error) {
-	s := &Server{state: NewState(), waiting: map[quorum.ProposalID]waiter{}}
+	s := &Server{state: NewState(), waiting: map[quorum.ProposalID]waiter{}, faults: cfg.Faults}
+	s.state.faults = cfg.Faults
+	s.state.reset()
 	cfg.Machine = s.state
 	replica, err := quorum.New(now, cfg)
 	if err != nil {
@@ -89,8 +86,8 @@
 	switch ev := ev.(type) {
 	case Asked:
 		s.ask(ev.ID, &ev.Request)
-	case fleet.Expired:
-		s.expired(ev)
+	case fleet.Expired, AnswerExpired:
+		s.expired(Recorded(ev))
 	default:
 		s.drive(ev)
 		s.keepHouse()
@@ -207,8 +204,8 @@
 	s.out = append(s.out, Answer{ID: id, Failure: &Failure{Code: code, Message: message}})
 }
 
-func (s *Server) expired(ev fleet.Expired) {
-	if a, ok := ev.Effect.(LeasedAnswer); ok {
+func (s *Server) expired(ev fleet.Event) {
+	if a, ok := ev.(AnswerExpired); ok {
 		s.fail(a.ID, fleet.CodeUnavailable, "the leader's lease ended before the answer was sent")
 	}
 }
--- a/fleet/routing/report.go
+++ b/fleet/routing/report.go
@@ -17,8 +17,13 @@
 	name      Peer
 	connected bool
 	// full says that the next report has to be complete.
-	full     bool
-	dirty    bool
+	full  bool
+	dirty bool
+	// behind says that changes were left out while another dispatcher was active.
+	behind bool
+	// credit is how many reports may be sent at once; one is earned each BatchInterval.
+	credit   int
+	credited time.Time
 	sequence fleet.Sequence
 	lastSent time.Time
 	// acked is the newest report that the dispatcher answered.
@@ -76,16 +81,36 @@
 	}
 }
 
-// report adds a change to the next report of every dispatcher.
+// passive says whether a dispatcher needs no details, because another one is active
+// and answers. It gets the targets' announcements with its heartbeats, and a full
+// report as soon as the active one is silent or another one takes over.
+func (r *Router) passive(p *peer) bool {
+	return r.active != nil && p != r.active && r.silence(r.now) < ContactTimeout
+}
+
+// report adds a change to the next report of the dispatchers.
 func (r *Router) report(change func(rep *fleet.RouterReport)) {
 	for _, p := range r.peers {
-		if p.connected {
+		switch {
+		case !p.connected:
+		case r.passive(p):
+			p.behind = true
+		default:
 			change(&p.pending)
 			p.dirty = true
 		}
 	}
 }
 
+// catchUp makes the reports of dispatchers complete that were passive until now.
+func (r *Router) catchUp() {
+	for _, p := range r.peers {
+		if p.behind && !r.passive(p) {
+			p.behind, p.full, p.dirty = false, true, true
+		}
+	}
+}
+
 func (r *Router) reportTicket(t fleet.Ticket) {
 	r.report(func(rep *fleet.RouterReport) { rep.Tickets = append(rep.Tickets, t) })
 }
@@ -137,22 +162,48 @@
 		return
 	}
 	r.targets[a.Target] = knownTarget{Announcement: a, heard: now}
-	r.report(func(rep *fleet.RouterReport) { rep.Targets = append(rep.Targets, a) })
+	for _, p := range r.peers {
+		if p.connected {
+			p.pending.Targets = append(p.pending.Targets, a)
+			p.dirty = p.dirty || !r.passive(p)
+		}
+	}
 }
 
 // flush sends the reports that are due.
 func (r *Router) flush(now time.Time) {
+	r.catchUp()
 	for _, p := range r.peers {
 		if !p.connected {
 			continue
 		}
-		since := now.Sub(p.lastSent)
-		if p.dirty && since >= BatchInterval || since >= HeartbeatInterval {
+		if p.dirty && p.earnCredit(now) || now.Sub(p.lastSent) >= p.heartbeat() {
 			r.sendReport(now, p)
+		} else if p.dirty && !r.waking {
+			r.waking = true
+			r.emit(WakeAfter{Delay: BatchInterval})
 		}
 	}
 }
 
+// heartbeat returns the most time between two reports. It is shorter while a report is
+// not answered, since dispatchers do not answer each of several that follow closely.
+func (p *peer) heartbeat() time.Duration {
+	if p.acked > 0 && p.acked < p.sequence {
+		return unansweredHeartbeat
+	}
+	return HeartbeatInterval
+}
+
+// earnCredit says whether a report may be sent now.
+func (p *peer) earnCredit(now time.Time) bool {
+	if n := int(now.Sub(p.credited) / BatchInterval); n > 0 {
+		p.credit = min(p.credit+n, reportCredit)
+		p.credited = now
+	}
+	return p.credit > 0
+}
+
 func (r *Router) sendReport(now time.Time, p *peer) {
 	rep := p.pending
 	if p.full {
@@ -160,6 +211,7 @@
 		rep.Ended = p.pending.Ended
 	}
 	p.recordSent(now)
+	p.credit = max(0, p.credit-1)
 	rep.Router, rep.Incarnation, rep.DataCentre = r.cfg.Host, r.cfg.Incarnation, r.cfg.DataCentre
 	rep.Sequence, rep.Epoch, rep.Version = p.sequence, r.epoch, r.config.Version
 	rep.Full, rep.Stopping = p.full, r.stopping
@@ -190,7 +242,8 @@
 	}
 	r.forgetTargets(now)
 	sort.Slice(rep.Targets, func(i, j int) bool { return rep.Targets[i].Target < rep.Targets[j].Target })
-	rep.Served = r.servedTotals()
+	r.retained.forget(now)
+	r.retained.report(now, &rep)
 	return rep
 }
 
@@ -213,17 +266,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func (r *Router) servedTotals() []fleet.ServedTotal {
-	totals := make([]fleet.ServedTotal, 0, len(r.served))
-	for k, c := range r.served {
-		totals = append(totals, fleet.ServedTotal{Customer: k.customer, Service: k.service, Counter: c})
-	}
-	sort.Slice(totals, func(i, j int) bool {
-		if totals[i].Service != totals[j].Service {
-			return totals[i].Service < totals[j].Service
-		}
-		return totals[i].Customer < totals[j].Customer
-	})
-	return totals
-}
--- a/router/internal/caller/handler.go
+++ b/router/internal/caller/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -30,16 +31,21 @@
 	}
 	in, f := s.admit(id, r)
 	if f != nil {
-		s.refuseFailure(w, id, *f)
+		s.refuse(w, r, id, *f)
 		return
 	}
 	if !s.conns.enter(in.accepted.Customer, in.limit) {
-		s.refuse(w, id, fleet.ReasonTooManyConnections, fmt.Sprintf("customer has %d open requests here", in.limit), time.Second)
+		s.refuse(w, r, id, fleet.Failure{
+			Verdict: fleet.NotRun, Reason: fleet.ReasonTooManyConnections,
+			Detail: fmt.Sprintf("customer has %d open requests here", in.limit), RetryAfter: time.Second,
+		})
 		return
 	}
 	defer s.conns.leave(in.accepted.Customer)
-	if f := s.readBody(w, r, in); f != nil {
-		s.refuseFailure(w, id, *f)
+	held := &heldBody{memory: &s.bodies, most: int64(in.maxBodies)}
+	defer held.release()
+	if f := s.readBody(w, r, in, held); f != nil {
+		s.refuse(w, r, id, *f)
 		return
 	}
 	s.perform(w, r, in)
@@ -51,10 +57,12 @@
 	request  target.Request
 	limit    int
 	maxBody  fleet.ByteSize
+	// maxBodies bounds the bodies of all requests in hand.
+	maxBodies fleet.ByteSize
 }
 
 // perform hands the request to the reducer and performs what it decides.
-func (s *Server) perform(w http.ResponseWriter, r *http.Request, in *incoming) {
+func (s *Server) perform(w gin.ResponseWriter, r *http.Request, in *incoming) {
 	c := &call{
 		server: s, id: in.accepted.Request, w: w, rc: http.NewResponseController(w), commands: newMailbox(),
 		customer: in.accepted.Customer, service: in.accepted.Service,
@@ -103,7 +111,8 @@
 	if !ok {
 		return nil, &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonUnknownService, Detail: fmt.Sprintf("service %q does not exist", service)}
 	}
-	in := &incoming{limit: cfg.Fleet.Policy.ConnectionsPerCustomer, maxBody: cfg.Fleet.Policy.MaxBody}
+	p := cfg.Fleet.Policy
+	in := &incoming{limit: p.ConnectionsPerCustomer, maxBody: p.MaxBody, maxBodies: p.QueueBytesPerRouter}
 	in.accepted = routing.RequestAccepted{
 		Request: id, Customer: customer, Service: service, Random: rand.Uint64(),
 		Idempotent: fleettext.IsIdempotent(svc, r.Method, plain),
@@ -155,24 +164,27 @@
 }
 
 // readBody reads the body as long as it comes fast enough.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, in *incoming) *fleet.Failure {
-	body, err := s.readAll(w, r, in.maxBody)
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, in *incoming, held *heldBody) *fleet.Failure {
+	body, err := s.readAll(w, r, in.maxBody, held)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonBodyTooLarge, Detail: fmt.Sprintf("body has more than %d bytes", in.maxBody)}
+	case errors.Is(err, errBodyMemory):
+		return &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonHostQueueFull, Detail: err.Error(), RetryAfter: time.Second}
 	case isTimeout(err):
 		return &fleet.Failure{Verdict: fleet.NotRun, Reason: fleet.ReasonSlowCaller, Detail: "the body came too slowly"}
 	case err != nil:
 		return malformed("the body broke off: " + err.Error())
 	}
 	in.request.Body = body
+	in.request.Stream = in.request.Protocol == fleet.ProtocolModel && asksForStream(body)
 	in.accepted.Bytes = fleet.ByteSize(len(body) + headerSize(r))
 	in.accepted.Content = contentHash(r.Method, in.request.Path, in.request.Query, body)
 	return nil
 }
 
-func (s *Server) readAll(w http.ResponseWriter, r *http.Request, most fleet.ByteSize) ([]byte, error) {
+func (s *Server) readAll(w http.ResponseWriter, r *http.Request, most fleet.ByteSize, held *heldBody) ([]byte, error) {
 	if r.ContentLength > int64(most) {
 		return nil, &http.MaxBytesError{Limit: int64(most)}
 	}
@@ -180,7 +192,7 @@
 		return nil, nil
 	}
 	rc := http.NewResponseController(w)
-	src := &pacedReader{body: http.MaxBytesReader(w, r.Body, int64(most)), rc: rc, start: time.Now(), grace: s.cfg.BodyGrace}
+	src := &pacedReader{body: http.MaxBytesReader(w, r.Body, int64(most)), rc: rc, start: time.Now(), grace: s.cfg.BodyGrace, held: held}
 	body, err := io.ReadAll(src)
 	if err != nil {
 		return nil, err
@@ -194,6 +206,7 @@
 	rc    *http.ResponseController
 	start time.Time
 	grace time.Duration
+	held  *heldBody
 	n     int64
 }
 
@@ -205,9 +218,20 @@
 	}
 	n, err := p.body.Read(b)
 	p.n += int64(n)
+	if !p.held.grow(int64(n)) {
+		return n, errBodyMemory
+	}
 	return n, err
 }
 
+// asksForStream says whether a chat completion is asked for as a stream.
+func asksForStream(body []byte) bool {
+	var completion struct {
+		Stream bool `json:"stream"`
+	}
+	return json.Unmarshal(body, &completion) == nil && completion.Stream
+}
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
@@ -222,12 +246,24 @@
 }
 
 // refuse answers a request that was not handed to the reducer.
-func (s *Server) refuse(w http.ResponseWriter, id fleet.RequestID, reason fleet.Reason, detail string, after time.Duration) {
-	s.refuseFailure(w, id, fleet.Failure{Verdict: fleet.NotRun, Reason: reason, Detail: detail, RetryAfter: after})
-}
-
-func (s *Server) refuseFailure(w http.ResponseWriter, id fleet.RequestID, f fleet.Failure) {
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, id fleet.RequestID, f fleet.Failure) {
 	s.cfg.Refused(f.Reason)
 	w.Header().Set("Connection", "close")
+	if others := s.otherHosts("", ""); others != "" && f.RetryAfter > 0 {
+		w.Header().Set(headerHosts, others)
+	}
+	if r.Header.Get(headerIdempotent) != "" && refusedForNow[f.Reason] {
+		// It may be the resend of a call that ran; the ledger was not asked.
+		f.Verdict = fleet.MayHaveRun
+	}
 	writeFailure(w, id, f)
 }
+
+// refusedForNow holds the reasons for which an earlier request with the same key need
+// not have been refused.
+var refusedForNow = map[fleet.Reason]bool{
+	fleet.ReasonConfigUnconfirmed:  true,
+	fleet.ReasonTooManyConnections: true,
+	fleet.ReasonHostQueueFull:      true,
+	fleet.ReasonSlowCaller:         true,
+}
--- a/router/internal/routercmd/stream_test.go
+++ b/router/internal/routercmd/stream_test.go
@@ -119,6 +119,30 @@
 		convey.So(a.err, convey.ShouldBeNil)
 		convey.So(a.body == e.body, convey.ShouldBeTrue)
 	})
+}
+
+func TestStreamsThatCannotBeResumed(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	defer w.end(t)
+	use := func(e *engineStream) {
+		w.dispatcher.setTargets("drafter", newFakeTarget(t, e.script).addr)
+	}
+	convey.Convey("An answer in one piece that is resumed as a stream is awaited instead", t, func() {
+		target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+			if about(r) {
+				send(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 5\r\n\r\nwhole")
+				return
+			}
+			time.Sleep(700 * time.Millisecond)
+			plainAnswer("whole")(t, c, r, body)
+		})
+		w.dispatcher.setTargets("drafter", target.addr)
+		a := w.call("POST", chat, `{}`)
+		convey.So(a.err, convey.ShouldBeNil)
+		convey.So(a.status, convey.ShouldEqual, 200)
+		convey.So(a.body, convey.ShouldEqual, "whole")
+	})
 	convey.Convey("A stream that cannot be resumed ends with an error event and a cut", t, func() {
 		e := newEngineStream(50)
 		e.breakAt, e.unknown = []int{300}, true
@@ -188,6 +212,12 @@
 			t.Error("the request was not cancelled")
 		}
 	})
+}
+
+func TestCallerLeavesRunOnceCall(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	defer w.end(t)
 	convey.Convey("A plain call that may run once goes on for the ledger", t, func() {
 		target := newFakeTarget(t, once(func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
 			time.Sleep(200 * time.Millisecond)
