--- a/bench/internal/model/result.go
+++ b/bench/internal/model/result.go
@@ -20,10 +20,10 @@
 	Unused int
 	// StandingUsed counts requests started on standing grants.
 	StandingUsed int
-	// TakeOverGap is the longest time without a start, while work waited, after the
-	// dispatcher died; TakeOverUtilisation is that of the time looked at.
-	TakeOverGap         time.Duration
-	TakeOverUtilisation float64
+	// TakeOverGap is the longest time without a start after the dispatcher died, and
+	// StartsWithoutDispatcher the starts until its lease had lapsed.
+	TakeOverGap             time.Duration
+	StartsWithoutDispatcher int
 }
 
 // ServiceResult is what a run measured of one service.
