--- /dev/null
+++ b/fleet/prompt.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixLength is the number of leading bytes of a prompt that its PrefixHash covers.
+const PrefixLength = 1024
+
+// PrefixOf returns the hash of the leading part of the messages of a chat completion
+// request. It is 0 for any other body. Targets announce the same hashes.
+func PrefixOf(body []byte) PrefixHash {
+	var c struct {
+		Messages []struct {
+			Role    string          `json:"role"`
+			Content json.RawMessage `json:"content"`
+		} `json:"messages"`
+	}
+	if json.Unmarshal(body, &c) != nil || len(c.Messages) == 0 {
+		return 0
+	}
+	prompt := make([]byte, 0, PrefixLength)
+	for _, m := range c.Messages {
+		prompt = append(append(prompt, m.Role...), m.Content...)
+		if len(prompt) >= PrefixLength {
+			prompt = prompt[:PrefixLength]
+			break
+		}
+	}
+	return PrefixHash(xxhash.Sum64(prompt))
+}
