router: tickets carry the prompt's prefix

Cause: no ticket had a prefix, so that the dispatcher's preference for a target that holds it never applied. After: model requests carry fleet.PrefixOf of their body.

--- a/router/internal/caller/handler.go
+++ b/router/internal/caller/handler.go
@@ -181,6 +181,9 @@
 	in.request.Stream = in.request.Protocol == fleet.ProtocolModel && asksForStream(body)
 	in.accepted.Bytes = fleet.ByteSize(len(body) + headerSize(r))
 	in.accepted.Content = contentHash(r.Method, in.request.Path, in.request.Query, body)
+	if in.request.Protocol == fleet.ProtocolModel {
+		in.accepted.Prefix = fleet.PrefixOf(body)
+	}
 	return nil
 }
 
