End-to-end: requests go to the target that holds their prompt's prefix; orders precede their answer

Cause: nothing ran the placement by prefix on real processes, and the stand-in confirmed a fault order before it was in force, so that the next request could miss it (once in some twenty runs of its test without -race). Before: with the router's line that sets the prefix taken out TestPromptPrefix fails (the request runs at the other target). After: it passes; the stand-in's test passes 20 times over.

--- a/standin/internal/router/handler.go
+++ b/standin/internal/router/handler.go
@@ -24,12 +24,8 @@
 	headerIdempotencyKey = "Idempotency-Key"
 )
 
-const (
-	// maxBody is the largest request body in bytes.
-	maxBody = 16 << 20
-	// prefixLength is the number of leading bytes of a prompt that share a cache entry.
-	prefixLength = 1024
-)
+// maxBody is the largest request body in bytes.
+const maxBody = 16 << 20
 
 // HandlerConfig configures a Handler.
 type HandlerConfig struct {
@@ -218,15 +214,16 @@
 		c.String(http.StatusBadRequest, "%v\n", err)
 		return
 	}
-	c.Status(http.StatusNoContent)
-	c.Writer.WriteHeaderNow()
-	c.Writer.Flush()
-	h.obey(o)
+	h.obey(c, o)
 }
 
-func (h *Handler) obey(o fault.Order) {
+// obey puts the order in force before it is answered, unless it ends the process.
+func (h *Handler) obey(c *gin.Context, o fault.Order) {
+	c.Status(http.StatusNoContent)
 	switch {
 	case o.Fault == fault.Crash && o.Count == 0:
+		c.Writer.WriteHeaderNow()
+		c.Writer.Flush()
 		h.cfg.Crash("ordered")
 	case o.Fault == fault.Cold:
 		h.cfg.Engine.TurnCold()
--- a/standin/internal/router/model.go
+++ b/standin/internal/router/model.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gin-gonic/gin"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
@@ -25,7 +24,7 @@
 		return
 	}
 	job := engine.Job{
-		Prefix:     prefixOf(req.Prompt()),
+		Prefix:     fleet.PrefixOf(body),
 		FirstDelay: h.cfg.FirstToken,
 		Delay:      h.cfg.TokenInterval,
 		Parts:      req.Tokens(),
@@ -62,8 +61,3 @@
 	}
 	return job
 }
-
-// prefixOf returns the hash of the leading part of a prompt.
-func prefixOf(prompt string) fleet.PrefixHash {
-	return fleet.PrefixHash(xxhash.Sum64String(prompt[:min(len(prompt), prefixLength)]))
-}
