Router: the progress of an attempt is reported when its cost doubles

Cause: reports every 250 ms of 1,190 streams a router holds at the size aimed for are 262 KB/s. Ruled out: no reports at all (a customer that hints too little would be charged only at the end), a longer interval (still proportional to the length of streams).

--- a/bench/internal/model/router.go
+++ b/bench/internal/model/router.go
@@ -56,6 +56,7 @@
 	incarnation fleet.Incarnation
 	job         *engine.Job
 	firstToken  time.Duration
+	told        routing.ProgressTold
 	standing    fleet.GrantID
 }
 
@@ -211,7 +212,7 @@
 		return
 	}
 	for _, a := range r.attempts() {
-		if a.job == nil {
+		if a.job == nil || !a.told.Due(a.job.Spent(), a.firstToken) {
 			continue
 		}
 		for _, l := range r.links {
--- a/fleet/routing/report.go
+++ b/fleet/routing/report.go
@@ -146,6 +146,9 @@
 	a := q.attempt
 	a.spent = max(a.spent, ev.Spent)
 	a.firstToken = ev.FirstToken
+	if !a.told.Due(a.spent, a.firstToken) {
+		return
+	}
 	p := fleet.Progress{Grant: a.grant, Spent: a.spent, FirstToken: a.firstToken}
 	r.report(func(rep *fleet.RouterReport) { rep.Progress = append(rep.Progress, p) })
 }
