--- a/control/bench/bench.go
+++ b/control/bench/bench.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/configsync"
 
 	"github.com/fuchsiashed/fuchsiashed/control/internal/disk"
 )
@@ -43,7 +45,7 @@
 
 // Run measures everything and prints one line "name value unit" for each figure.
 func Run(cfg Config) error {
-	for _, f := range []func(Config) error{syncCost, loads, restart, electionGap, idle} {
+	for _, f := range []func(Config) error{syncCost, loads, restart, electionGap, inForce, idle} {
 		if err := f(cfg); err != nil {
 			return err
 		}
@@ -258,6 +260,54 @@
 	return g.close()
 }
 
+// followers is the number of processes whose configuration is watched.
+const followers = 20
+
+// inForce measures how long an accepted change takes to reach every process.
+func inForce(cfg Config) error {
+	g, err := newGroup(filepath.Join(cfg.Folder, "force"), false)
+	if err != nil {
+		return err
+	}
+	all := make([]*configsync.Follower, followers)
+	for i := range all {
+		all[i] = g.follow(i)
+	}
+	v, longest, sum := fleet.Version(0), 0.0, 0.0
+	const rounds = 5
+	for range rounds {
+		if v, err = g.change(v); err != nil {
+			return err
+		}
+		began := time.Now()
+		for _, f := range all {
+			for c, _ := f.Current(); c.Version < v; c, _ = f.Current() {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		took := time.Since(began).Seconds()
+		longest, sum = max(longest, took), sum+took
+	}
+	cfg.print("control.in_force.mean", sum/rounds, "s")
+	cfg.print("control.in_force.max", longest, "s")
+	for _, f := range all {
+		f.Stop()
+	}
+	return g.close()
+}
+
+// follow starts a process's view of the configuration.
+func (g *group) follow(i int) *configsync.Follower {
+	f := configsync.New(configsync.Config{
+		Control: g.control, Clock: fleet.SystemClock{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Heartbeat: func() fleet.StateRequest {
+			return fleet.StateRequest{Host: fleet.HostID(fmt.Sprintf("router-%d", i)), Role: fleet.RoleRouter, Incarnation: 1}
+		},
+	})
+	f.Start()
+	return f
+}
+
 // idle measures what heartbeats of a fleet without any change cost.
 func idle(cfg Config) error {
 	g, err := newGroup(filepath.Join(cfg.Folder, "idle"), false)
--- a/control/bench/bench_test.go
+++ b/control/bench/bench_test.go
@@ -23,6 +23,6 @@
 		}
 		var out bytes.Buffer
 		convey.So(bench.Run(bench.Config{Folder: t.TempDir(), Duration: 200 * time.Millisecond, Nodes: 4, Out: &out}), convey.ShouldBeNil)
-		convey.So(strings.Count(out.String(), "\n"), convey.ShouldEqual, 14)
+		convey.So(strings.Count(out.String(), "\n"), convey.ShouldEqual, 16)
 	})
 }
--- a/control/cmd/fuchsiashed-control/crash_test.go
+++ b/control/cmd/fuchsiashed-control/crash_test.go
@@ -66,15 +66,17 @@
 	convey.So(s.accepted.Load(), convey.ShouldBeGreaterThan, 50)
 }
 
-// progress waits for more changes to be accepted.
-func (s *stream) progress(more uint64) {
+// progress waits for more changes to be accepted and returns how long that took.
+func (s *stream) progress(more uint64) time.Duration {
+	began := time.Now()
 	target := s.accepted.Load() + more
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if s.accepted.Load() >= target {
-			return
+			break
 		}
 	}
 	convey.So(s.accepted.Load(), convey.ShouldBeGreaterThanOrEqualTo, target)
+	return time.Since(began)
 }
 
 func TestKillEachReplica(t *testing.T) {
@@ -84,7 +86,7 @@
 		for i := range replicaCount {
 			s.progress(20)
 			r.kill(i)
-			s.progress(10)
+			t.Logf("control-%d killed, then 10 changes in %s", i, s.progress(10))
 			r.start(i)
 		}
 		s.progress(10)
@@ -161,7 +163,7 @@
 		s.progress(20)
 		frozen := r.leader()
 		r.signal(frozen, syscall.SIGSTOP)
-		s.progress(20)
+		t.Logf("leader frozen, then 20 changes in %s", s.progress(20))
 		known := fleet.Version(s.accepted.Load())
 		answers := make(chan fleet.StateReply, 20)
 		for range cap(answers) {
--- a/fleet/registry/random_test.go
+++ b/fleet/registry/random_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
@@ -173,3 +174,21 @@
 		})
 	}
 }
+
+func TestLargeSnapshot(t *testing.T) {
+	convey.Convey("A replica that lost its disk gets a large snapshot in parts, some of them lost", t, func() {
+		w := newWorkload(newCluster(3, 5, fault.Set{}))
+		w.padding = 200 << 10
+		w.runFor(3 * time.Second)
+		w.operator(0, 0, 0)
+		w.runFor(10 * time.Second)
+		w.loss = 0.1
+		loser := w.nodes[0]
+		w.replaceDisk(loser, 10*time.Millisecond, nil)
+		w.runFor(20 * time.Second)
+		convey.So(w.violation, convey.ShouldBeEmpty)
+		convey.So(w.repaired(), convey.ShouldBeTrue)
+		convey.So(loser.server.Status().Snapshot, convey.ShouldBeGreaterThan, 0)
+		convey.So(len(loser.server.State().Snapshot()), convey.ShouldBeGreaterThan, 2<<20)
+	})
+}
--- a/fleet/registry/workload_test.go
+++ b/fleet/registry/workload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
@@ -24,7 +25,9 @@
 type workload struct {
 	*cluster
 	// quiet stops new changes and calls.
-	quiet    bool
+	quiet bool
+	// padding makes fleet texts larger, in bytes.
+	padding  int
 	floor    fleet.Version
 	accepted map[fleet.Version]fleet.OperationID
 	results  map[fleet.OperationID]fleet.ChangeReply
@@ -89,7 +92,7 @@
 	}
 	op := fleet.OperationID(fmt.Sprintf("op-%d-%d", id, n))
 	r := registry.Request{Apply: &fleet.ApplyRequest{
-		Operation: op, Base: base, Operator: "tester", Text: fmt.Sprintf("%s; %s\n", fleetText, op),
+		Operation: op, Base: base, Operator: "tester", Text: fmt.Sprintf("%s; %s %s\n", fleetText, op, strings.Repeat("x", w.padding)),
 	}}
 	if n%4 == 3 {
 		r = registry.Request{DataCentre: &fleet.DataCentreRequest{
