--- a/fleet/registry/ledger.go
+++ b/fleet/registry/ledger.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"encoding/binary"
+
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
 )
@@ -26,6 +28,10 @@
 	// Ended is when the call ended, Index the entry that told so.
 	Ended LogTime     `json:",omitempty"`
 	Index fleet.Index `json:",omitempty"`
+
+	// raw is the encoded call: encoding all calls for each snapshot would hold up the
+	// replica's heartbeats.
+	raw []byte
 }
 
 // ledger holds the calls that may run once.
@@ -36,8 +42,8 @@
 	ended []endedCall
 	// running lists the keys that each router runs.
 	running map[fleet.HostID]map[fleet.LedgerKey]bool
-	// bytes is the size of all answers kept.
-	bytes int
+	// size is about that of all encoded calls in bytes.
+	size int
 }
 
 type endedCall struct {
@@ -128,6 +134,7 @@
 		return fleet.LedgerEndReply{Recorded: c.State == endState(r.Verdict)}
 	}
 	ended := *c
+	ended.raw = nil
 	ended.State, ended.Answer = endState(r.Verdict), r.Answer
 	ended.Ended, ended.Index = at.now, at.index
 	l.drop(c)
@@ -153,6 +160,7 @@
 			continue
 		}
 		closed := *r
+		closed.raw = nil
 		closed.State, closed.Ended, closed.Index = callMayHaveRun, at.now, at.index
 		l.drop(r)
 		l.put(&closed)
@@ -177,10 +185,11 @@
 	if !invariant.Check(old == nil, "OneRunPerKey", "call %v is recorded twice", c.Key) {
 		return
 	}
-	l.calls[c.Key] = c
-	if c.Answer != nil {
-		l.bytes += len(c.Answer.Body)
+	if c.raw == nil {
+		c.raw = must(encoding.Marshal(c))
 	}
+	l.calls[c.Key] = c
+	l.size += len(c.raw) + binary.MaxVarintLen32
 	if c.State != callRunning {
 		l.ended = append(l.ended, endedCall{key: c.Key, index: c.Index, at: c.Ended})
 		return
@@ -195,9 +204,7 @@
 
 func (l *ledger) drop(c *call) {
 	delete(l.calls, c.Key)
-	if c.Answer != nil {
-		l.bytes -= len(c.Answer.Body)
-	}
+	l.size -= len(c.raw) + binary.MaxVarintLen32
 	keys := l.running[c.By.Router]
 	delete(keys, c.Key)
 	if len(keys) == 0 {
--- a/fleet/registry/snapshot.go
+++ b/fleet/registry/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -14,8 +15,8 @@
 type snapshotData struct {
 	State stateData
 	// Calls lists the calls of the ledger, the running ones by key, then the ended
-	// ones in the order of their ends.
-	Calls []*call
+	// ones in the order of their ends, each with its length before it.
+	Calls []byte
 }
 
 // Snapshot implements quorum.StateMachine.
@@ -42,28 +43,47 @@
 	if s.data.Leases == nil {
 		s.data.Leases = leases
 	}
-	for _, c := range d.Calls {
-		s.ledger.put(c)
+	return s.ledger.restore(d.Calls)
+}
+
+// restore fills an empty ledger.
+func (l *ledger) restore(calls []byte) error {
+	for len(calls) > 0 {
+		n, width := binary.Uvarint(calls)
+		if width <= 0 || n > uint64(len(calls)-width) {
+			return errors.New("length of a ledger call is wrong")
+		}
+		raw := calls[width : width+int(n)]
+		calls = calls[width+int(n):]
+		c := &call{raw: raw}
+		if err := decoding.Unmarshal(raw, c); err != nil {
+			return errors.Wrap(err, "decode ledger call")
+		}
+		l.put(c)
 	}
 	return nil
 }
 
 // list returns all calls in the order that restores the ledger.
-func (l *ledger) list() []*call {
-	calls := make([]*call, 0, len(l.calls))
+func (l *ledger) list() []byte {
+	calls := make([]byte, 0, l.size)
 	for _, host := range sortedHosts(l.running) {
 		for _, key := range sortedKeys(l.running[host]) {
-			calls = append(calls, l.calls[key])
+			calls = appendCall(calls, l.calls[key])
 		}
 	}
 	for _, e := range l.ended {
 		if c := l.calls[e.key]; c != nil && c.State != callRunning && c.Index == e.index {
-			calls = append(calls, c)
+			calls = appendCall(calls, c)
 		}
 	}
 	return calls
 }
 
+func appendCall(buf []byte, c *call) []byte {
+	return append(binary.AppendUvarint(buf, uint64(len(c.raw))), c.raw...)
+}
+
 func sortedHosts(m map[fleet.HostID]map[fleet.LedgerKey]bool) []fleet.HostID {
 	hosts := make([]fleet.HostID, 0, len(m))
 	for h := range m {
