--- a/fleet/dispatch/bench_test.go
+++ b/fleet/dispatch/bench_test.go
@@ -28,7 +28,7 @@
 
 func newBenchFleet(routers, targets, customers int) *benchFleet {
 	f := &benchFleet{
-		r: New(Config{Host: "dispatcher-1"}), now: start, routers: routers, targets: targets, customers: customers,
+		r: New(Config{Host: "dispatcher-1", StandingGrants: true}), now: start, routers: routers, targets: targets, customers: customers,
 		sequence: make([]fleet.Sequence, routers), started: make([]fleet.Sequence, targets), open: make([][]fleet.GrantEnd, routers),
 	}
 	config := testFleet()
--- a/fleet/dispatch/reducer.go
+++ b/fleet/dispatch/reducer.go
@@ -263,6 +263,9 @@
 			continue
 		}
 		kept = append(kept, o)
+		for name := range o.arrivals {
+			o.arrivals[name] *= arrivalsDecay
+		}
 		r.remind(o)
 	}
 	clear(r.routerList[len(kept):])
--- a/fleet/dispatch/standing.go
+++ b/fleet/dispatch/standing.go
@@ -13,8 +13,10 @@
 const (
 	// standingInterval is the time between two renewals at a router.
 	standingInterval = 500 * time.Millisecond
-	// arrivalsDecay is what is left of a router's arrivals after one renewal.
-	arrivalsDecay = 0.9
+	// standingPerScan bounds the standing grants made in one scan.
+	standingPerScan = 32
+	// arrivalsDecay is what is left of a router's arrivals after one scan.
+	arrivalsDecay = 0.99
 )
 
 // standing is a standing grant that a router holds or may still hold.
@@ -100,7 +102,11 @@
 	if !r.cfg.StandingGrants || most <= 0 || !r.granting() {
 		return
 	}
+	given := 0
 	for _, t := range r.targetList {
+		if given >= standingPerScan {
+			return
+		}
 		if !t.usable || t.freeIndex < 0 || t.limiter.limit < t.last.Slots || r.scarce(t.service) {
 			continue
 		}
@@ -108,6 +114,7 @@
 		if n <= 0 {
 			continue
 		}
+		given++
 		if o := r.busiestRouter(t); o != nil {
 			r.stand(o, t, n)
 		}
