--- a/router/internal/routercmd/cutoff_test.go
+++ b/router/internal/routercmd/cutoff_test.go
@@ -103,3 +103,25 @@
 		convey.So(a.status, convey.ShouldEqual, 200)
 	})
 }
+
+func TestLedgerReplyLost(t *testing.T) {
+	t.Parallel()
+	w := startWorld(t)
+	defer w.end(t)
+	target := newFakeTarget(t, plainAnswer("filed"))
+	w.dispatcher.setTargets("desk", target.addr)
+	convey.Convey("A begin that was recorded without a reply does not keep the key", t, func() {
+		w.control.mu.Lock()
+		w.control.mute = true
+		w.control.mu.Unlock()
+		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "lost", "Fuchsiashed-Deadline", "500ms")
+		convey.So(a.verdict(), convey.ShouldEqual, "NotRun")
+		w.control.mu.Lock()
+		w.control.mute = false
+		w.control.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		b := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "lost")
+		convey.So(b.status, convey.ShouldEqual, 200)
+		convey.So(target.runs(), convey.ShouldEqual, 1)
+	})
+}
