--- /dev/null
+++ b/control/internal/disk/fuzz_test.go
@@ -0,0 +1,28 @@
+package disk_test
+
+import (
+	"testing"
+
+	"github.com/fuchsiashed/fuchsiashed/control/internal/disk"
+)
+
+// FuzzParse checks that no content of the file makes parsing panic, and that what it
+// takes for intact parses again to the same records.
+func FuzzParse(f *testing.F) {
+	frame, err := disk.Frame([][]byte{[]byte("one"), {}, []byte("three")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(frame)
+	f.Add(append(frame, frame[:len(frame)-1]...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, intact, err := disk.Parse(data)
+		if err != nil {
+			return
+		}
+		again, n, err := disk.Parse(data[:intact])
+		if err != nil || n != intact || len(again) != len(records) {
+			t.Fatalf("%d of %d records, %d of %d bytes, %v", len(again), len(records), n, intact, err)
+		}
+	})
+}
--- a/fleet/internal/fault/fault.go
+++ b/fleet/internal/fault/fault.go
@@ -12,7 +12,7 @@
 	IgnoreLeader bool
 	// CommitOldTerms commits entries of earlier terms by counting replicas.
 	CommitOldTerms bool
-	// AnswerUnconfirmed lets a leader answer without its lease.
+	// AnswerUnconfirmed lets a leader without a majority go on and answer.
 	AnswerUnconfirmed bool
 	// ForgetLeases lets a new leader give away leases that it has not waited out.
 	ForgetLeases bool
--- a/fleet/quorum/config.go
+++ b/fleet/quorum/config.go
@@ -17,7 +17,7 @@
 	// stands for election or grants a vote.
 	MinElectionTimeout = 800 * time.Millisecond
 	// MaxElectionTimeout is the longest silence before a replica stands.
-	MaxElectionTimeout = 1600 * time.Millisecond
+	MaxElectionTimeout = 1300 * time.Millisecond
 	// resendInterval is how long the answer to entries may take before they are sent again.
 	resendInterval = 400 * time.Millisecond
 	// helloInterval is the time between two Hello messages.
--- a/fleet/quorum/leader.go
+++ b/fleet/quorum/leader.go
@@ -70,7 +70,8 @@
 func (r *Replica) Ready() bool { return r.leading && r.applied >= r.lead.first }
 
 func (r *Replica) tickLeader() {
-	if r.now.Sub(r.lead.since) > MaxElectionTimeout && !r.contactWithin(MaxElectionTimeout) {
+	lost := r.now.Sub(r.lead.since) > MaxElectionTimeout && !r.contactWithin(MaxElectionTimeout)
+	if lost && !r.cfg.Faults.AnswerUnconfirmed {
 		r.stepDown()
 		return
 	}
