Stand-in frees a slot before its answer is whole; end-to-end tests fail on violated invariants

Ruled out: early doubling by long streams (they count after 10 s). Every test now also reads InvariantViolations of all processes that run at its end.

--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -42,6 +42,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
+		checkInvariants(t, f)
 		f.Close()
 		if t.Failed() {
 			for _, p := range f.All() {
@@ -55,6 +56,21 @@
 	return f
 }
 
+// checkInvariants fails the test if a process that still runs saw an invariant violated.
+func checkInvariants(t *testing.T, f *harness.Fleet) {
+	for _, list := range [][]*harness.Process{f.Control, f.Dispatchers, f.Routers} {
+		for _, p := range list {
+			if !p.Running() {
+				continue
+			}
+			violations, err := f.Counters(p, "InvariantViolations")
+			if err != nil || len(violations) > 0 {
+				t.Errorf("%s: invariant violations %v, error %v", p.Name, violations, err)
+			}
+		}
+	}
+}
+
 // load starts a load of so many workers of the large customer.
 func load(t *testing.T, f *harness.Fleet, d time.Duration, workers int, seed uint64) *harness.Load {
 	t.Helper()
--- a/standin/internal/engine/work.go
+++ b/standin/internal/engine/work.go
@@ -50,10 +50,11 @@
 	w.notify()
 }
 
-// end finishes the answer; err is nil when it is whole.
-func (w *Work) end(err error) {
+// end adds the last part and finishes the answer; err is nil when it is whole.
+func (w *Work) end(last string, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.body = append(w.body, last...)
 	w.whole, w.err = err == nil, err
 	close(w.ended)
 	w.notify()
