--- /dev/null
+++ b/fleet/change.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"time"
+)
+
+// DataCentreRequest takes a data centre out of service or brings it back.
+type DataCentreRequest struct {
+	Operation  OperationID
+	Base       Version
+	DataCentre DataCentreName
+	// Out is true to take it out, false to bring it back.
+	Out      bool
+	Operator string
+}
+
+// Check implements Checker.
+func (r *DataCentreRequest) Check() error {
+	return checkAll(
+		CheckName("Operation", string(r.Operation)),
+		CheckName("DataCentre", string(r.DataCentre)),
+	)
+}
+
+// ChangeReply is the result of an ApplyRequest or DataCentreRequest. A resend of
+// the operation returns the same reply.
+type ChangeReply struct {
+	// Accepted says whether the change was made; then Version is the new version.
+	Accepted bool
+	Version  Version
+	// Conflict is set when Base was not the current version.
+	Conflict *Conflict `json:",omitempty"`
+	// Invalid says why the change is not allowed; empty when it is.
+	Invalid string `json:",omitempty"`
+}
+
+// Check implements Checker.
+func (*ChangeReply) Check() error { return nil }
+
+// Conflict names both versions of a change that lost against another.
+type Conflict struct {
+	Base    Version
+	Current Version
+}
+
+// HistoryRequest asks for the newest changes.
+type HistoryRequest struct {
+	// Most is how many to return; 0 means all that are kept.
+	Most int
+}
+
+// Check implements Checker.
+func (*HistoryRequest) Check() error { return nil }
+
+// HistoryReply lists changes, newest first.
+type HistoryReply struct {
+	Changes []Change
+}
+
+// Check implements Checker.
+func (*HistoryReply) Check() error { return nil }
+
+// Change is one accepted change of the configuration.
+type Change struct {
+	Version   Version
+	Operation OperationID
+	Operator  string
+	// Kind is "Apply", "DataCentreOut" or "DataCentreIn".
+	Kind string
+	// Subject names the data centre; empty for a fleet text.
+	Subject string
+	// At is when the leader proposed it, by its own wall clock.
+	At time.Time
+}
--- a/fleet/dispatch/grant.go
+++ b/fleet/dispatch/grant.go
@@ -183,7 +183,7 @@
 // emptiest returns the free target with the least share of its limit in use.
 func (s *service) emptiest() *target {
 	var best *target
-	for _, dc := range s.zones {
+	for _, dc := range s.centres {
 		if h := s.free[dc]; h.Len() > 0 && (best == nil || lessLoaded(h.Min(), best)) {
 			best = h.Min()
 		}
--- a/fleet/dispatch/service.go
+++ b/fleet/dispatch/service.go
@@ -36,9 +36,9 @@
 	presumed *customer
 
 	// usable counts the targets that may get new work now or once a slot is free.
-	usable int
-	free   map[fleet.DataCentreName]*indexedHeap[*target]
-	zones  []fleet.DataCentreName
+	usable  int
+	free    map[fleet.DataCentreName]*indexedHeap[*target]
+	centres []fleet.DataCentreName
 	// freeTargets counts the targets with a free slot.
 	freeTargets int
 	prefixes    map[fleet.PrefixHash][]*target
@@ -76,8 +76,8 @@
 	if !ok {
 		h = &indexedHeap[*target]{less: lessLoaded, place: func(t *target, i int) { t.freeIndex = i }}
 		s.free[dc] = h
-		s.zones = append(s.zones, dc)
-		slices.Sort(s.zones)
+		s.centres = append(s.centres, dc)
+		slices.Sort(s.centres)
 	}
 	return h
 }
--- a/fleet/dispatch/suspect.go
+++ b/fleet/dispatch/suspect.go
@@ -224,7 +224,7 @@
 // chooseForSuspect returns the emptiest free target without another suspect.
 func (r *Reducer) chooseForSuspect(s *service, t *ticket) (*target, int) {
 	var best *target
-	for _, dc := range s.zones {
+	for _, dc := range s.centres {
 		for _, to := range s.free[dc].items {
 			if to.suspects == 0 && (best == nil || lessLoaded(to, best)) {
 				best = to
--- /dev/null
+++ b/fleet/text.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"github.com/pkg/errors"
+)
+
+// TextRequest asks for the accepted fleet text.
+type TextRequest struct {
+	// Version asks for an older text; 0 means the newest.
+	Version Version
+}
+
+// Check implements Checker.
+func (*TextRequest) Check() error { return nil }
+
+// TextReply is an accepted fleet text.
+type TextReply struct {
+	Version        Version
+	Hash           string
+	Text           string
+	DataCentresOut []DataCentreName `json:",omitempty"`
+}
+
+// Check implements Checker.
+func (*TextReply) Check() error { return nil }
+
+// ApplyRequest proposes a fleet text on top of a version.
+type ApplyRequest struct {
+	Operation OperationID
+	// Base is the version that the operator changed.
+	Base Version
+	Text string
+	// Operator is recorded in the history.
+	Operator string
+}
+
+// MaxFleetText is the largest fleet text in bytes.
+const MaxFleetText = 1 << 20
+
+// Check implements Checker.
+func (r *ApplyRequest) Check() error {
+	if len(r.Text) > MaxFleetText {
+		return errors.Errorf("Text has %d bytes; at most %d are allowed", len(r.Text), MaxFleetText)
+	}
+	return CheckName("Operation", string(r.Operation))
+}
