--- a/fleet/routing/events.go
+++ b/fleet/routing/events.go
@@ -120,7 +120,7 @@
 )
 
 // TickInterval is the time between two Tick events.
-const TickInterval = 5 * time.Millisecond
+const TickInterval = 20 * time.Millisecond
 
 // Cause says how an attempt ended.
 type Cause string
--- a/fleet/routing/retry.go
+++ b/fleet/routing/retry.go
@@ -100,4 +100,5 @@
 	q.queueUntil = at.Add(q.patience)
 	r.decide(now, q, EventRetried, reason, ev.Detail)
 	r.setState(q, stateBackingOff, at)
+	r.emit(WakeAfter{Delay: at.Sub(now)})
 }
--- a/router/internal/routercmd/cutoff_test.go
+++ b/router/internal/routercmd/cutoff_test.go
@@ -119,9 +119,10 @@
 		w.control.mu.Lock()
 		w.control.mute = false
 		w.control.mu.Unlock()
-		time.Sleep(300 * time.Millisecond)
-		b := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "lost")
-		convey.So(b.status, convey.ShouldEqual, 200)
+		free := eventually(func() bool {
+			return w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "lost").status == 200
+		})
+		convey.So(free, convey.ShouldBeTrue)
 		convey.So(target.runs(), convey.ShouldEqual, 1)
 	})
 }
--- a/router/internal/routercmd/misuse_test.go
+++ b/router/internal/routercmd/misuse_test.go
@@ -195,13 +195,13 @@
 			convey.So(err, convey.ShouldBeNil)
 			conns = append(conns, c)
 		}
-		time.Sleep(50 * time.Millisecond)
-		convey.So(counted(fleet.ReasonTooManyConnections)-before, convey.ShouldBeGreaterThanOrEqualTo, 20)
+		refusedConns := eventually(func() bool { return counted(fleet.ReasonTooManyConnections)-before >= 20 })
+		convey.So(refusedConns, convey.ShouldBeTrue)
 		for _, c := range conns {
 			_ = c.Close()
 		}
-		time.Sleep(50 * time.Millisecond)
-		convey.So(w.call("GET", "/services/desk/unknown", "").status, convey.ShouldEqual, 400)
+		taken := eventually(func() bool { return w.call("GET", "/services/desk/unknown", "").status == 400 })
+		convey.So(taken, convey.ShouldBeTrue)
 	})
 	convey.Convey("Bodies in hand take no more memory than allowed", t, func() {
 		release := make(chan struct{})
--- a/router/internal/routercmd/world_test.go
+++ b/router/internal/routercmd/world_test.go
@@ -100,6 +100,17 @@
 	t.Fatal("router did not become ready")
 }
 
+// eventually waits until the check holds, and says whether it did.
+func eventually(check func() bool) bool {
+	for range 300 {
+		if check() {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return check()
+}
+
 // end stops the router at once.
 func (w *world) end(t testing.TB) {
 	t.Helper()
