--- a/router/internal/routercmd/misuse_test.go
+++ b/router/internal/routercmd/misuse_test.go
@@ -183,19 +183,6 @@
 	})
 }
 
-// settleTime is how long a busy machine may take to accept or close many connections.
-const settleTime = 3 * time.Second
-
-// within says whether f becomes true in time.
-func within(d time.Duration, f func() bool) bool {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if f() {
-			return true
-		}
-	}
-	return f()
-}
-
 func TestLimits(t *testing.T) {
 	t.Parallel()
 	w := startWorld(t)
@@ -208,13 +195,13 @@
 			convey.So(err, convey.ShouldBeNil)
 			conns = append(conns, c)
 		}
-		refused := func() bool { return counted(fleet.ReasonTooManyConnections)-before >= 20 }
-		convey.So(within(settleTime, refused), convey.ShouldBeTrue)
+		refusedConns := eventually(func() bool { return counted(fleet.ReasonTooManyConnections)-before >= 20 })
+		convey.So(refusedConns, convey.ShouldBeTrue)
 		for _, c := range conns {
 			_ = c.Close()
 		}
-		served := func() bool { return w.call("GET", "/services/desk/unknown", "").status == 400 }
-		convey.So(within(settleTime, served), convey.ShouldBeTrue)
+		taken := eventually(func() bool { return w.call("GET", "/services/desk/unknown", "").status == 400 })
+		convey.So(taken, convey.ShouldBeTrue)
 	})
 	convey.Convey("Bodies in hand take no more memory than allowed", t, func() {
 		release := make(chan struct{})
