Routers pass an announcement on whole only when it tells something new

Cause: the announcement of a full target is 5,063 bytes in JSON, twice a second and router; at the size aimed for, 21 targets a router make 212 KB/s of the 16 KB/s a node may spend. Ruled out: leaving the running requests out (they clear work in doubt); longer intervals (a missing target has to be noticed within 3 s). After: a sign of life (target, incarnation, sequence) unless the offer changed, the dispatcher asked because it has work in doubt there or does not know the target, or its prefixes changed, for which a router spends four whole announcements a second.

--- a/fleet/dispatch.go
+++ b/fleet/dispatch.go
@@ -139,6 +139,8 @@
 	Progress  []Progress     `json:",omitempty"`
 	Ended     []GrantEnd     `json:",omitempty"`
 	Targets   []Announcement `json:",omitempty"`
+	// Alive stands for announcements that bring nothing new but that they were made.
+	Alive []TargetAlive `json:",omitempty"`
 	// Served lists what each customer was served through this router, for a new
 	// lease holder to rebuild its counters; only in full reports.
 	Served []ServedTotal `json:",omitempty"`
@@ -149,6 +151,13 @@
 	Limits      []TargetLimit `json:",omitempty"`
 }
 
+// TargetAlive stands for an announcement that a dispatcher need not have whole.
+type TargetAlive struct {
+	Target      TargetID
+	Incarnation Incarnation
+	Sequence    Sequence
+}
+
 // ServedTotal is the last counter that a router learned for a customer of a service.
 type ServedTotal struct {
 	Customer CustomerName
@@ -227,6 +236,8 @@
 	Resync   bool            `json:",omitempty"`
 	Grants   []Grant         `json:",omitempty"`
 	Refusals []TicketRefusal `json:",omitempty"`
+	// AskTargets lists targets whose next announcements the router has to pass on whole.
+	AskTargets []TargetID `json:",omitempty"`
 	// Standing replaces the router's standing grants when StandingSet is true.
 	StandingSet bool            `json:",omitempty"`
 	Standing    []StandingGrant `json:",omitempty"`
--- a/fleet/dispatch/attempt.go
+++ b/fleet/dispatch/attempt.go
@@ -131,7 +131,7 @@
 func (r *Reducer) clearDoubt(t *target) {
 	for i := len(t.attempts) - 1; i >= 0; i-- {
 		a := t.attempts[i]
-		if !a.inDoubt || a.targetInc != t.last.Incarnation || !t.proves(a.clearedBy) {
+		if !a.inDoubt || a.targetInc != t.last.Incarnation || !t.listProves(a.clearedBy) {
 			continue
 		}
 		if contains(t.last.Running, a.ticket.Request) {
--- a/fleet/dispatch/proof.go
+++ b/fleet/dispatch/proof.go
@@ -21,12 +21,17 @@
 func (t *target) proofAfter(at time.Time) proof {
 	made := max(0, at.Sub(t.heardAt)) / fleet.AnnounceInterval
 	return proof{
-		sequence: t.last.Sequence + fleet.Sequence(made) + relayMargin,
+		sequence: t.newest + fleet.Sequence(made) + relayMargin,
 		heardAt:  at.Add(relayMargin * fleet.AnnounceInterval),
 	}
 }
 
 // proves says whether the newest announcement is at least as new as p.
 func (t *target) proves(p proof) bool {
-	return t.last.Sequence >= p.sequence && !t.heardAt.Before(p.heardAt)
+	return t.newest >= p.sequence && !t.heardAt.Before(p.heardAt)
+}
+
+// listProves says whether the newest list of running requests is at least as new as p.
+func (t *target) listProves(p proof) bool {
+	return t.last.Sequence >= p.sequence && !t.wholeAt.Before(p.heardAt)
 }
--- a/fleet/dispatch/reducer.go
+++ b/fleet/dispatch/reducer.go
@@ -235,6 +235,7 @@
 		r.observeOverdue(t)
 		r.countStreaming(t)
 		r.expireDoubt(t)
+		r.askRunning(t)
 		r.expireStanding(t)
 		r.refresh(t)
 		r.checkTarget(t)
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -14,7 +14,10 @@
 	}
 	o.heardAt = r.now
 	for i := range m.Targets {
-		r.announce(&m.Targets[i], !m.Full)
+		r.announce(o, &m.Targets[i], !m.Full)
+	}
+	for i := range m.Alive {
+		r.alive(o, &m.Alive[i])
 	}
 	if m.Sequence <= o.applied {
 		return
--- a/fleet/dispatch/router.go
+++ b/fleet/dispatch/router.go
@@ -49,6 +49,7 @@
 	grants   []fleet.Grant
 	refusals []fleet.TicketRefusal
 	cancel   []fleet.GrantID
+	targets  []fleet.TargetID
 	served   []fleet.ServedTotal
 	standing bool
 	// answer asks for a message even if there is nothing to say.
@@ -61,7 +62,7 @@
 
 // empty says whether there is nothing to send beside standing grants.
 func (b *outbox) empty() bool {
-	return !b.resync && !b.answer && len(b.grants)+len(b.refusals)+len(b.cancel)+len(b.served)+
+	return !b.resync && !b.answer && len(b.grants)+len(b.refusals)+len(b.cancel)+len(b.targets)+len(b.served)+
 		len(b.quarantined)+len(b.suspects)+len(b.limits) == 0
 }
 
@@ -104,6 +105,7 @@
 	m := r.envelope(to, GrantValidity)
 	m.Resync = box.resync
 	m.Grants, m.Refusals, m.Cancel, m.Served = box.grants, box.refusals, box.cancel, box.served
+	m.AskTargets = box.targets
 	m.Quarantined, m.Suspects, m.Limits = box.quarantined, box.suspects, box.limits
 	if !box.empty() {
 		r.emit(SendGrants{To: to.id, Message: m, Until: r.sendUntil()})
--- a/fleet/dispatch/sim_router_test.go
+++ b/fleet/dispatch/sim_router_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
 )
 
 type simRequest struct {
@@ -67,6 +68,7 @@
 	sequence []fleet.Sequence
 	sent     []map[fleet.Sequence]time.Time
 	pending  []fleet.RouterReport
+	relays   []routing.Relay
 	sentAt   []time.Time
 	arrives  []time.Time
 }
@@ -80,7 +82,7 @@
 		quarantines: map[fleet.ContentHash]time.Time{}, limits: map[fleet.TargetID]fleet.TargetLimit{},
 		targets: map[fleet.TargetID]fleet.Announcement{}, contact: s.now,
 		cut: make([]bool, n), full: make([]bool, n), sequence: make([]fleet.Sequence, n),
-		sent: make([]map[fleet.Sequence]time.Time, n), pending: make([]fleet.RouterReport, n),
+		sent: make([]map[fleet.Sequence]time.Time, n), pending: make([]fleet.RouterReport, n), relays: make([]routing.Relay, n),
 		sentAt: make([]time.Time, n), arrives: make([]time.Time, n),
 	}
 	for i := range n {
@@ -141,7 +143,9 @@
 		return
 	}
 	o.targets[a.Target] = a
-	o.report(func(m *fleet.RouterReport) { m.Targets = append(m.Targets, a) })
+	for d := range o.pending {
+		o.relays[d].Pass(o.s.now, &a, len(o.targets), &o.pending[d])
+	}
 }
 
 func (o *simRouter) step() {
@@ -150,7 +154,7 @@
 	}
 	for d := range o.pending {
 		p := &o.pending[d]
-		news := len(p.Tickets)+len(p.Ended)+len(p.Progress)+len(p.Targets)+len(p.Standing) > 0
+		news := len(p.Tickets)+len(p.Ended)+len(p.Progress)+len(p.Targets)+len(p.Alive)+len(p.Standing) > 0
 		if o.cut[d] || !news && !o.full[d] && o.s.now.Sub(o.sentAt[d]) < 250*time.Millisecond {
 			continue
 		}
@@ -228,6 +232,7 @@
 	}
 	o.contact = o.s.now
 	o.full[d] = o.full[d] || m.Resync
+	o.relays[d].Ask(m.AskTargets)
 	o.keep(m)
 	sent, known := o.sent[d][m.Ack]
 	until := sent.Add(fleet.ShortenLease(m.Validity))
--- a/fleet/dispatch/target.go
+++ b/fleet/dispatch/target.go
@@ -13,7 +13,14 @@
 	// last is the newest announcement; known is false before the first one.
 	last    fleet.Announcement
 	known   bool
+	wholeAt time.Time
+	// newest is the highest sequence of this incarnation, be it of a sign of life, and
+	// heardAt when it came; relay is the router that passed it on.
+	newest  fleet.Sequence
 	heardAt time.Time
+	relay   *router
+	// askedAt is when an announcement was last asked for.
+	askedAt time.Time
 	// fresh says that one came when it was made, not only in full reports.
 	fresh   bool
 	service *service
@@ -76,7 +83,7 @@
 
 // announce applies an announcement unless a newer one is known. One in a full report
 // may be of any age, so it tells of a target but not that the target is still there.
-func (r *Reducer) announce(a *fleet.Announcement, fresh bool) {
+func (r *Reducer) announce(o *router, a *fleet.Announcement, fresh bool) {
 	t := r.target(a.Target)
 	older := a.Incarnation < t.last.Incarnation || a.Incarnation == t.last.Incarnation && a.Sequence <= t.last.Sequence
 	if t.known && older {
@@ -91,12 +98,16 @@
 	}
 	if restarted {
 		r.targetDied(t)
-		t.fresh = false
+		t.fresh, t.newest = false, 0
 	}
 	previous := t.last
 	if fresh || !t.known {
-		t.heardAt = r.now
+		t.wholeAt = r.now
 	}
+	if (fresh || !t.known) && a.Sequence > t.newest {
+		t.heardAt, t.relay = r.now, o
+	}
+	t.newest = max(t.newest, a.Sequence)
 	t.last, t.known, t.fresh, t.missing = *a, true, t.fresh || fresh, t.missing && !fresh
 	t.service = r.service(a.Service)
 	t.service.addSlots(a.Slots)
@@ -114,6 +125,44 @@
 	r.refresh(t)
 }
 
+// alive takes in a sign of life. The whole announcement is asked for when the target or
+// this incarnation of it is not known.
+func (r *Reducer) alive(o *router, a *fleet.TargetAlive) {
+	t := r.targets[a.Target]
+	if t == nil || !t.known || a.Incarnation > t.last.Incarnation {
+		r.askWhole(o, a.Target)
+		return
+	}
+	if a.Incarnation < t.last.Incarnation || a.Sequence <= t.newest {
+		return
+	}
+	t.newest, t.heardAt, t.relay = a.Sequence, r.now, o
+	t.fresh, t.missing = true, false
+	r.disproveDeaths(t)
+	r.refresh(t)
+}
+
+// askWhole asks a router for the next announcement of a target.
+func (r *Reducer) askWhole(o *router, id fleet.TargetID) {
+	box := r.post(o)
+	if !slices.Contains(box.targets, id) {
+		box.targets = append(box.targets, id)
+	}
+}
+
+// askRunning asks for the list of running requests of a target that has work in doubt.
+func (r *Reducer) askRunning(t *target) {
+	if t.relay == nil || r.now.Sub(t.askedAt) < fleet.AnnounceInterval {
+		return
+	}
+	doubted := slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.inDoubt })
+	if !doubted || r.routers[t.relay.id] != t.relay {
+		return
+	}
+	t.askedAt = r.now
+	r.askWhole(t.relay, t.id)
+}
+
 // withdraw takes the target out of its service's indices.
 func (r *Reducer) withdraw(t *target) {
 	r.unindexPrefixes(t)
--- a/fleet/routing/report.go
+++ b/fleet/routing/report.go
@@ -31,6 +31,7 @@
 	// sent holds the times of the newest reports, by sequence modulo sentKept.
 	sent    []time.Time
 	pending fleet.RouterReport
+	relay   Relay
 }
 
 func newPeer(name Peer) *peer { return &peer{name: name} }
@@ -65,6 +66,7 @@
 func (r *Router) dispatcherUp(name Peer) {
 	if p := r.peer(name); p != nil {
 		p.connected, p.full, p.dirty = true, true, true
+		p.relay.Reset()
 	}
 }
 
@@ -167,7 +169,7 @@
 	r.targets[a.Target] = knownTarget{Announcement: a, heard: now}
 	for _, p := range r.peers {
 		if p.connected {
-			p.pending.Targets = append(p.pending.Targets, a)
+			p.relay.Pass(now, &a, len(r.targets), &p.pending)
 			p.dirty = p.dirty || !r.passive(p)
 		}
 	}
@@ -257,6 +259,9 @@
 	for id, t := range r.targets {
 		if now.Sub(t.heard) > targetForgottenAfter {
 			delete(r.targets, id)
+			for _, p := range r.peers {
+				p.relay.Forget(id)
+			}
 		}
 	}
 }
