--- a/bench/internal/experiment/processes.go
+++ b/bench/internal/experiment/processes.go
@@ -16,7 +16,7 @@
 	// Label goes into the names of the figures, such as the way of syncing.
 	Label   string
 	Control []netip.AddrPort
-	// Admin lists operators' addresses of routers and dispatchers, a dispatcher's first.
+	// Admin lists operators' addresses of routers and dispatchers.
 	Admin []netip.AddrPort
 	// Router is where a router takes callers.
 	Router netip.AddrPort
--- a/bench/internal/experiment/router.go
+++ b/bench/internal/experiment/router.go
@@ -253,20 +253,20 @@
 	return err
 }
 
-// dispatcherBytes returns the bytes that a dispatcher received and sent so far; 0 when
-// its operators' address does not answer.
+// dispatcherBytes returns the bytes that all dispatchers received and sent so far; one
+// whose operators' address does not answer counts as 0.
 func dispatcherBytes(procs *Processes) float64 {
-	if len(procs.Admin) == 0 {
-		return 0
-	}
-	resp, err := http.Get("http://" + procs.Admin[0].String() + "/debug/vars")
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	var vars struct{ BytesRead, BytesWritten float64 }
-	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
-		return 0
+	sum := 0.0
+	for _, addr := range procs.Admin {
+		resp, err := http.Get("http://" + addr.String() + "/debug/vars")
+		if err != nil {
+			continue
+		}
+		var vars struct{ BytesRead, BytesWritten float64 }
+		if err := json.NewDecoder(resp.Body).Decode(&vars); err == nil {
+			sum += vars.BytesRead + vars.BytesWritten
+		}
+		_ = resp.Body.Close()
 	}
-	return vars.BytesRead + vars.BytesWritten
+	return sum
 }
--- a/bench/internal/model/link.go
+++ b/bench/internal/model/link.go
@@ -19,7 +19,9 @@
 	planned   bool
 	full      bool
 	connected bool
-	epoch     fleet.Epoch
+	// behind says that changes were left out while another dispatcher was active.
+	behind bool
+	epoch  fleet.Epoch
 	// heard is when the dispatcher last sent something.
 	heard time.Time
 }
@@ -31,12 +33,43 @@
 func (l *link) run() {
 	l.r.f.queue.After(routing.BatchInterval*time.Duration(l.r.index)/time.Duration(l.r.f.cfg.Trace.Routers), l.flush)
 	l.r.f.queue.Every(routing.HeartbeatInterval/5, func() {
+		l.catchUp()
 		if l.r.f.queue.Now().Sub(l.lastSent) >= routing.HeartbeatInterval {
 			l.flush()
 		}
 	})
 }
 
+// passive says whether the dispatcher gets heartbeats with announcements only, because
+// another one is active and answers.
+func (l *link) passive() bool {
+	for _, other := range l.r.links {
+		if other != l && other.epoch > 0 && other.epoch >= l.epoch && other.connected &&
+			l.r.f.queue.Now().Sub(other.heard) < routing.ContactTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// change adds to the next report; a passive dispatcher gets a full one later instead.
+func (l *link) change(add func(report *fleet.RouterReport)) {
+	if l.passive() {
+		l.behind = true
+		return
+	}
+	add(&l.pending)
+	l.soon()
+}
+
+// catchUp makes the next report complete when the dispatcher was passive until now.
+func (l *link) catchUp() {
+	if l.behind && !l.passive() {
+		l.behind, l.full = false, true
+		l.soon()
+	}
+}
+
 // soon plans a report within the batching interval.
 func (l *link) soon() {
 	if l.planned {
--- a/bench/internal/model/router.go
+++ b/bench/internal/model/router.go
@@ -119,8 +119,7 @@
 	r.perCustomer[req.Customer]++
 	r.f.meter.wait(req.Service, req.Customer, 1)
 	for _, l := range r.links {
-		l.pending.Tickets = append(l.pending.Tickets, req.ticket)
-		l.soon()
+		l.change(func(report *fleet.RouterReport) { report.Tickets = append(report.Tickets, req.ticket) })
 	}
 }
 
@@ -184,11 +183,9 @@
 // end reports the end of an attempt and tries the request again unless it completed.
 func (r *router) end(a *attempt, outcome fleet.Outcome, spent fleet.Cost) {
 	delete(r.running, a.grant)
+	ended := fleet.GrantEnd{Grant: a.grant, Ticket: a.req.ticket.ID, Outcome: outcome, Spent: spent, FirstToken: a.firstToken}
 	for _, l := range r.links {
-		l.pending.Ended = append(l.pending.Ended, fleet.GrantEnd{
-			Grant: a.grant, Ticket: a.req.ticket.ID, Outcome: outcome, Spent: spent, FirstToken: a.firstToken,
-		})
-		l.soon()
+		l.change(func(report *fleet.RouterReport) { report.Ended = append(report.Ended, ended) })
 	}
 	s := r.f.result.service(a.req.Service)
 	if outcome == fleet.OutcomeCompleted {
@@ -206,7 +203,7 @@
 	r.f.queue.After(retryPause, func() { r.enqueue(a.req) })
 }
 
-// progress reports what the running requests have spent.
+// progress reports what the running requests have spent, as far as it is due.
 func (r *router) progress() {
 	if len(r.running) == 0 {
 		return
@@ -215,11 +212,9 @@
 		if a.job == nil || !a.told.Due(a.job.Spent(), a.firstToken) {
 			continue
 		}
+		p := fleet.Progress{Grant: a.grant, Spent: a.job.Spent(), FirstToken: a.firstToken}
 		for _, l := range r.links {
-			l.pending.Progress = append(l.pending.Progress, fleet.Progress{
-				Grant: a.grant, Spent: a.job.Spent(), FirstToken: a.firstToken,
-			})
-			l.soon()
+			l.change(func(report *fleet.RouterReport) { report.Progress = append(report.Progress, p) })
 		}
 	}
 }
@@ -242,7 +237,9 @@
 func (r *router) relay(a fleet.Announcement) {
 	for _, l := range r.links {
 		l.pending.Targets = append(l.pending.Targets, a)
-		l.soon()
+		if !l.passive() {
+			l.soon()
+		}
 	}
 }
 
--- a/bench/internal/model/standing.go
+++ b/bench/internal/model/standing.go
@@ -58,9 +58,9 @@
 		target: s.Target, incarnation: s.Incarnation, standing: s.ID,
 	}
 	r.f.result.StandingUsed++
+	use := fleet.StandingUse{Standing: s.ID, Running: a.describe()}
 	for _, l := range r.links {
-		l.pending.Standing = append(l.pending.Standing, fleet.StandingUse{Standing: s.ID, Running: a.describe()})
-		l.soon()
+		l.change(func(report *fleet.RouterReport) { report.Standing = append(report.Standing, use) })
 	}
 	r.start(a)
 }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -213,7 +213,7 @@
   measure --only '^InForce$' --control "$(address 1)" --control "$(address 3)" --control "$(address 5)" \
     --admin "$(address 12)" --admin "$(address 14)" --admin "$(address 23)" --admin "$(address 27)"
   measure --only '^Router$' --router "$(address 21)" --plain "$(address 41)" --model "$(address 42)" --key "$key" \
-    --admin "$(address 12)" \
+    --admin "$(address 12)" --admin "$(address 14)" \
     --pid "Router:${pids[router-1]}" --pid "Dispatcher:${pids[dispatcher-1]}" --pid "Control:${pids[control-1]}"
   rolling_restart
   stop_all
