--- a/bench/internal/baseline/baseline.go
+++ b/bench/internal/baseline/baseline.go
@@ -114,6 +114,13 @@
 	for i := range r.Targets {
 		d.announced(now, &r.Targets[i])
 	}
+	for _, a := range r.Alive {
+		for _, t := range d.targets {
+			if t.Target == a.Target && t.Incarnation == a.Incarnation {
+				t.heard = now
+			}
+		}
+	}
 }
 
 // failed keeps new work off the target for a while unless it completed.
--- a/bench/internal/model/link.go
+++ b/bench/internal/model/link.go
@@ -22,6 +22,7 @@
 	// behind says that changes were left out while another dispatcher was active.
 	behind bool
 	epoch  fleet.Epoch
+	relay  routing.Relay
 	// heard is when the dispatcher last sent something.
 	heard time.Time
 }
@@ -96,7 +97,7 @@
 	report := l.pending
 	l.pending = fleet.RouterReport{}
 	if l.full {
-		report = l.fullReport(report.Targets)
+		report = l.fullReport()
 	}
 	l.full = false
 	report.Router, report.Incarnation, report.DataCentre = l.r.id, 1, l.r.dc
@@ -105,8 +106,8 @@
 }
 
 // fullReport lists all that the router has.
-func (l *link) fullReport(targets []fleet.Announcement) fleet.RouterReport {
-	report := fleet.RouterReport{Full: true, Targets: targets}
+func (l *link) fullReport() fleet.RouterReport {
+	report := fleet.RouterReport{Full: true, Targets: slices.Clone(l.r.announced)}
 	for _, req := range l.r.waiting {
 		t := req.ticket
 		t.Waited = l.r.f.queue.Now().Sub(req.arrived)
@@ -147,6 +148,7 @@
 		return
 	}
 	now := l.r.f.queue.Now()
+	l.relay.Ask(m.AskTargets)
 	if m.Epoch > l.epoch {
 		l.epoch = m.Epoch
 		l.full = true
--- a/bench/internal/model/router.go
+++ b/bench/internal/model/router.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/bench/internal/engine"
@@ -19,7 +20,9 @@
 	dc      fleet.DataCentreName
 	version fleet.Version
 	links   []*link
-	waiting map[fleet.TicketID]*request
+	// announced holds the newest announcements of the targets, in order of their names.
+	announced []fleet.Announcement
+	waiting   map[fleet.TicketID]*request
 	// order lists the waiting requests of each service, oldest first; those that no
 	// longer wait are skipped.
 	order       map[fleet.ServiceName][]*request
@@ -235,8 +238,15 @@
 
 // relay takes a target's announcement and passes it on.
 func (r *router) relay(a fleet.Announcement) {
+	i, known := slices.BinarySearchFunc(r.announced, a.Target, func(b fleet.Announcement, id fleet.TargetID) int {
+		return strings.Compare(string(b.Target), string(id))
+	})
+	if !known {
+		r.announced = slices.Insert(r.announced, i, a)
+	}
+	r.announced[i] = a
 	for _, l := range r.links {
-		l.pending.Targets = append(l.pending.Targets, a)
+		l.relay.Pass(r.f.queue.Now(), &a, len(r.announced), &l.pending)
 		if !l.passive() {
 			l.soon()
 		}
