--- a/fleet/dispatch/reducer.go
+++ b/fleet/dispatch/reducer.go
@@ -233,6 +233,7 @@
 			r.targetMissing(t)
 		}
 		r.observeOverdue(t)
+		r.countStreaming(t)
 		r.expireDoubt(t)
 		r.expireStanding(t)
 		r.refresh(t)
@@ -262,6 +263,9 @@
 			continue
 		}
 		kept = append(kept, o)
+		for name := range o.arrivals {
+			o.arrivals[name] *= arrivalsDecay
+		}
 		r.remind(o)
 	}
 	clear(r.routerList[len(kept):])
--- a/fleet/dispatch/sim_router_test.go
+++ b/fleet/dispatch/sim_router_test.go
@@ -21,6 +21,7 @@
 	attempt   int
 	since     time.Time
 	ticket    fleet.TicketID
+	broken    []fleet.TargetDeath
 }
 
 // simAttempt is a use of a grant.
@@ -122,7 +123,7 @@
 	waited := o.s.now.Sub(q.since)
 	return fleet.Ticket{
 		ID: q.ticket, Request: q.id, Customer: q.customer, Service: q.service,
-		DataCentre: o.dc, Hint: q.hint, Content: q.content, Attempt: q.attempt, Waited: waited, Patience: max(0, 20*time.Second-waited),
+		DataCentre: o.dc, Hint: q.hint, Content: q.content, Broken: q.broken, Attempt: q.attempt, Waited: waited, Patience: max(0, 20*time.Second-waited),
 	}
 }
 
@@ -297,7 +298,7 @@
 
 func (o *simRouter) start(a *simAttempt) bool {
 	if !a.target.start(o, a) {
-		o.end(a.grant, a.ticket.ID, fleet.OutcomeBroken, 0, 0)
+		o.end(a.grant, a.ticket.ID, fleet.OutcomeUnreached, 0, 0)
 		o.retry(a.request)
 		return false
 	}
@@ -341,7 +342,9 @@
 	o.attempts = slices.DeleteFunc(o.attempts, func(a *simAttempt) bool { return a == run.attempt })
 	o.end(run.attempt.grant, run.attempt.ticket.ID, outcome, fleet.Cost(run.spent), 0)
 	if outcome == fleet.OutcomeBroken {
-		o.retry(run.attempt.request)
+		q := run.attempt.request
+		q.broken = append(q.broken, fleet.TargetDeath{Target: run.attempt.target.id, Incarnation: run.attempt.incarnation})
+		o.retry(q)
 		return
 	}
 	o.s.completed++
@@ -351,40 +354,6 @@
 	}
 }
 
-// reuse starts the next request on the slot of one that completed while no dispatcher
-// answers. The end and the start go into the same report.
-func (o *simRouter) reuse(done *simAttempt) {
-	silent := o.s.now.Sub(o.contact)
-	if silent < 300*time.Millisecond || silent > fleet.ShortenLease(StandingValidity) {
-		return
-	}
-	q := o.nextWaiting(done.request.service)
-	if q == nil {
-		return
-	}
-	a := &simAttempt{
-		grant: done.grant + "+", epoch: o.epoch, request: q, ticket: o.ticket(q), target: done.target, incarnation: done.incarnation,
-	}
-	use := fleet.StandingUse{Standing: done.grant, Running: a.running()}
-	o.report(func(m *fleet.RouterReport) { m.Standing = append(m.Standing, use) })
-	o.start(a)
-}
-
-// nextWaiting takes the oldest request that is not known to crash targets.
-func (o *simRouter) nextWaiting(service fleet.ServiceName) *simRequest {
-	i := slices.IndexFunc(o.waiting, func(q *simRequest) bool {
-		_, suspect := o.suspects[q.content]
-		_, barred := o.quarantines[q.content]
-		return !suspect && !barred && q.service == service
-	})
-	if i < 0 {
-		return nil
-	}
-	q := o.waiting[i]
-	o.waiting = slices.Delete(o.waiting, i, i+1)
-	return q
-}
-
 func (o *simRouter) refused(ref fleet.TicketRefusal) {
 	if q := o.takeWaiting(ref.Ticket); q != nil {
 		o.s.refused[ref.Reason]++
@@ -392,34 +361,6 @@
 	}
 }
 
-// useStanding starts waiting requests on standing grants.
-func (o *simRouter) useStanding() {
-	for _, g := range o.standing {
-		used := 0
-		for _, a := range o.attempts {
-			if a.standing == g.ID {
-				used++
-			}
-		}
-		for used < int(g.Slots) && o.s.now.Before(o.standingUntil) {
-			q := o.nextWaiting(g.Service)
-			if q == nil {
-				break
-			}
-			a := &simAttempt{
-				grant: fleet.GrantID(fmt.Sprintf("%s/%s", g.ID, q.id)), standing: g.ID, epoch: o.epoch, request: q,
-				ticket: o.ticket(q), target: o.s.target(g.Target), incarnation: g.Incarnation,
-			}
-			use := fleet.StandingUse{Standing: g.ID, Running: a.running()}
-			o.report(func(m *fleet.RouterReport) { m.Standing = append(m.Standing, use) })
-			if !o.start(a) {
-				break
-			}
-			used++
-		}
-	}
-}
-
 // restartRouter replaces a router by one that remembers nothing. Its callers lose
 // their requests; what runs at targets goes on unheard.
 func (s *sim) restartRouter(i int) {
