--- a/router/internal/routercmd/cutoff_test.go
+++ b/router/internal/routercmd/cutoff_test.go
@@ -125,7 +125,7 @@
 		w.control.mu.Lock()
 		w.control.mute = false
 		w.control.mu.Unlock()
-		free := within(settleTime, func() bool {
+		free := eventually(func() bool {
 			return w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "lost").status == 200
 		})
 		convey.So(free, convey.ShouldBeTrue)
--- a/router/internal/routercmd/misuse_test.go
+++ b/router/internal/routercmd/misuse_test.go
@@ -183,19 +183,6 @@
 	})
 }
 
-// settleTime is how long a busy machine may take to accept or close many connections.
-const settleTime = 3 * time.Second
-
-// within says whether f becomes true in time.
-func within(d time.Duration, f func() bool) bool {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if f() {
-			return true
-		}
-	}
-	return f()
-}
-
 func TestLimits(t *testing.T) {
 	t.Parallel()
 	w := startWorld(t)
@@ -209,12 +196,12 @@
 			conns = append(conns, c)
 		}
 		refused := func() bool { return counted(fleet.ReasonTooManyConnections)-before >= 20 }
-		convey.So(within(settleTime, refused), convey.ShouldBeTrue)
+		convey.So(eventually(refused), convey.ShouldBeTrue)
 		for _, c := range conns {
 			_ = c.Close()
 		}
 		served := func() bool { return w.call("GET", "/services/desk/unknown", "").status == 400 }
-		convey.So(within(settleTime, served), convey.ShouldBeTrue)
+		convey.So(eventually(served), convey.ShouldBeTrue)
 	})
 	// holding makes calls one after another that their target holds until release is
 	// closed, and returns the channel of their answers.
@@ -231,7 +218,7 @@
 		w.dispatcher.setTargets("desk", target.addr)
 		for i := range n {
 			go func() { results <- call() }()
-			convey.So(within(settleTime, func() bool { return target.runs() == i+1 }), convey.ShouldBeTrue)
+			convey.So(eventually(func() bool { return target.runs() == i+1 }), convey.ShouldBeTrue)
 		}
 		return results, release
 	}
