--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -171,3 +171,16 @@
 		convey.So(f.r.services["drafter"].largestCost, convey.ShouldEqual, fleet.Cost(5000))
 	})
 }
+
+func TestPassiveForgetsWhatOthersGranted(t *testing.T) {
+	convey.Convey("A dispatcher without the lease drops the tickets that the holder granted", t, func() {
+		f := newFixture(Config{})
+		f.event(LeaseLost{})
+		f.report("r2", fleet.RouterReport{Tickets: tickets(2, "c00")})
+		f.report("r2", fleet.RouterReport{Ended: []fleet.GrantEnd{{Grant: "other", Ticket: "c00-0", Outcome: fleet.OutcomeCompleted}}})
+		convey.So(len(f.r.routers["r2"].tickets), convey.ShouldEqual, 1)
+		f.advance(31 * time.Second)
+		convey.So(f.r.routers["r2"].tickets, convey.ShouldBeEmpty)
+		convey.So(f.take(), convey.ShouldBeEmpty)
+	})
+}
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -148,6 +148,10 @@
 		if a := o.attempts[m.Ended[i].Grant]; a != nil {
 			r.ended(a, &m.Ended[i])
 		}
+		if t := o.tickets[m.Ended[i].Ticket]; t != nil && r.phase == passive {
+			// The lease holder granted it.
+			r.drop(t)
+		}
 	}
 	for _, id := range m.Withdrawn {
 		if t := o.tickets[id]; t != nil {
