--- a/control/cmd/fuchsiashed-control/requests_test.go
+++ b/control/cmd/fuchsiashed-control/requests_test.go
@@ -1,12 +1,14 @@
 package main_test
 
 import (
+	"os"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
 )
 
 func TestRequests(t *testing.T) {
@@ -50,9 +52,25 @@
 		convey.So(l, convey.ShouldResemble, fleet.LeaseReply{Holder: "d1", Epoch: 1})
 
 		testLedger(r)
+		testReplay(r)
 	})
 }
 
+// testReplay replays the event logs, of which the leader's holds both changes.
+func testReplay(r *replicas) {
+	newest := fleet.Version(0)
+	for i := range replicaCount {
+		r.kill(i)
+		events, err := os.Open(r.eventLog(i))
+		convey.So(err, convey.ShouldBeNil)
+		server, err := registry.Replay(events, func(time.Time, fleet.Event, []fleet.Effect) {})
+		convey.So(err, convey.ShouldBeNil)
+		newest = max(newest, server.State().Version())
+		convey.So(events.Close(), convey.ShouldBeNil)
+	}
+	convey.So(newest, convey.ShouldEqual, 2)
+}
+
 func testLedger(r *replicas) {
 	key := fleet.LedgerKey{Customer: "riga-centrs", Service: "permit-desk", Key: "k1"}
 	by := fleet.AttemptID{Router: "r1", Incarnation: 1, Attempt: 1}
