--- a/fleet/quorum/status.go
+++ b/fleet/quorum/status.go
@@ -15,6 +15,9 @@
 	return Follower
 }
 
+// Term returns the current term.
+func (r *Replica) Term() fleet.Term { return r.vote.Term }
+
 // KnownLeader returns the leader that the replica follows, or "".
 func (r *Replica) KnownLeader() fleet.HostID { return r.leader }
 
--- a/fleet/registry/server.go
+++ b/fleet/registry/server.go
@@ -113,7 +113,7 @@
 
 // takeOver begins a tenure once the replica knows all that was ever committed.
 func (s *Server) takeOver() {
-	term := s.replica.Status().Term
+	term := s.replica.Term()
 	if !s.replica.Ready() || s.tenure.term == term {
 		return
 	}
