Operations page: checked against the log events, reasons, counters and outcomes of the code

Cause: the page fell behind while the programs grew. Before: the test named RouterGauges and EventLogEnded as missing.

--- /dev/null
+++ b/e2e/docs_test.go
@@ -0,0 +1,54 @@
+package e2e_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// The names that the operations page has to explain.
+var documented = map[string]*regexp.Regexp{
+	"log event": regexp.MustCompile(`(?i)\blog\.(?:Info|Warn|Error)\("([A-Za-z]+)"`),
+	"reason":    regexp.MustCompile(`Reason\w+ +Reason = "([A-Za-z]+)"`),
+	"counter":   regexp.MustCompile(`expvar\.(?:NewMap|NewInt|Publish)\("([A-Za-z]+)"`),
+	"decision":  regexp.MustCompile(`\bEvent[A-Z]\w+ += "([A-Za-z]+)"`),
+	"outcome":   regexp.MustCompile(`Outcome\w+ +Outcome = "([A-Za-z]+)"`),
+}
+
+// programs lists the modules whose processes operators watch.
+var programs = []string{"fleet", "router", "dispatcher", "control"}
+
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	do(t, err)
+	words := map[string]bool{}
+	for _, w := range regexp.MustCompile(`[A-Za-z]+`).FindAllString(string(page), -1) {
+		words[w] = true
+	}
+	var missing []string
+	for _, module := range programs {
+		err := filepath.WalkDir("../"+module, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			for kind, pattern := range documented {
+				for _, m := range pattern.FindAllSubmatch(source, -1) {
+					if !words[string(m[1])] {
+						missing = append(missing, kind+" "+string(m[1]))
+					}
+				}
+			}
+			return err
+		})
+		do(t, err)
+	}
+	convey.Convey("Every log event, reason, counter and decision is on the page for operators", t, func() {
+		convey.So(missing, convey.ShouldBeEmpty)
+	})
+}
