--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -25,7 +25,14 @@
 
 func TestWholePath(t *testing.T) {
 	f := boot(t, 3, 2, 2, harness.Targets(1, 1))
-	convey.Convey("Requests of both kinds are served through every router", t, func() {
+	requestsAreServed(t, f)
+	runOnceCallIsReplayed(t, f)
+	refusalsAreTrue(t, f)
+	textIsInForce(t, f)
+}
+
+func requestsAreServed(t *testing.T, f *harness.Fleet) {
+	convey.Convey("Model requests are served through every router", t, func() {
 		for _, r := range f.Routers {
 			a, err := f.Call(r, harness.Model, http.MethodPost, completions, "", prompt)
 			convey.So(err, convey.ShouldBeNil)
@@ -38,6 +45,9 @@
 			convey.So(explained, convey.ShouldContainSubstring, r.Name)
 		}
 	})
+}
+
+func runOnceCallIsReplayed(t *testing.T, f *harness.Fleet) {
 	convey.Convey("A run-once call sent again through another router gets its first answer", t, func() {
 		first, err := f.Call(f.Routers[0], harness.Plain, http.MethodPost, "/filings", "filing-1", `{"Terrace":7}`)
 		convey.So(err, convey.ShouldBeNil)
@@ -57,6 +67,9 @@
 		}
 		convey.So(runs, convey.ShouldEqual, 1)
 	})
+}
+
+func refusalsAreTrue(t *testing.T, f *harness.Fleet) {
 	convey.Convey("Refusals carry their reason and a true verdict", t, func() {
 		tests := []struct {
 			name, service, path, key, body string
@@ -73,6 +86,9 @@
 			convey.So(a.Verdict, convey.ShouldEqual, "NotRun")
 		}
 	})
+}
+
+func textIsInForce(t *testing.T, f *harness.Fleet) {
 	convey.Convey("An applied text is in force everywhere within seconds", t, func() {
 		path := filepath.Join(t.TempDir(), "fleet.ini")
 		convey.So(os.WriteFile(path, []byte(harness.Text(1)), 0o600), convey.ShouldBeNil)
