Registry: a silent process leaves the hosts answer after 4 s

Cause: a killed router was named to callers for up to 10 s; heartbeats come once a second. Ruled out: 2 s (a leader change of 1.3 s would empty the list). After: 4 s, with the list's interval of 3 s at most 8 s at a caller's next question.

--- a/fleet/registry/server.go
+++ b/fleet/registry/server.go
@@ -13,7 +13,7 @@
 	// StateValidity is how long a process may rely on a StateReply.
 	StateValidity = 4 * time.Second
 	// HostForgottenAfter is the silence after which a process is left out of StateReply.
-	HostForgottenAfter = 10 * time.Second
+	HostForgottenAfter = 4 * time.Second
 	// RouterAbandonedAfter is the silence of a router after which its running ledger
 	// calls are closed as MayHaveRun.
 	RouterAbandonedAfter = 30 * time.Second
