Dispatch: a suspect goes on after its attempt broke at a dead target

An attempt that breaks stays in doubt until its target clears it, which a target that never comes back does not do before the request timeout. A death reported after the target was found missing is confirmed at once (TestLateReportOfCrashIsJudged).

--- a/fleet/dispatch/attempt.go
+++ b/fleet/dispatch/attempt.go
@@ -88,8 +88,7 @@
 	}
 	if a.suspect != nil {
 		t.suspects--
-		a.suspect.running = nil
-		r.parkedMayRun = true
+		r.releaseSuspect(a)
 	}
 	r.leaveRouter(a)
 	a.customer.attempts--
@@ -282,6 +281,7 @@
 	case fleet.OutcomeBroken:
 		r.targetFailed(a)
 		r.blame(a, false)
+		r.releaseSuspect(a)
 		r.doubt(a)
 		return
 	}
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -184,3 +184,53 @@
 		convey.So(f.take(), convey.ShouldBeEmpty)
 	})
 }
+
+func TestLateReportOfCrashIsJudged(t *testing.T) {
+	convey.Convey("A request is barred although its breaks are reported after the targets went missing", t, func() {
+		f := newFixture(Config{})
+		for _, id := range []fleet.TargetID{"t1", "t2", "t3"} {
+			f.target(id, "drafter", "riga-a", 1)
+		}
+		m := newTicket("x", "c00")
+		for attempt := 1; attempt <= 2; attempt++ {
+			m.ID, m.Attempt = fleet.TicketID(fmt.Sprintf("x.%d", attempt)), attempt
+			f.report("r2", fleet.RouterReport{Tickets: []fleet.Ticket{m}})
+			f.advance(50 * time.Millisecond)
+			granted := f.grants()
+			convey.So(len(granted), convey.ShouldEqual, 1)
+			// The target is gone for long before the router gives up to resume the answer.
+			delete(f.announce, granted[0].Target)
+			f.advance(3 * time.Second)
+			f.end("r2", granted[0], fleet.OutcomeBroken, 1)
+		}
+		f.take()
+		m.ID, m.Attempt = "x.3", 3
+		f.report("r2", fleet.RouterReport{Tickets: []fleet.Ticket{m}})
+		refused := f.refusals()
+		convey.So(len(refused), convey.ShouldEqual, 1)
+		convey.So(refused[0].Reason, convey.ShouldEqual, fleet.ReasonQuarantined)
+	})
+}
+
+func TestSuspectGoesOnAfterDeadTarget(t *testing.T) {
+	convey.Convey("A suspect whose next attempt breaks at the same dead target is tried elsewhere", t, func() {
+		f := newFixture(Config{})
+		f.target("t1", "drafter", "riga-a", 4)
+		f.warm("t1")
+		m := newTicket("x", "c00")
+		attempt := func(n int) []fleet.Grant {
+			m.ID, m.Attempt = fleet.TicketID(fmt.Sprintf("x.%d", n)), n
+			f.report("r2", fleet.RouterReport{Tickets: []fleet.Ticket{m}})
+			f.advance(300 * time.Millisecond)
+			return f.grants()
+		}
+		granted := attempt(1)
+		delete(f.announce, "t1")
+		f.end("r2", granted[0], fleet.OutcomeBroken, 1)
+		granted = attempt(2)
+		convey.So(granted[0].Target, convey.ShouldEqual, fleet.TargetID("t1"))
+		f.end("r2", granted[0], fleet.OutcomeBroken, 1)
+		f.target("t2", "drafter", "riga-a", 1)
+		convey.So(attempt(3)[0].Target, convey.ShouldEqual, fleet.TargetID("t2"))
+	})
+}
--- a/fleet/dispatch/retained.go
+++ b/fleet/dispatch/retained.go
@@ -145,7 +145,7 @@
 	if !slices.Contains(t.blamed, c) {
 		t.blamed = append(t.blamed, c)
 	}
-	return c.addDeath(t, d.Incarnation, !t.known || t.last.Incarnation > d.Incarnation, r.now)
+	return c.addDeath(t, d.Incarnation, t.gone(d.Incarnation), r.now)
 }
 
 // applyBroken takes in where earlier attempts of a ticket's request broke.
--- a/fleet/dispatch/suspect.go
+++ b/fleet/dispatch/suspect.go
@@ -64,6 +64,7 @@
 		return
 	}
 	c := r.suspectOf(a.ticket.Content)
+	confirmed = confirmed || a.target.gone(a.targetInc)
 	if c.addDeath(a.target, a.targetInc, confirmed, r.now) {
 		r.decide(a.ticket.Request, a.customer.name, "Suspected", "", "target "+string(a.target.id)+" failed with it")
 		r.remember(c)
@@ -91,6 +92,12 @@
 	return true
 }
 
+// gone says whether an incarnation of the target surely does not run any more, as far
+// as its announcements tell.
+func (t *target) gone(incarnation fleet.Incarnation) bool {
+	return !t.known || t.missing || t.last.Incarnation > incarnation
+}
+
 // judge quarantines a content that brought down too many targets.
 func (r *Reducer) judge(c *content) {
 	r.parkedMayRun = true
@@ -143,6 +150,16 @@
 	r.confirmDeaths(t)
 	for _, a := range slices.Clone(t.attempts) {
 		r.blame(a, true)
+		r.releaseSuspect(a)
+	}
+}
+
+// releaseSuspect lets a content be tried again elsewhere; the attempt may count as in
+// doubt for much longer.
+func (r *Reducer) releaseSuspect(a *attempt) {
+	if a.suspect != nil && a.suspect.running == a {
+		a.suspect.running = nil
+		r.parkedMayRun = true
 	}
 }
 
