Dispatch: a router that restarted is told what is quarantined

Every full report is now answered with the suspects and quarantines, and a new lease holder tells them to all.

--- a/fleet/dispatch/lease.go
+++ b/fleet/dispatch/lease.go
@@ -78,6 +78,9 @@
 		return
 	}
 	r.phase = active
+	for _, c := range r.sortedContents() {
+		r.remember(c)
+	}
 	if r.allSettled() {
 		r.shortenPresumed()
 	}
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -38,6 +38,9 @@
 		r.receive(o, &m.Tickets[i])
 	}
 	r.settle()
+	if m.Full {
+		r.tellAllContents(o)
+	}
 	if r.now.Sub(o.answeredAt) >= answerInterval {
 		r.post(o).answer = true
 	}
--- a/fleet/dispatch/retained.go
+++ b/fleet/dispatch/retained.go
@@ -54,6 +54,26 @@
 	}
 }
 
+// tellAllContents lets a router that may have restarted keep what is known, or it might
+// start a barred request on a standing grant.
+func (r *Reducer) tellAllContents(o *router) {
+	if r.phase != active {
+		return
+	}
+	for _, c := range r.sortedContents() {
+		r.tellContent(o, c)
+	}
+}
+
+func (r *Reducer) sortedContents() []*content {
+	list := make([]*content, 0, len(r.contents))
+	for _, c := range r.contents {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b *content) int { return compare(a.hash, b.hash) })
+	return list
+}
+
 // tellLimits sends the limits that changed since the last scan to a few routers each.
 func (r *Reducer) tellLimits() {
 	targets := r.news.targets
