--- a/bench/internal/experiment/slopes.go
+++ b/bench/internal/experiment/slopes.go
@@ -66,6 +66,7 @@
 	messages int
 	reduce   time.Duration
 	codecs   map[string]linkCost
+	wire     wireCost
 }
 
 // linkCost is the cost of the messages between routers and one dispatcher.
@@ -99,6 +100,11 @@
 		effects = append(effects, reducer.Reduce(e.at, e.ev)...)
 	}
 	cost := &sizeCost{reduce: cpuTime() - began, codecs: map[string]linkCost{}, requests: len(trace.Arrivals)}
+	wire, err := measureWire(events, effects)
+	if err != nil {
+		return nil, err
+	}
+	cost.wire = wire
 	reports, grants := messages(events, effects)
 	cost.messages = len(reports) + len(grants)
 	for _, c := range codecs() {
@@ -175,6 +181,7 @@
 	p.Print(name+"ReduceCPUPerRequest", perRequest(micro(loaded.reduce), micro(idle.reduce)), "us")
 	p.Print(name+"ReduceCPUIdle", micro(idle.reduce)/1000/seconds, "ms/s")
 	p.Print(name+"MessagesPerRequest", perRequest(float64(loaded.messages), float64(idle.messages)), "messages")
+	printWire(p, name, idle.wire, loaded.wire, seconds)
 	for _, c := range codecs() {
 		l, i := loaded.codecs[c.name], idle.codecs[c.name]
 		p.Print(name+c.name+".BytesPerRequest", perRequest(l.bytes(), i.bytes()), "bytes")
@@ -185,3 +192,14 @@
 		p.Print(name+c.name+".RouterCPUIdle", micro(i.routerCPU())/1000/seconds/float64(s.Routers), "ms/s/router")
 	}
 }
+
+// printWire prints what the compressed connections carried. Idle traffic is the same in
+// both runs for each router.
+func printWire(p *figures.Printer, name string, idle, loaded wireCost, seconds float64) {
+	perRouter := float64(idle.bytes) / float64(idle.routers)
+	busy := float64(loaded.bytes) - perRouter*float64(loaded.routers)
+	p.Print(name+"Wire.BytesPerRequest", busy/float64(loaded.tickets), "bytes")
+	p.Print(name+"Wire.BytesIdle", perRouter/seconds, "bytes/s/router")
+	deflate := loaded.deflate - idle.deflate*time.Duration(loaded.routers)/time.Duration(idle.routers)
+	p.Print(name+"Wire.CompressCPUPerRequest", float64(deflate)/float64(time.Microsecond)/float64(loaded.tickets), "us")
+}
--- a/fleet/rpc/compress.go
+++ b/fleet/rpc/compress.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 )
 
-// compressionLevel favours processor time: messages are short and much alike.
-const compressionLevel = flate.BestSpeed
+// CompressionLevel favours processor time: messages are short and much alike.
+const CompressionLevel = flate.BestSpeed
 
 // compressedConn passes one DEFLATE stream (RFC 1951) each way. The window spans
 // messages, so names and field names that earlier messages held cost a few bits.
@@ -20,7 +20,7 @@
 }
 
 func newCompressedConn(nc net.Conn) (*compressedConn, error) {
-	out, err := flate.NewWriter(nc, compressionLevel)
+	out, err := flate.NewWriter(nc, CompressionLevel)
 	if err != nil {
 		return nil, errors.Wrap(err, "compress connection")
 	}
