Router: tells targets it could not reach from those that broke, and where earlier attempts broke

Cause: a failed connect was reported as Broken, so innocents became suspects when a data centre died; a crash reported to a dispatcher that dies was lost. Before: TestFailuresOfTargetsAreTold failed on the outcome (Broken) and on the empty list. After: Unreached, and Ticket.Broken names target and incarnation.

--- a/fleet/routing/accept.go
+++ b/fleet/routing/accept.go
@@ -98,6 +98,7 @@
 		Prefix:     q.Prefix,
 		Content:    q.Content,
 		Attempt:    q.attempts,
+		Broken:     q.broken,
 		Waited:     now.Sub(q.accepted),
 		Patience:   earlier(q.queueUntil, q.deadline).Sub(now),
 	}
--- a/fleet/routing/attempts.go
+++ b/fleet/routing/attempts.go
@@ -90,7 +90,7 @@
 		r.setState(q, stateQueued, q.wake)
 		r.requeue(now, q, fleet.ReasonStaleGrant)
 	case CauseConnect:
-		r.reportEnd(a, fleet.OutcomeBroken)
+		r.reportEnd(a, fleet.OutcomeUnreached)
 		r.retry(now, q, fleet.ReasonTargetConnect, ev)
 	default:
 		r.reportEnd(a, fleet.OutcomeOverloaded)
@@ -124,6 +124,7 @@
 		return
 	}
 	q.mayHaveRun = true
+	q.broken = append(q.broken, fleet.TargetDeath{Target: q.attempt.target, Incarnation: q.attempt.incarnation})
 	if q.answered || !q.Idempotent {
 		r.release(q, fleet.OutcomeBroken)
 		r.fail(now, q, reason, 0, "%s", ev.Detail)
--- a/fleet/routing/request.go
+++ b/fleet/routing/request.go
@@ -75,6 +75,8 @@
 	answered bool
 	// mayHaveRun says that an earlier attempt may have run.
 	mayHaveRun bool
+	// broken lists the targets at which earlier attempts broke.
+	broken     []fleet.TargetDeath
 	retries    int
 	retryCause fleet.Reason
 	retryAfter time.Duration
