--- a/fleet/dispatch/router.go
+++ b/fleet/dispatch/router.go
@@ -29,10 +29,10 @@
 	standing map[fleet.GrantID]*standing
 	// arrivals is the decaying number of tickets per service, for standing grants.
 	arrivals map[fleet.ServiceName]float64
-	// touched lists the customers whose counters the router has to remember.
 	// lag is the longest time of late from a grant to the report of a first token,
 	// without the time to that token; 0 while it is not known.
-	lag        time.Duration
+	lag time.Duration
+	// touched lists the customers whose counters the router has to remember.
 	touched    map[*customer]bool
 	servedAt   time.Time
 	standingAt time.Time
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -31,14 +31,14 @@
 # Prints "package TestName" for each failed top-level test, and "package -" for a
 # package that failed without naming a test.
 failures() {
-  awk '/^--- FAIL: /{n[++k]=$3} /^(ok|FAIL|---|\?)[ \t]/{if($1=="FAIL"&&$2!=""){if(!k)print $2" -";for(i=1;i<=k;i++)print $2" "n[i];k=0}else if($1=="ok")k=0}' "$1"
+  awk '{sub(/^[.x]*---/,"---")} /^--- FAIL: /{n[++k]=$3} /^(ok|FAIL|---|\?)[ \t]/{if($1=="FAIL"&&$2!=""){if(!k)print $2" -";for(i=1;i<=k;i++)print $2" "n[i];k=0}else if($1=="ok")k=0}' "$1"
 }
 
 # tests FLAGS... runs tests and judges their failures by KNOWN-RED.txt.
 tests() {
   local log known bad=0 line
   log=$(mktemp)
-  go test -race -count=1 "$@" 2>&1 | grep -v -e '^[.]*$' -e 'total assertions$' -e 'no test files' | tee "$log"
+  go test -race -count=1 "$@" 2>&1 | grep --line-buffered -v -e '^[.]*$' -e 'total assertions$' -e 'no test files' | tee "$log"
   [ "${PIPESTATUS[0]}" -eq 0 ] && { rm -f "$log"; return 0; }
   known=$(grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 | sed 's/ *$//')
   while read -r line; do
