--- a/bench/internal/experiment/parts.go
+++ b/bench/internal/experiment/parts.go
@@ -91,7 +91,7 @@
 		}
 	}
 	progressCPU(p)
-	return nil
+	return wireParts(p)
 }
 
 // progressCPU prints what a dispatcher with many running requests spends on an entry
--- a/bench/internal/model/link.go
+++ b/bench/internal/model/link.go
@@ -150,6 +150,7 @@
 	now := l.r.f.queue.Now()
 	l.relay.Ask(m.AskTargets)
 	if m.Epoch > l.epoch {
+		l.relay.Reset()
 		l.epoch = m.Epoch
 		l.full = true
 	}
--- a/fleet/routing/grants.go
+++ b/fleet/routing/grants.go
@@ -48,6 +48,7 @@
 	r.standing.clear()
 	for _, p := range r.peers {
 		p.full, p.dirty = true, true
+		p.relay.Reset()
 	}
 }
 
--- a/fleet/routing/relay.go
+++ b/fleet/routing/relay.go
@@ -25,7 +25,8 @@
 	at time.Time
 }
 
-// Reset forgets what was told, for a dispatcher that is connected anew.
+// Reset forgets what was told, for a dispatcher that is connected anew, and for a new lease
+// holder, which needs to know what runs.
 func (l *Relay) Reset() { *l = Relay{} }
 
 // Ask makes the next announcements of targets whole.
