--- /dev/null
+++ b/cli/internal/root/root_test.go
@@ -0,0 +1,303 @@
+package root_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/root"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/fleettext"
+	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
+	"github.com/fuchsiashed/fuchsiashed/fleet/program"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+)
+
+const text = `[Fleet]
+Region = lv-riga
+[DataCentre riga-a]
+[DataCentre riga-b]
+[Service drafter]
+Protocol = Model
+DependsOn = permit-desk
+MaxCost = 4000
+MinSlots = 6
+[Service permit-desk]
+Protocol = Plain
+MaxCost = 5000
+[Customer cafe]
+KeyHash = 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef
+`
+
+// replica is a control replica that keeps one version and loses answers on demand.
+type replica struct {
+	*rpc.Server
+
+	mu         sync.Mutex
+	version    fleet.Version
+	text       string
+	out        []fleet.DataCentreName
+	results    map[fleet.OperationID]fleet.ChangeReply
+	operations []fleet.OperationID
+	// loseAnswers is the number of changes that are made but not confirmed.
+	loseAnswers int
+}
+
+func newReplica(t *testing.T) *replica {
+	r := &replica{results: map[fleet.OperationID]fleet.ChangeReply{}}
+	r.Server = rpc.NewServer(rpc.ServerConfig{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: rpc.HandlerFunc(r.handle)})
+	if err := r.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Stop)
+	return r
+}
+
+func (r *replica) handle(_ context.Context, _ fleet.Caller, method string, params json.RawMessage) (any, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch method {
+	case fleet.MethodState:
+		return fleet.StateReply{
+			Version: r.version, Hash: fleettext.Hash(r.text), DataCentresOut: r.out, Validity: time.Second,
+			Leases: []fleet.LeaseState{{Name: "Dispatch/lv-riga", Holder: "dispatcher-1", Epoch: 3}},
+			Hosts:  []fleet.HostState{{Host: "router-1", Role: fleet.RoleRouter, DataCentre: "riga-a", Version: r.version}},
+		}, nil
+	case fleet.MethodText:
+		return fleet.TextReply{Version: r.version, Text: r.text, DataCentresOut: r.out}, nil
+	case fleet.MethodStatus:
+		return fleet.StatusReply{
+			Host: "control-1", Standing: "Leader", Leader: "control-1", Term: 2, Last: 9, Commit: 9,
+			Members: []fleet.MemberState{{Host: "control-1", Voter: true}},
+		}, nil
+	case fleet.MethodHistory:
+		return fleet.HistoryReply{Changes: []fleet.Change{{Version: 1, Operation: "op-1", Operator: "ilze", Kind: "Apply", At: time.Unix(0, 0)}}}, nil
+	case fleet.MethodReplace:
+		return fleet.ReplaceReply{Invalid: "replica control-9 is no member"}, nil
+	case fleet.MethodApply:
+		var req fleet.ApplyRequest
+		return r.change(params, &req, func() (fleet.OperationID, fleet.Version) {
+			return req.Operation, req.Base
+		}, func() { r.text = req.Text })
+	case fleet.MethodDataCentre:
+		var req fleet.DataCentreRequest
+		return r.change(params, &req, func() (fleet.OperationID, fleet.Version) {
+			return req.Operation, req.Base
+		}, func() { r.out = []fleet.DataCentreName{req.DataCentre} })
+	}
+	return nil, rpc.NewError(fleet.CodeInvalid, "method does not exist", nil)
+}
+
+func (r *replica) change(params json.RawMessage, req fleet.Checker, id func() (fleet.OperationID, fleet.Version), apply func()) (any, error) {
+	if err := fleet.Decode(params, req); err != nil {
+		return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
+	}
+	op, base := id()
+	r.operations = append(r.operations, op)
+	result, known := r.results[op]
+	if !known {
+		result = fleet.ChangeReply{Conflict: &fleet.Conflict{Base: base, Current: r.version}}
+		if base == r.version {
+			r.version++
+			apply()
+			result = fleet.ChangeReply{Accepted: true, Version: r.version}
+		}
+		r.results[op] = result
+	}
+	if r.loseAnswers > 0 {
+		r.loseAnswers--
+		return nil, rpc.NewError(fleet.CodeUnavailable, "no quorum answered", nil)
+	}
+	return result, nil
+}
+
+// lose sets how many further changes are made but not confirmed.
+func (r *replica) lose(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loseAnswers = n
+}
+
+// seen returns the version in force and the operations received.
+func (r *replica) seen() (fleet.Version, []fleet.OperationID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version, append([]fleet.OperationID(nil), r.operations...)
+}
+
+// run executes a command line and returns its exit code, output and errors.
+func run(r *replica, args ...string) (code int, out, errOut string) {
+	io, in, outBuf, errBuf := iostreams.Test()
+	in.WriteString("secret\n")
+	args = append([]string{"--control", r.Addr().String(), "--timeout", "3s"}, args...)
+	code = root.Main(io, args)
+	return code, outBuf.String(), errBuf.String()
+}
+
+func writeText(t *testing.T, s string) string {
+	path := filepath.Join(t.TempDir(), "fleet.ini")
+	if err := os.WriteFile(path, []byte(s), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestCommands(t *testing.T) {
+	file := writeText(t, text)
+	changed := writeText(t, strings.Replace(text, "MaxCost = 4000", "MaxCost = 4001", 1))
+	broken := writeText(t, strings.Replace(text, "MaxCost", "MaxCoast", 1))
+	tests := []struct {
+		name    string
+		args    []string
+		applied bool
+		code    int
+		out     string
+		err     string
+	}{
+		{"apply", []string{"fleet", "apply", file}, false, program.ExitOK, "is in force as version 1", ""},
+		{"apply on an older version", []string{"fleet", "apply", "--base", "0", file}, true, program.ExitError, "", "based on version 0, but version 1 is in force"},
+		{"apply a broken text", []string{"fleet", "apply", broken}, false, program.ExitUsage, "", `key "MaxCoast": key is unknown`},
+		{"apply a missing file", []string{"fleet", "apply", "nowhere.ini"}, false, program.ExitUsage, "", "give the path of a fleet text"},
+		{"check", []string{"fleet", "check", file}, false, program.ExitOK, "is valid: region lv-riga, 2 data centres, 2 services, 1 customers", ""},
+		{"show", []string{"fleet", "show"}, true, program.ExitOK, "Region = lv-riga", "version 1"},
+		{"show nothing", []string{"fleet", "show"}, false, program.ExitError, "", "fuchsiashed fleet apply FILE"},
+		{"diff", []string{"fleet", "diff", changed}, true, program.ExitOK, "- MaxCost = 4000\n+ MaxCost = 4001\n", ""},
+		{"diff of the same", []string{"fleet", "diff", file}, true, program.ExitOK, "no difference from version 1", ""},
+		{"history", []string{"fleet", "history"}, true, program.ExitOK, "1\t1970-01-01T00:00:00Z\tApply\t\tilze\top-1\n", ""},
+		{"history as JSON", []string{"--json", "fleet", "history"}, true, program.ExitOK, `"Operator": "ilze"`, ""},
+		{"datacentre out", []string{"datacentre", "out", "riga-b"}, true, program.ExitOK, "data centre riga-b is out of service as of version 2", ""},
+		{"datacentre list", []string{"datacentre", "list"}, true, program.ExitOK, "riga-a\tIn\t1\nriga-b\tIn\t0\n", ""},
+		{"control status", []string{"control", "status"}, false, program.ExitOK, "control-1\tLeader\tcontrol-1\t2\t9\t9\t0\tvoter", ""},
+		{"control replace of a stranger", []string{"control", "replace", "control-9"}, false, program.ExitError, "", "is no member"},
+		{"status", []string{"status"}, true, program.ExitOK, "router-1\tRouter\triga-a", "lease Dispatch/lv-riga: dispatcher-1, epoch 3"},
+		{"key hash", []string{"key", "hash"}, false, program.ExitOK, "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b\n", ""},
+		{"unknown verb", []string{"fleet", "mend"}, false, program.ExitUsage, "", "Unknown command"},
+		{"argument too many", []string{"fleet", "show", "x"}, false, program.ExitUsage, "", `argument "x" is unknown`},
+		{"help", []string{"datacentre", "out", "--help"}, false, program.ExitOK, "Examples:", ""},
+		{"version", []string{"--version"}, false, program.ExitOK, "fuchsiashed " + program.Version, ""},
+		{"no admin", []string{"target", "list"}, false, program.ExitUsage, "", "use --admin IP:PORT"},
+	}
+	t.Setenv("XDG_CONFIG_HOME", t.TempDir())
+	for _, tt := range tests {
+		convey.Convey(tt.name, t, func() {
+			r := newReplica(t)
+			if tt.applied {
+				r.version, r.text = 1, text
+			}
+			code, out, errOut := run(r, tt.args...)
+			convey.So(errOut, convey.ShouldContainSubstring, tt.err)
+			convey.So(out, convey.ShouldContainSubstring, tt.out)
+			convey.So(code, convey.ShouldEqual, tt.code)
+		})
+	}
+}
+
+func TestLostAnswer(t *testing.T) {
+	file := writeText(t, text)
+	convey.Convey("A change whose answer is lost is resent under its operation id", t, func() {
+		r := newReplica(t)
+		r.lose(2)
+		code, out, _ := run(r, "fleet", "apply", file)
+		convey.So(code, convey.ShouldEqual, program.ExitOK)
+		convey.So(out, convey.ShouldContainSubstring, "version 1")
+		version, operations := r.seen()
+		convey.So(version, convey.ShouldEqual, 1)
+		convey.So(len(operations), convey.ShouldEqual, 3)
+		convey.So(operations[2], convey.ShouldEqual, operations[0])
+	})
+	convey.Convey("When no answer comes at all, the error gives the operation id to repeat", t, func() {
+		r := newReplica(t)
+		r.lose(1 << 20)
+		code, _, errOut := run(r, "--timeout", "300ms", "fleet", "apply", file)
+		convey.So(code, convey.ShouldEqual, program.ExitError)
+		_, operations := r.seen()
+		convey.So(errOut, convey.ShouldContainSubstring, fmt.Sprintf("--operation %s", operations[0]))
+		r.lose(0)
+		code, out, _ := run(r, "fleet", "apply", "--operation", string(operations[0]), file)
+		convey.So(code, convey.ShouldEqual, program.ExitOK)
+		convey.So(out, convey.ShouldContainSubstring, "version 1")
+	})
+}
+
+// adminOf serves a dispatcher's operators' address.
+func adminOf(t *testing.T, targets []fleet.TargetStatus) string {
+	mux := http.NewServeMux()
+	serve := func(path string, v any) {
+		mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) {
+			if err := json.NewEncoder(w).Encode(v); err != nil {
+				panic(err)
+			}
+		})
+	}
+	serve(fleet.PathTargets, targets)
+	serve(fleet.PathCustomers, []fleet.CustomerStatus{{Customer: "cafe", Service: "drafter", Weight: 1, Waiting: 2}})
+	serve(fleet.PathExplain+"r1", []fleet.Decision{
+		{At: time.Unix(2, 0), Host: "router-1", Request: "r1", Event: "Completed"},
+		{At: time.Unix(1, 0), Host: "router-1", Request: "r1", Event: "Refused", Reason: fleet.ReasonNoTarget, Detail: "why"},
+	})
+	serve(fleet.PathExplain+"r2", []fleet.Decision{})
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func TestAdminCommands(t *testing.T) {
+	targets := []fleet.TargetStatus{
+		{Target: "d1", Service: "drafter", DataCentre: "riga-a", State: "Serving", Slots: 8, Limit: 4},
+		{Target: "d2", Service: "drafter", DataCentre: "riga-b", State: "Serving", Slots: 8},
+		{Target: "p1", Service: "permit-desk", DataCentre: "riga-b", State: "Serving", Slots: 8},
+		{Target: "p2", Service: "permit-desk", DataCentre: "riga-a", State: "Missing", Slots: 8},
+	}
+	tests := []struct {
+		name string
+		args []string
+		code int
+		out  string
+		err  string
+	}{
+		{"target list", []string{"target", "list", "--datacentre", "riga-a"}, program.ExitOK, "d1\tdrafter\triga-a\tServing\t8\t4\t0\t0\t0\t0s\n", ""},
+		{"customer list", []string{"customer", "list"}, program.ExitOK, "cafe\tdrafter\t1\t2\t0", ""},
+		{"explain", []string{"explain", "r1"}, program.ExitOK, "0s\trouter-1\t\tRefused\tNoTarget\twhy\n1s\trouter-1\t\tCompleted", ""},
+		{"explain an unknown request", []string{"explain", "r2"}, program.ExitError, "", "no process of --admin knows request r2"},
+		{"dry run without problem", []string{"datacentre", "out", "--dry-run", "riga-a"}, program.ExitOK, "drafter\t1\t8\t6\tenough", ""},
+		{"dry run with problems", []string{"datacentre", "out", "--dry-run", "riga-b"}, program.ExitError, "drafter\t1\t8\t6\trefused for lack of permit-desk\npermit-desk\t0\t0\t1\twithout targets\n", "without riga-b, service drafter"},
+		{"dry run of a stranger", []string{"datacentre", "out", "--dry-run", "riga-x"}, program.ExitUsage, "", "it lists [riga-a riga-b]"},
+	}
+	for _, tt := range tests {
+		convey.Convey(tt.name, t, func() {
+			r := newReplica(t)
+			r.version, r.text = 1, text
+			code, out, errOut := run(r, append([]string{"--admin", adminOf(t, targets)}, tt.args...)...)
+			convey.So(errOut, convey.ShouldContainSubstring, tt.err)
+			convey.So(out, convey.ShouldContainSubstring, tt.out)
+			convey.So(code, convey.ShouldEqual, tt.code)
+			version, _ := r.seen()
+			convey.So(version, convey.ShouldEqual, 1)
+		})
+	}
+}
+
+func TestTableOnTerminal(t *testing.T) {
+	convey.Convey("A terminal gets aligned columns with a header", t, func() {
+		r := newReplica(t)
+		r.version, r.text = 1, text
+		io, _, out, _ := iostreams.Test()
+		io.SetTerminal(true, false, 80)
+		code := root.Main(io, []string{"--control", r.Addr().String(), "datacentre", "list"})
+		convey.So(code, convey.ShouldEqual, program.ExitOK)
+		convey.So(out.String(), convey.ShouldEqual, "DATA CENTRE  STATE  HOSTS\nriga-a       In     1\nriga-b       In     0\n")
+		convey.So(bytes.Contains(out.Bytes(), []byte("\t")), convey.ShouldBeFalse)
+	})
+}
