--- a/cli/internal/admin/admin.go
+++ b/cli/internal/admin/admin.go
@@ -24,9 +24,6 @@
 	maxAnswer = 64 << 20
 )
 
-// errNotServed is returned by processes that do not serve the path.
-var errNotServed = errors.New("the process does not serve this")
-
 // Client asks processes on their operators' addresses.
 type Client struct {
 	HTTP      *http.Client
@@ -47,36 +44,54 @@
 
 // Targets returns the targets that the active dispatcher knows.
 func (c *Client) Targets(ctx context.Context) ([]fleet.TargetStatus, error) {
-	return merged(c, ask[[]fleet.TargetStatus](ctx, c, fleet.PathTargets))
+	var list []fleet.TargetStatus
+	return list, c.askActive(ctx, fleet.PathTargets, &list)
 }
 
 // Customers returns the customers that the active dispatcher knows.
 func (c *Client) Customers(ctx context.Context) ([]fleet.CustomerStatus, error) {
-	return merged(c, ask[[]fleet.CustomerStatus](ctx, c, fleet.PathCustomers))
+	var list []fleet.CustomerStatus
+	return list, c.askActive(ctx, fleet.PathCustomers, &list)
 }
 
-// Explain returns the decisions of all processes about a request.
-func (c *Client) Explain(ctx context.Context, id fleet.RequestID) ([]fleet.Decision, error) {
-	return merged(c, ask[[]fleet.Decision](ctx, c, fleet.PathExplain+url.PathEscape(string(id))))
+// askActive asks the dispatcher that holds the lease; the others know less.
+func (c *Client) askActive(ctx context.Context, path string, v any) error {
+	var active Answer[fleet.ProcessStatus]
+	var last error
+	for _, a := range c.Statuses(ctx) {
+		if a.Err != nil {
+			last = a.Err
+			continue
+		}
+		s := a.Value
+		if s.Role == fleet.RoleDispatcher && s.Active == s.Host && s.Epoch > active.Value.Epoch {
+			active = a
+		}
+	}
+	if active.Value.Epoch == 0 && last != nil {
+		return errors.Wrap(last, "no active dispatcher answered; check that --admin lists the operators' addresses of all dispatchers and that they run")
+	}
+	if active.Value.Epoch == 0 {
+		return errors.New("no dispatcher is active; repeat this in a few seconds, and check that --admin lists all dispatchers")
+	}
+	return get(ctx, c.HTTP, active.Address, path, v)
 }
 
-// merged joins the answers. It fails when no process answered, since an empty list
-// would then be mistaken for the truth.
-func merged[T any](c *Client, answers []Answer[[]T]) ([]T, error) {
-	all := []T{}
+// Explain returns the decisions of all processes about a request.
+func (c *Client) Explain(ctx context.Context, id fleet.RequestID) ([]fleet.Decision, error) {
+	all := []fleet.Decision{}
 	var last error
 	answered := false
-	for _, a := range answers {
+	for _, a := range ask[[]fleet.Decision](ctx, c, fleet.PathExplain+url.PathEscape(string(id))) {
 		if a.Err != nil {
-			if !errors.Is(a.Err, errNotServed) || last == nil {
-				last = a.Err
-			}
+			last = a.Err
 			continue
 		}
 		answered = true
 		all = append(all, a.Value...)
 	}
 	if !answered {
+		// An empty list would be mistaken for the truth.
 		return nil, errors.Wrapf(last, "none of %d processes answered; check that --admin lists the operators' addresses of dispatchers and routers", len(c.Addresses))
 	}
 	return all, nil
@@ -110,9 +125,6 @@
 		return errors.Wrapf(err, "ask %s", addr)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusNotFound {
-		return errors.Wrapf(errNotServed, "%s%s", addr, path)
-	}
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("%s%s answered %s", addr, path, resp.Status)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,6 +31,7 @@
   local code=$? i
   trap - EXIT
   if [ "$code" -ne 0 ]; then
+    for i in "$folder"/filing-*.log; do [ ! -e "$i" ] || cat "$i"; done
     for i in "${!names[@]}"; do
       echo "== ${names[$i]} (pid ${pids[$i]-none})"
       tail -n 15 "$folder/${names[$i]}.log"
--- a/standin/internal/router/handler.go
+++ b/standin/internal/router/handler.go
@@ -120,6 +120,7 @@
 	if order.Phase == fault.Headers && h.strike(c, order) {
 		return
 	}
+	c.Status(http.StatusOK)
 	c.Header("Content-Type", rp.contentType)
 	if !rp.streamed {
 		c.Header("Content-Length", strconv.Itoa(w.Size-rp.offset))
