--- /dev/null
+++ b/cli/internal/replay/describe.go
@@ -0,0 +1,56 @@
+package replay
+
+import (
+	"io"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+)
+
+// errDescribed ends the reading of a log whose role is known.
+var errDescribed = errors.New("described")
+
+// describe finds out from a log whose it is: the role, and what the messages in it say
+// of the host that received them.
+func describe(log io.ReadSeeker) (Outcome, error) {
+	o := Outcome{Role: roleDispatcher, Host: "dispatcher", StandingGrants: true}
+	err := eventlog.Each(log, dispatch.Decode, func(_ time.Time, ev fleet.Event) error {
+		if _, ok := ev.(dispatch.ReportReceived); ok {
+			return errDescribed
+		}
+		return nil
+	})
+	if errors.Is(err, errDescribed) {
+		return o, nil
+	}
+	if _, err := log.Seek(0, io.SeekStart); err != nil {
+		return o, errors.Wrap(err, "read event log")
+	}
+	return describeRouter(log)
+}
+
+func describeRouter(log io.Reader) (Outcome, error) {
+	o := Outcome{Role: roleRouter, Host: "router"}
+	err := eventlog.Each(log, routing.Decode, func(_ time.Time, ev fleet.Event) error {
+		switch e := ev.(type) {
+		case routing.DispatcherUp:
+			if !slices.Contains(o.Dispatchers, e.Peer) {
+				o.Dispatchers = append(o.Dispatchers, e.Peer)
+			}
+		case routing.GrantsReceived:
+			if o.Incarnation != 0 && o.Incarnation != e.Message.RouterIncarnation {
+				return errors.New("the log goes over a restart of the router; record each start in a file of its own")
+			}
+			o.Host, o.Incarnation = e.Message.Router, e.Message.RouterIncarnation
+		}
+		return nil
+	})
+	slices.Sort(o.Dispatchers)
+	return o, err
+}
--- /dev/null
+++ b/cli/internal/replay/outcome.go
@@ -0,0 +1,100 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+)
+
+// The roles whose logs can be replayed.
+const (
+	roleRouter     = fleet.RoleRouter
+	roleDispatcher = fleet.RoleDispatcher
+)
+
+// Outcome states how a recorded log must end. The fields before Decisions configure the
+// reducer as it was when the log was recorded.
+type Outcome struct {
+	// Role is Router or Dispatcher.
+	Role        fleet.Role
+	Host        fleet.HostID
+	Incarnation fleet.Incarnation    `json:",omitempty"`
+	DataCentre  fleet.DataCentreName `json:",omitempty"`
+	// Dispatchers lists the dispatchers that a router reported to.
+	Dispatchers []routing.Peer `json:",omitempty"`
+	// StandingGrants says whether a dispatcher gave them.
+	StandingGrants bool `json:",omitempty"`
+	// Decisions counts the decisions by event, with the reason if there is one.
+	Decisions map[string]int
+}
+
+// Check implements fleet.Checker.
+func (o *Outcome) Check() error {
+	if o.Role != roleRouter && o.Role != roleDispatcher {
+		return errors.Errorf("Role %q can't be replayed; use %s or %s", o.Role, roleRouter, roleDispatcher)
+	}
+	return fleet.CheckName("Host", string(o.Host))
+}
+
+func readOutcome(path string) (Outcome, error) {
+	var o Outcome
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return o, command.FlagErrorf("%s; state the outcome there, or write it with --write", err)
+	}
+	if err := fleet.Decode(raw, &o); err != nil {
+		return o, command.FlagErrorf("%s: %s", path, err)
+	}
+	return o, nil
+}
+
+func writeOutcome(path string, o Outcome) error {
+	raw, err := json.MarshalIndent(o, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode outcome")
+	}
+	return errors.Wrap(os.WriteFile(path, append(raw, '\n'), 0o644), "write outcome")
+}
+
+// Difference is a count that differs from the stated one.
+type Difference struct {
+	Decision string
+	Want     int
+	Got      int
+}
+
+// String tells the difference to a person.
+func (d Difference) String() string {
+	return fmt.Sprintf("%s: %d stated, %d replayed", d.Decision, d.Want, d.Got)
+}
+
+// compare returns the differences in the order of their names.
+func compare(want, got map[string]int) []Difference {
+	names := map[string]bool{}
+	for n := range want {
+		names[n] = true
+	}
+	for n := range got {
+		names[n] = true
+	}
+	list := []Difference{}
+	for n := range names {
+		if want[n] != got[n] {
+			list = append(list, Difference{Decision: n, Want: want[n], Got: got[n]})
+		}
+	}
+	slices.SortFunc(list, func(a, b Difference) int {
+		if a.Decision < b.Decision {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/cli/internal/replay/reduce.go
@@ -0,0 +1,75 @@
+package replay
+
+import (
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
+	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
+	"github.com/fuchsiashed/fuchsiashed/fleet/invariant"
+	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+)
+
+// reducer returns the reducer that the outcome describes, and the decoder of its events.
+func reducer(o Outcome) (fleet.Reducer, eventlog.Decoder) {
+	if o.Role == roleDispatcher {
+		return dispatch.New(dispatch.Config{Host: o.Host, StandingGrants: o.StandingGrants}), dispatch.Decode
+	}
+	return routing.New(routing.Config{
+		Host: o.Host, Incarnation: o.Incarnation, DataCentre: o.DataCentre, Dispatchers: o.Dispatchers,
+	}), routing.Decode
+}
+
+// reduce replays the log and counts the decisions. A violated invariant is an error.
+func reduce(log io.Reader, o Outcome) (counts map[string]int, err error) {
+	r, decode := reducer(o)
+	counts = map[string]int{}
+	invariant.PanicOnViolation(true)
+	defer invariant.PanicOnViolation(false)
+	err = eventlog.Each(log, decode, func(now time.Time, ev fleet.Event) error {
+		effects, err := step(r, now, ev)
+		for _, e := range effects {
+			if d, ok := decision(e); ok {
+				counts[name(d)]++
+			}
+		}
+		return err
+	})
+	return counts, err
+}
+
+// step applies one event and turns a violated invariant into an error.
+func step(r fleet.Reducer, now time.Time, ev fleet.Event) (effects []fleet.Effect, err error) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		v, ok := p.(*invariant.Violation)
+		if !ok {
+			panic(p)
+		}
+		err = errors.Wrapf(v, "event %s", ev.EventName())
+	}()
+	return r.Reduce(now, ev), nil
+}
+
+func decision(e fleet.Effect) (fleet.Decision, bool) {
+	switch d := e.(type) {
+	case routing.Decided:
+		return d.Decision, true
+	case dispatch.Decided:
+		return d.Decision, true
+	}
+	return fleet.Decision{}, false
+}
+
+func name(d fleet.Decision) string {
+	if d.Reason == "" {
+		return d.Event
+	}
+	return d.Event + " " + string(d.Reason)
+}
--- a/cli/internal/root/root.go
+++ b/cli/internal/root/root.go
@@ -15,6 +15,7 @@
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/fleet"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/key"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/replay"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/replica"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/status"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/target"
@@ -91,7 +92,7 @@
 			return err
 		}
 	}
-	for _, v := range []command.Verb{status.New(f), explain.New(f)} {
+	for _, v := range []command.Verb{status.New(f), explain.New(f), replay.New(f)} {
 		if err := v.AddTo(parser); err != nil {
 			return err
 		}
--- a/e2e/internal/harness/fleet.go
+++ b/e2e/internal/harness/fleet.go
@@ -146,7 +146,7 @@
 				return "", err
 			}
 			f.announce = append(f.announce, targets)
-			return host(p, i) + fmt.Sprintf("[Router]\nCallers = %s\nTargets = %s\n", p.Address, targets) +
+			return host(p, i) + fmt.Sprintf("[Router]\nCallers = %s\nTargets = %s\nEventLog = %s\n", p.Address, targets, f.EventLog(p)) +
 				f.control() + "[Dispatchers]\nAddresses = " + addresses(f.Dispatchers) + "\n", nil
 		})
 		if err != nil {
@@ -171,6 +171,9 @@
 	return nil
 }
 
+// EventLog returns the event log of a router.
+func (f *Fleet) EventLog(p *Process) string { return filepath.Join(f.cfg.Folder, p.Name+".events") }
+
 // RecordFile returns the record file of a target.
 func (f *Fleet) RecordFile(p *Process) string { return filepath.Join(f.cfg.Folder, p.Name+".record") }
 
--- a/e2e/internal/harness/operate.go
+++ b/e2e/internal/harness/operate.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -101,6 +102,21 @@
 	return nil, 0, errors.Errorf("no dispatcher holds a lease: %+v", state.Leases)
 }
 
+// Counters returns a map of counters of a process.
+func (f *Fleet) Counters(p *Process, name string) (map[string]int, error) {
+	resp, err := http.Get("http://" + p.Admin + "/debug/vars")
+	if err != nil {
+		return nil, errors.Wrapf(err, "read the counters of %s", p.Name)
+	}
+	defer resp.Body.Close()
+	var vars map[string]json.RawMessage
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		return nil, errors.Wrap(err, "decode counters")
+	}
+	counts := map[string]int{}
+	return counts, errors.Wrapf(json.Unmarshal(vars[name], &counts), "decode %s", name)
+}
+
 // Apply applies a fleet text on top of the version in force under an operation id.
 func (f *Fleet) Apply(op fleet.OperationID, path string) (fleet.ChangeReply, error) {
 	var reply fleet.ChangeReply
