--- a/cli/internal/command/errors.go
+++ b/cli/internal/command/errors.go
@@ -16,6 +16,11 @@
 	return &FlagError{err: errors.Errorf(format, args...)}
 }
 
+// WrapFlagError makes a FlagError of an error, with a message before it.
+func WrapFlagError(err error, format string, args ...any) error {
+	return &FlagError{err: errors.Wrapf(err, format, args...)}
+}
+
 // Error implements error.
 func (e *FlagError) Error() string { return e.err.Error() }
 
--- a/cli/internal/factory/factory.go
+++ b/cli/internal/factory/factory.go
@@ -31,6 +31,10 @@
 	envAdmin   = "FUCHSIASHED_ADMIN"
 )
 
+// ErrNoAddresses means that neither a flag nor a variable nor the settings file says
+// where processes are.
+var ErrNoAddresses = errors.New("no addresses are given")
+
 // settingsFile is the default settings file below the user's configuration folder.
 const settingsFile = "fuchsiashed/cli.ini"
 
@@ -136,7 +140,7 @@
 	if list := fromFile(s); len(list) > 0 {
 		return list, nil
 	}
-	return nil, command.FlagErrorf("no addresses given; use %s IP:PORT,..., or $%s, or the settings file %s", flag, env, path)
+	return nil, command.WrapFlagError(ErrNoAddresses, "use %s IP:PORT,..., or $%s, or the settings file %s", flag, env, path)
 }
 
 // file reads the settings file; the default one may be missing.
--- a/cli/internal/root/root_test.go
+++ b/cli/internal/root/root_test.go
@@ -182,6 +182,7 @@
 		{"control status", []string{"control", "status"}, false, program.ExitOK, "control-1\tLeader\tcontrol-1\t2\t9\t9\t0\tvoter", ""},
 		{"control replace of a stranger", []string{"control", "replace", "control-9"}, false, program.ExitError, "", "is no member"},
 		{"status", []string{"status"}, true, program.ExitOK, "router-1\tRouter\triga-a", "lease Dispatch/lv-riga: dispatcher-1, epoch 3"},
+		{"status with bad addresses", []string{"--admin", "nowhere", "status"}, true, program.ExitUsage, "", `"nowhere" is not an IP address and port`},
 		{"key hash", []string{"key", "hash"}, false, program.ExitOK, "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b\n", ""},
 		{"unknown verb", []string{"fleet", "mend"}, false, program.ExitUsage, "", "Unknown command"},
 		{"argument too many", []string{"fleet", "show", "x"}, false, program.ExitUsage, "", `argument "x" is unknown`},
--- a/cli/internal/status/status.go
+++ b/cli/internal/status/status.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/command"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/factory"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/table"
@@ -76,14 +78,17 @@
 	}
 	for _, h := range s.State.Hosts {
 		if h.Version != s.State.Version && h.Role != fleet.RoleOperator {
-			s.Problems = append(s.Problems, fmt.Sprintf("%s runs under version %d, not %d; look at its log for ConfigUnconfirmed", h.Host, h.Version, s.State.Version))
+			s.Problems = append(s.Problems, fmt.Sprintf("%s runs under version %d, not %d; repeat this in a few seconds, and if it stays so look for ConfigUnconfirmed in its log", h.Host, h.Version, s.State.Version))
 		}
 	}
 	a, err := f.Admin()
-	if err != nil {
-		// Without operators' addresses the heartbeats that control heard must do.
+	if errors.Is(err, factory.ErrNoAddresses) {
+		// The heartbeats that control heard must do.
 		return s, nil
 	}
+	if err != nil {
+		return s, err
+	}
 	for _, answer := range a.Statuses(ctx) {
 		if answer.Err != nil {
 			s.Problems = append(s.Problems, fmt.Sprintf("%s; check that the process runs", answer.Err))
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -93,3 +94,22 @@
 		convey.So(err.Error(), convey.ShouldContainSubstring, "based on version 1, but version 2 is in force")
 	})
 }
+
+func TestExamples(t *testing.T) {
+	convey.Convey("Every example is accepted by the program that reads it", t, func() {
+		f, err := harness.New(harness.Config{Bin: bin, Folder: t.TempDir(), Control: 1})
+		convey.So(err, convey.ShouldBeNil)
+		for _, name := range []string{"lv-riga", "ro-centru"} {
+			out, err := f.CLI("fleet", "check", "../examples/"+name+".ini")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(out, convey.ShouldContainSubstring, "region "+name)
+			convey.So(out, convey.ShouldContainSubstring, "16 customers")
+		}
+		for _, role := range []string{"control", "dispatcher", "router", "standin"} {
+			cmd := exec.Command(filepath.Join(bin, "fuchsiashed-"+role), "--settings", "../examples/hosts/"+role+"-1.ini", "--check")
+			out, err := cmd.CombinedOutput()
+			convey.So(string(out), convey.ShouldContainSubstring, "settings are valid")
+			convey.So(err, convey.ShouldBeNil)
+		}
+	})
+}
