--- a/control/bench/bench.go
+++ b/control/bench/bench.go
@@ -15,7 +15,7 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/configsync"
 
-	"github.com/fuchsiashed/fuchsiashed/control/internal/disk"
+	"github.com/fuchsiashed/fuchsiashed/control/disk"
 )
 
 // Config configures a Run.
--- a/control/bench/quorum.go
+++ b/control/bench/quorum.go
@@ -19,10 +19,10 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
 
-	"github.com/fuchsiashed/fuchsiashed/control/internal/clients"
-	"github.com/fuchsiashed/fuchsiashed/control/internal/disk"
-	"github.com/fuchsiashed/fuchsiashed/control/internal/replicas"
-	"github.com/fuchsiashed/fuchsiashed/control/internal/shell"
+	"github.com/fuchsiashed/fuchsiashed/control/clients"
+	"github.com/fuchsiashed/fuchsiashed/control/disk"
+	"github.com/fuchsiashed/fuchsiashed/control/replicas"
+	"github.com/fuchsiashed/fuchsiashed/control/shell"
 )
 
 // size is the number of replicas.
@@ -98,7 +98,7 @@
 			others[hostOf(j)] = addr
 		}
 	}
-	transport := replicas.New(replicas.Config{Addresses: others, Traffic: g.peers, Log: log})
+	transport := replicas.NewFixed(others, g.peers)
 	s, err := shell.New(shell.Config{
 		Quorum: quorum.Config{
 			Host: hostOf(i), Incarnation: fleet.Incarnation(time.Now().UnixNano()), Hosts: hosts, Bootstrap: true,
--- a/control/internal/clients/clients.go
+++ b/control/clients/clients.go
@@ -10,7 +10,7 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
 
-	"github.com/fuchsiashed/fuchsiashed/control/internal/replicas"
+	"github.com/fuchsiashed/fuchsiashed/control/replicas"
 )
 
 // Replica is the reducer behind its shell.
--- a/control/internal/clients/decode.go
+++ b/control/clients/decode.go
@@ -44,6 +44,15 @@
 	case fleet.MethodReplace:
 		r.Replace = &fleet.ReplaceRequest{}
 		v = r.Replace
+	case fleet.MethodPutConfig:
+		r.PutConfig = &fleet.PutConfigRequest{}
+		v = r.PutConfig
+	case fleet.MethodReadConfig:
+		r.ReadConfig = &fleet.ReadConfigRequest{}
+		v = r.ReadConfig
+	case fleet.MethodSetOut:
+		r.SetOut = &fleet.SetOutRequest{}
+		v = r.SetOut
 	default:
 		return r, errors.Errorf("method %q does not exist", method)
 	}
--- a/control/internal/disk/disk.go
+++ b/control/disk/disk.go
@@ -7,6 +7,7 @@
 package disk
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -43,6 +44,10 @@
 	lock    *os.File
 	pending [][]byte
 	buf     []byte
+	// size is the length of the file up to the last frame that was synced.
+	size int64
+	// torn says that a write failed, so that bytes of no use may follow size.
+	torn bool
 	// Cut is the number of bytes of a torn tail that were cut off on opening.
 	Cut int64
 }
@@ -91,7 +96,12 @@
 	if err != nil {
 		return errors.Wrap(err, "open replica log")
 	}
-	l.file = f
+	end, err := f.Seek(0, io.SeekEnd)
+	if err != nil {
+		_ = f.Close()
+		return errors.Wrap(err, "find the end of the replica log")
+	}
+	l.file, l.size, l.torn = f, end, false
 	return l.syncFolder()
 }
 
@@ -114,7 +124,13 @@
 		return err
 	}
 	l.Cut = int64(len(data) - intact)
-	if err := l.file.Truncate(int64(intact)); err != nil {
+	l.size = int64(intact)
+	return l.cutTorn()
+}
+
+// cutTorn drops what follows the last synced frame.
+func (l *Log) cutTorn() error {
+	if err := l.file.Truncate(l.size); err != nil {
 		return errors.Wrap(err, "cut torn tail")
 	}
 	return errors.Wrap(l.file.Sync(), "sync replica log")
@@ -144,26 +160,40 @@
 	return nil
 }
 
-// Sync implements fleet.Storage.
+// Discard implements fleet.Storage.
+func (l *Log) Discard() { l.pending = nil }
+
+// Sync implements fleet.Storage. After an error nothing of this sync counts as stored,
+// and the next one begins at the same place of the file.
 func (l *Log) Sync() error {
 	if len(l.pending) == 0 {
 		return nil
 	}
+	if l.torn {
+		if err := l.cutTorn(); err != nil {
+			return err
+		}
+		l.torn = false
+	}
 	var err error
 	if l.buf, err = appendFrame(l.buf[:0], l.pending); err != nil {
 		return err
 	}
-	l.pending = l.pending[:0]
+	l.torn = true
 	if _, err := l.file.Write(l.buf); err != nil {
 		return errors.Wrap(err, "write replica log")
 	}
-	return errors.Wrap(l.file.Sync(), "sync replica log")
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync replica log")
+	}
+	l.pending, l.torn = l.pending[:0], false
+	l.size += int64(len(l.buf))
+	return nil
 }
 
 // Replace implements fleet.Storage. The new file takes the place of the old one only
 // after it is whole on disk.
 func (l *Log) Replace(records ...[]byte) error {
-	l.pending = nil
 	frame, err := appendFrame(nil, records)
 	if err != nil {
 		return err
@@ -174,10 +204,12 @@
 	if err := os.Rename(l.path(tempName), l.path(logName)); err != nil {
 		return errors.Wrap(err, "rename replica log")
 	}
-	if err := l.file.Close(); err != nil {
-		return errors.Wrap(err, "close replica log")
+	old := l.file
+	if err := l.open(); err != nil {
+		return err
 	}
-	return l.open()
+	l.pending = nil
+	return errors.Wrap(old.Close(), "close replica log")
 }
 
 func writeSynced(path string, data []byte) error {
--- a/control/internal/disk/disk_test.go
+++ b/control/disk/disk_test.go
@@ -8,7 +8,7 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
-	"github.com/fuchsiashed/fuchsiashed/control/internal/disk"
+	"github.com/fuchsiashed/fuchsiashed/control/disk"
 )
 
 // written makes a storage with one sync for each of the records and returns its file.
--- a/control/internal/disk/fuzz_test.go
+++ b/control/disk/fuzz_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/fuchsiashed/fuchsiashed/control/internal/disk"
+	"github.com/fuchsiashed/fuchsiashed/control/disk"
 )
 
 // FuzzParse checks that no content of the file makes parsing panic, and that what it
--- a/control/internal/controlcmd/controlcmd.go
+++ b/control/internal/controlcmd/controlcmd.go
@@ -18,10 +18,10 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
 
-	"github.com/fuchsiashed/fuchsiashed/control/internal/clients"
-	"github.com/fuchsiashed/fuchsiashed/control/internal/disk"
-	"github.com/fuchsiashed/fuchsiashed/control/internal/replicas"
-	"github.com/fuchsiashed/fuchsiashed/control/internal/shell"
+	"github.com/fuchsiashed/fuchsiashed/control/clients"
+	"github.com/fuchsiashed/fuchsiashed/control/disk"
+	"github.com/fuchsiashed/fuchsiashed/control/replicas"
+	"github.com/fuchsiashed/fuchsiashed/control/shell"
 )
 
 const example = `  fuchsiashed-control --settings control-1.ini
@@ -68,10 +68,8 @@
 	return l, nil
 }
 
-func newTransport(lc fx.Lifecycle, cfg *settingsFile, traffic *rpc.Traffic, log *slog.Logger) *replicas.Transport {
-	t := replicas.New(replicas.Config{
-		Addresses: cfg.Replicas.others(cfg.Host.Host), Traffic: traffic, Log: log,
-	})
+func newTransport(lc fx.Lifecycle, cfg *settingsFile, traffic *rpc.Traffic) *replicas.Transport {
+	t := replicas.NewFixed(cfg.Replicas.others(cfg.Host.Host), traffic)
 	lc.Append(fx.StartStopHook(t.Start, t.Stop))
 	return t
 }
--- a/control/internal/controlcmd/status.go
+++ b/control/internal/controlcmd/status.go
@@ -7,7 +7,7 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
 
-	"github.com/fuchsiashed/fuchsiashed/control/internal/shell"
+	"github.com/fuchsiashed/fuchsiashed/control/shell"
 )
 
 // processStatus returns what the replica tells operators of itself.
--- a/control/internal/shell/shell.go
+++ b/control/shell/shell.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,13 @@
 	Record io.Writer
 	// Failed is called once when the storage fails; the replica must end then.
 	Failed func(error)
+	// RetryWrites is the pause before a failed write is tried again; 0 makes a failure
+	// the end of the replica.
+	RetryWrites time.Duration
+	// Changed, when set, is told of each newer numbered configuration.
+	Changed func(registry.Numbered)
+	// Standing, when set, is told of each change of the replica's standing.
+	Standing func(quorum.StandingChanged)
 }
 
 // ErrStopped is returned for requests to a replica that has stopped.
@@ -58,6 +66,10 @@
 	started  time.Time
 	recorder *eventlog.Writer
 
+	// inTouch is when the replica last was in touch with a majority, in nanoseconds since
+	// started; 0 before the first time.
+	inTouch atomic.Int64
+
 	mu    sync.Mutex
 	calls map[registry.CallID]chan registry.Answer
 	last  registry.CallID
@@ -82,7 +94,7 @@
 		stop:   make(chan struct{}),
 		calls:  map[registry.CallID]chan registry.Answer{},
 	}
-	s.writer = newWriter(cfg.Storage, cfg.SyncEach, s.written)
+	s.writer = newWriter(cfg.Storage, cfg.SyncEach, s.written, s.writeFailed)
 	if cfg.Record != nil {
 		s.recorder = eventlog.NewWriter(cfg.Record)
 	}
@@ -155,6 +167,12 @@
 	}
 }
 
+// AddContacts names further hosts that may know the quorum.
+func (s *Shell) AddContacts(hosts []fleet.HostID) { s.post(quorum.Contacts{Hosts: hosts}) }
+
+// StepAside hands over the leadership before a planned stop.
+func (s *Shell) StepAside() { s.post(quorum.StepAside{}) }
+
 // Deliver implements clients.Replica.
 func (s *Shell) Deliver(m quorum.Message) { s.post(quorum.Received{Message: m}) }
 
@@ -202,6 +220,15 @@
 	for _, e := range s.server.Reduce(now, ev) {
 		s.perform(e)
 	}
+	if s.server.InTouch(quorum.MinElectionTimeout) {
+		s.inTouch.Store(int64(s.cfg.Clock.Now().Sub(s.started)))
+	}
+}
+
+// InTouch says whether the replica was in touch with a majority within d.
+func (s *Shell) InTouch(d time.Duration) bool {
+	at := s.inTouch.Load()
+	return at > 0 && s.cfg.Clock.Now().Sub(s.started)-time.Duration(at) < d
 }
 
 // perform performs one effect. One that rests on a lease is given back when the clock
@@ -219,6 +246,14 @@
 		s.writer.add(e)
 	case quorum.StandingChanged:
 		s.cfg.Log.Info("StandingChanged", "standing", string(e.Standing), "term", uint64(e.Term), "leader", string(e.Leader))
+		if s.cfg.Standing != nil {
+			s.cfg.Standing(e)
+		}
+	case registry.NumberedChanged:
+		s.cfg.Log.Info("ConfigInForce", "number", int64(e.Config.Number), "revision", uint64(e.Revision), "out", len(e.Out))
+		if s.cfg.Changed != nil {
+			s.cfg.Changed(e.Numbered)
+		}
 	case registry.Answer:
 		s.deliver(e)
 	case registry.LeasedAnswer:
@@ -243,11 +278,33 @@
 func (s *Shell) write() {
 	defer s.wg.Done()
 	if err := s.writer.run(); err != nil {
+		select {
+		case <-s.stop:
+			return
+		default:
+		}
 		s.cfg.Log.Error("StorageFailed", "error", err)
 		s.cfg.Failed(err)
 	}
 }
 
+// writeFailed pauses and says whether the write is to be tried again.
+func (s *Shell) writeFailed(err error) bool {
+	if s.cfg.RetryWrites == 0 {
+		return false
+	}
+	counters.Add("WriteErrors", 1)
+	s.cfg.Log.Error("WriteFailed", "error", err, "retry", s.cfg.RetryWrites)
+	timer := time.NewTimer(s.cfg.RetryWrites)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.stop:
+		return false
+	}
+}
+
 func (s *Shell) written(seq fleet.Sequence) { s.post(quorum.Written{Sequence: seq}) }
 
 func (s *Shell) newCall() (registry.CallID, chan registry.Answer) {
--- a/control/internal/shell/writer.go
+++ b/control/shell/writer.go
@@ -13,6 +13,8 @@
 	storage fleet.Storage
 	each    bool
 	done    func(fleet.Sequence)
+	// failed is told of each error; the batch is written again when it returns true.
+	failed func(error) bool
 
 	mu      sync.Mutex
 	cond    *sync.Cond
@@ -20,8 +22,8 @@
 	closed  bool
 }
 
-func newWriter(storage fleet.Storage, each bool, done func(fleet.Sequence)) *writer {
-	w := &writer{storage: storage, each: each, done: done}
+func newWriter(storage fleet.Storage, each bool, done func(fleet.Sequence), failed func(error) bool) *writer {
+	w := &writer{storage: storage, each: each, done: done, failed: failed}
 	w.cond = sync.NewCond(&w.mu)
 	return w
 }
@@ -42,16 +44,23 @@
 	w.cond.Signal()
 }
 
-// run writes until close or the first error. After an error nothing is known of what
-// the disk holds, so the replica must not go on.
+// run writes until close or an error after which failed wants no other try. Until a
+// batch is durable nothing that rests on it leaves the replica.
 func (w *writer) run() error {
 	for {
 		batch := w.next()
 		if batch == nil {
 			return nil
 		}
-		if err := w.write(batch); err != nil {
-			return err
+		for {
+			err := w.write(batch)
+			if err == nil {
+				break
+			}
+			if !w.failed(err) {
+				return err
+			}
+			w.storage.Discard()
 		}
 		w.done(batch[len(batch)-1].Sequence)
 	}
--- a/fleet/network.go
+++ b/fleet/network.go
@@ -16,6 +16,8 @@
 	Append(records ...[]byte) error
 	// Sync makes all appended records durable.
 	Sync() error
+	// Discard forgets the records appended since the last Sync, after an error.
+	Discard()
 	// Replace atomically exchanges everything stored for the given records, durably.
 	Replace(records ...[]byte) error
 	// Records returns all durable records in order.
--- /dev/null
+++ b/fleet/placement/admit.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// admission keeps customers to their fair shares while more is asked than there is.
+type admission struct {
+	shares map[fleet.CustomerName]*share
+}
+
+// share is the part of a customer's demand that is admitted.
+type share struct {
+	admitted float64
+	// credit is what the customer may still use, in tokens.
+	credit float64
+}
+
+// maxCredit bounds what a customer saves up, in the tokens of one large request.
+const maxCredit = 30_000
+
+func newAdmission() admission { return admission{shares: map[fleet.CustomerName]*share{}} }
+
+// setShares takes the shares of the customers that ask for more than theirs.
+func (a *admission) setShares(shares []fleet.CustomerShare) {
+	now := map[fleet.CustomerName]*share{}
+	for _, s := range shares {
+		old := a.shares[s.Customer]
+		if old == nil {
+			old = &share{}
+		}
+		old.admitted = s.Admitted
+		now[s.Customer] = old
+	}
+	a.shares = now
+}
+
+// admits takes the tokens of a call from its customer's credit and says whether they
+// were there.
+func (a *admission) admits(c fleet.CustomerName, tokens float64) bool {
+	s := a.shares[c]
+	if s == nil {
+		return true
+	}
+	s.credit = min(s.credit+s.admitted*tokens, maxCredit)
+	if s.credit < tokens/2 {
+		return false
+	}
+	s.credit -= tokens
+	return true
+}
+
+// admitCall says whether a call is to be placed now; otherwise it returns the refusal.
+func (r *Router) admitCall(k *call) (Refuse, bool) {
+	if k.Prompt.Tokens == 0 || r.digestAge() >= digestValidity {
+		return Refuse{}, true
+	}
+	if r.admit.admits(k.Customer, float64(tokensOf(&k.Call))) {
+		return Refuse{}, true
+	}
+	return Refuse{Call: k.ID, Reason: fleet.ReasonCustomerShare, RetryAfter: shareRetry}, false
+}
+
+// shareRetry is when a customer may come back that asked for more than its share.
+const shareRetry = time.Second
--- /dev/null
+++ b/fleet/placement/policy.go
@@ -0,0 +1,53 @@
+package placement
+
+import "time"
+
+// Policy holds the weights of the placement. DefaultPolicy tells where each comes from.
+type Policy struct {
+	// Owners is the number of targets among which the requests of one shared part are
+	// spread. More of them balance better and read the part more often.
+	Owners int
+	// OwnerBias is the cost of the next owner, as a share of the time to read the shared
+	// part: while loads are alike, a part stays at its first owner.
+	OwnerBias float64
+	// ReadWeight multiplies the time to read a shared part anew at a target that is not
+	// among its owners. It is more than 1, for the reading delays the others there, too.
+	ReadWeight float64
+	// HotShare is the share of one target's capacity that a shared part may take before
+	// it gets another owner.
+	HotShare float64
+	// RetryNoTarget is when a caller may come back for which there was no target.
+	RetryNoTarget time.Duration
+	// RetryDeclined is when a caller may come back whose target was full.
+	RetryDeclined time.Duration
+}
+
+// DefaultPolicy is the policy that docs/design/platform.md compares with others.
+var DefaultPolicy = Policy{
+	Owners:        2,
+	OwnerBias:     0.15,
+	ReadWeight:    2,
+	HotShare:      0.5,
+	RetryNoTarget: 500 * time.Millisecond,
+	RetryDeclined: 300 * time.Millisecond,
+}
+
+const (
+	// maxSends bounds the attempts of a call, those included that reach nobody.
+	maxSends = 4
+	// minRepeatTime is the time that must be left for another attempt: a new connection
+	// and the shortest answers take about as long.
+	minRepeatTime = 50 * time.Millisecond
+	// maxIdle bounds the unused connections to one target.
+	maxIdle = 32
+	// maxCrashes is how many targets a request may take down before it is refused.
+	maxCrashes = 3
+	// quarantineRetry is when a request may come back that took targets down.
+	quarantineRetry = 30 * time.Second
+	// defaultReadRate is the number of prompt tokens that an engine reads in a second,
+	// until the configuration or answers tell better.
+	defaultReadRate = 30_000.0
+	// firstByteTime is the time to the first byte of a request that waits for nothing
+	// and reads nothing.
+	firstByteTime = 30 * time.Millisecond
+)
--- /dev/null
+++ b/fleet/placement/report.go
@@ -0,0 +1,106 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// digestValidity is the age from which the others' load is not relied on.
+const digestValidity = 2 * time.Second
+
+// digestState is what the other routers reported.
+type digestState struct {
+	at time.Time
+}
+
+// reportState is what this router reports besides the load of its targets.
+type reportState struct {
+	sequence fleet.Sequence
+	demand   map[fleet.CustomerName]int
+	suspects map[fleet.ContentHash]int
+	// known is the number of crashes of the whole fleet.
+	known map[fleet.ContentHash]int
+}
+
+func newReportState() reportState {
+	return reportState{
+		demand:   map[fleet.CustomerName]int{},
+		suspects: map[fleet.ContentHash]int{}, known: map[fleet.ContentHash]int{},
+	}
+}
+
+// tokensOf returns what a call asks of the engines: each token that is its own to read
+// counts once, each token to be generated twice.
+func tokensOf(c *Call) int {
+	return max(c.Prompt.Tokens-c.Prompt.sharedTokens(), 0) + 2*c.Prompt.expectedOutput()
+}
+
+func (s *reportState) demanded(k *call) {
+	if k.Customer != "" && k.Prompt.Tokens > 0 {
+		s.demand[k.Customer] += tokensOf(&k.Call)
+	}
+}
+
+// crashed notes that a target broke off while it ran a call.
+func (s *reportState) crashed(k *call, _ time.Time) {
+	if k.Content != "" {
+		s.suspects[k.Content]++
+	}
+}
+
+func (s *reportState) crashes(c fleet.ContentHash) int { return max(s.known[c], s.suspects[c]) }
+
+// makeReport returns the load of this router and forgets what need not be told again.
+func (r *Router) makeReport() fleet.RouterLoad {
+	s := &r.report
+	s.sequence++
+	out := fleet.RouterLoad{Host: r.cfg.Self, Sequence: s.sequence}
+	if r.config != nil {
+		out.Capacity = r.config.TokensPerSecond
+	}
+	for _, t := range r.targets {
+		if t.running > 0 {
+			out.Targets = append(out.Targets, fleet.TargetLoad{Target: t.id, Waiting: t.waiting, Running: t.running})
+		}
+	}
+	slices.SortFunc(out.Targets, func(a, b fleet.TargetLoad) int { return cmp.Compare(a.Target, b.Target) })
+	for c, tokens := range s.demand {
+		out.Demand = append(out.Demand, fleet.CustomerDemand{Customer: c, Tokens: tokens})
+	}
+	slices.SortFunc(out.Demand, func(a, b fleet.CustomerDemand) int { return cmp.Compare(a.Customer, b.Customer) })
+	for c, n := range s.suspects {
+		out.Suspects = append(out.Suspects, fleet.SuspectCount{Content: c, Crashes: n})
+	}
+	slices.SortFunc(out.Suspects, func(a, b fleet.SuspectCount) int { return cmp.Compare(a.Content, b.Content) })
+	s.demand = map[fleet.CustomerName]int{}
+	s.suspects = map[fleet.ContentHash]int{}
+	return out
+}
+
+// hearDigest takes what the other routers reported.
+func (r *Router) hearDigest(d *fleet.LoadDigest) {
+	r.digest.at = r.now
+	for _, t := range r.targets {
+		t.others = fleet.TargetLoad{}
+	}
+	for _, l := range d.Targets {
+		if t := r.targets[l.Target]; t != nil {
+			t.others = l
+		}
+	}
+	r.report.known = map[fleet.ContentHash]int{}
+	for _, s := range d.Suspects {
+		r.report.known[s.Content] = s.Crashes
+	}
+	r.admit.setShares(d.Shares)
+}
+
+func (r *Router) digestAge() time.Duration {
+	if r.digest.at.IsZero() {
+		return digestValidity
+	}
+	return r.now.Sub(r.digest.at)
+}
--- a/fleet/program/program.go
+++ b/fleet/program/program.go
@@ -64,6 +64,8 @@
 	Settings any
 	// Identity is read after the settings are filled; it goes into every log line.
 	Identity func() Identity
+	// Log, when set, makes the log in place of one in text on the error stream.
+	Log func(io *iostreams.IOStreams) *slog.Logger
 	// Modules returns the fx options of the program, after the settings are filled.
 	Modules func() fx.Option
 }
@@ -128,7 +130,7 @@
 // second signal ends a planned stop that is still waiting.
 func run(spec Spec, io *iostreams.IOStreams) int {
 	id := spec.Identity()
-	log := slog.New(slog.NewTextHandler(io.Err, &slog.HandlerOptions{ReplaceAttr: errorText})).With("program", spec.Name, "host", string(id.Host), "datacentre", string(id.DataCentre))
+	log := newLog(spec, io).With("program", spec.Name, "host", string(id.Host), "datacentre", string(id.DataCentre))
 	force := make(chan struct{})
 	app := fx.New(
 		fx.Supply(log, Force(force)),
@@ -161,9 +163,16 @@
 	return stop(app, log, signals, force, ExitOK)
 }
 
-// errorText logs an error by its message alone; the handler would print the stack that
+func newLog(spec Spec, io *iostreams.IOStreams) *slog.Logger {
+	if spec.Log != nil {
+		return spec.Log(io)
+	}
+	return slog.New(slog.NewTextHandler(io.Err, &slog.HandlerOptions{ReplaceAttr: ErrorText}))
+}
+
+// ErrorText logs an error by its message alone; the handler would print the stack that
 // errors carry as well.
-func errorText(_ []string, a slog.Attr) slog.Attr {
+func ErrorText(_ []string, a slog.Attr) slog.Attr {
 	if err, ok := a.Value.Any().(error); ok {
 		return slog.String(a.Key, err.Error())
 	}
--- a/fleet/quorum/config.go
+++ b/fleet/quorum/config.go
@@ -20,6 +20,9 @@
 	MaxElectionTimeout = 1300 * time.Millisecond
 	// resendInterval is how long the answer to entries may take before they are sent again.
 	resendInterval = 400 * time.Millisecond
+	// forgottenAfter is the silence of all leaders after which a member asks whether it
+	// still is one. It is longer than an election takes.
+	forgottenAfter = 2 * MaxElectionTimeout
 	// helloInterval is the time between two Hello messages.
 	helloInterval = 200 * time.Millisecond
 )
@@ -31,6 +34,14 @@
 	snapshotPartSize = 256 << 10
 )
 
+// maxLogBytes is the size of the commands after a snapshot at which the next one is
+// taken, however few entries they are. It bounds the memory and disk of a log of large
+// commands.
+const maxLogBytes = 8 << 20
+
+// maxKeptBytes bounds the commands kept before a snapshot.
+const maxKeptBytes = 4 << 20
+
 // keptEntries is how many entries before the snapshot stay in memory, so that a replica
 // that lags a little needs no snapshot.
 const keptEntries = 2048
@@ -48,12 +59,22 @@
 	Restore(snapshot []byte) error
 }
 
+// Tending says how a leader keeps the members in step with the hosts that exist.
+type Tending struct {
+	// SilentAfter is the silence after which a member is dropped.
+	SilentAfter time.Duration
+	// MinVoters is the number of voters below which none is dropped for its silence.
+	MinVoters int
+	// MaxMembers bounds the members, so that the cost of a commit stays bounded.
+	MaxMembers int
+}
+
 // Config configures a Replica.
 type Config struct {
 	Host fleet.HostID
 	// Incarnation is taken when the storage is empty; it differs for each new storage.
 	Incarnation fleet.Incarnation
-	// Hosts lists all replicas, this one included.
+	// Hosts lists the founders; without Tending, they are all replicas there are.
 	Hosts []fleet.HostID
 	// Bootstrap permits to found a new quorum together with all other hosts, if all of
 	// them permit it and none has ever belonged to one.
@@ -64,6 +85,10 @@
 	// Records is what the storage holds.
 	Records []Record
 
+	// Tending, when set, lets the leader change the members by itself, and hosts that
+	// are not in Hosts join.
+	Tending *Tending
+
 	// Faults is for tests.
 	Faults fault.Set
 }
--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -55,6 +55,37 @@
 	r.askVotes(KindVote)
 }
 
+// stepAside makes the voter that has most of the log stand for election, and stops
+// leading. A leased answer must not be given any more, which the end of the leadership
+// ensures.
+func (r *Replica) stepAside() {
+	if !r.leading {
+		return
+	}
+	var heir Member
+	best := fleet.Index(0)
+	for _, m := range r.others() {
+		if p := r.progressOf(m); m.Voter && p.match > best {
+			heir, best = m, p.match
+		}
+	}
+	if best < r.commit || best == 0 {
+		return
+	}
+	r.sendDurably(r.message(KindHandover, heir))
+	r.stepDown()
+}
+
+// receiveHandover stands for election at the wish of the leader.
+func (r *Replica) receiveHandover(m *Message) {
+	if m.Term != r.vote.Term || m.From != r.leader || !r.isVoter() {
+		return
+	}
+	r.handover = true
+	r.startVote()
+	r.handover = false
+}
+
 func (r *Replica) askVotes(kind Kind) {
 	for _, p := range r.others() {
 		if !p.Voter {
@@ -63,6 +94,7 @@
 		m := r.message(kind, p)
 		m.Term = r.campaign.term
 		m.LastIndex, m.LastTerm = r.log.last(), r.log.lastTerm()
+		m.Handover = r.handover
 		r.sendDurably(m)
 	}
 }
@@ -89,7 +121,7 @@
 // receiveVote answers a candidate. While a leader is heard it is not even told the
 // term, so that it can't depose one that works.
 func (r *Replica) receiveVote(m *Message) {
-	if r.hearsLeader() {
+	if r.hearsLeader() && !m.Handover {
 		return
 	}
 	r.adoptTerm(m.Term)
--- a/fleet/quorum/event.go
+++ b/fleet/quorum/event.go
@@ -51,6 +51,26 @@
 // EventName implements fleet.Event.
 func (Replace) EventName() string { return "Replace" }
 
+// Contacts names further hosts that may know a quorum.
+type Contacts struct {
+	Hosts []fleet.HostID
+}
+
+// EventName implements fleet.Event.
+func (Contacts) EventName() string { return "Contacts" }
+
+// Confirm asks a leader to find out at once whether a majority still follows it.
+type Confirm struct{}
+
+// EventName implements fleet.Event.
+func (Confirm) EventName() string { return "Confirm" }
+
+// StepAside asks a leader to hand over its leadership, since its process is to stop.
+type StepAside struct{}
+
+// EventName implements fleet.Event.
+func (StepAside) EventName() string { return "StepAside" }
+
 // Write asks to append the records and make them durable, then to report Written.
 type Write struct {
 	Sequence fleet.Sequence
--- a/fleet/quorum/leader.go
+++ b/fleet/quorum/leader.go
@@ -80,9 +80,25 @@
 		r.sendHeartbeats()
 	}
 	r.promote()
+	r.tend()
 	r.replicate()
 }
 
+// confirm asks all members at once whether they still follow this leader.
+func (r *Replica) confirm() {
+	if !r.leading {
+		return
+	}
+	r.lead.heartbeat = r.now.Add(HeartbeatInterval)
+	r.sendHeartbeats()
+}
+
+// ConfirmedSince says whether a majority followed this leader at some moment since t.
+func (r *Replica) ConfirmedSince(t time.Time) bool {
+	at, ok := r.confirmedAt()
+	return r.leading && ok && !at.Before(t)
+}
+
 func (r *Replica) sendHeartbeats() {
 	for _, p := range r.others() {
 		m := r.message(KindHeartbeat, p)
--- a/fleet/quorum/log.go
+++ b/fleet/quorum/log.go
@@ -70,8 +70,7 @@
 // are far before its end.
 func (l *entryLog) compact(s Snapshot) {
 	l.snapshot = s
-	if s.Index > l.base+keptEntries {
-		first := s.Index - keptEntries
+	if first := l.firstKept(s.Index); first > l.base {
 		l.baseTerm, _ = l.term(first)
 		l.entries = append([]Entry(nil), l.entries[first-l.base:]...)
 		l.base = first
@@ -82,6 +81,18 @@
 	}
 }
 
+// firstKept returns the entry before the first one that is kept with a snapshot at i.
+func (l *entryLog) firstKept(i fleet.Index) fleet.Index {
+	size := 0
+	for first := i; first > l.base; first-- {
+		size += len(l.at(first).Data)
+		if size > maxKeptBytes || i-first >= keptEntries {
+			return first
+		}
+	}
+	return l.base
+}
+
 // after returns the entries after the snapshot.
 func (l *entryLog) after() []Entry { return l.entries[l.snapshot.Index-l.base:] }
 
--- a/fleet/quorum/message.go
+++ b/fleet/quorum/message.go
@@ -37,6 +37,8 @@
 	KindSnapshot Kind = "Snapshot"
 	// KindSnapshotReply tells how much of a snapshot has arrived.
 	KindSnapshotReply Kind = "SnapshotReply"
+	// KindHandover asks the receiver to stand for election at once, since the leader stops.
+	KindHandover Kind = "Handover"
 )
 
 // EntryKind says what an Entry holds.
@@ -105,6 +107,11 @@
 	Snapshot *SnapshotPart `json:",omitempty"`
 	// Offset is how many bytes of the snapshot have arrived.
 	Offset int `json:",omitempty"`
+	// Peers lists the members that the sender of a HelloReply knows.
+	Peers []fleet.HostID `json:",omitempty"`
+	// Handover says that the leader asked for this vote, so that hearing it is no
+	// reason to refuse.
+	Handover bool `json:",omitempty"`
 }
 
 // Check implements fleet.Checker.
--- a/fleet/quorum/replica.go
+++ b/fleet/quorum/replica.go
@@ -36,13 +36,15 @@
 	out     []fleet.Effect
 	storage storageState
 
-	leading   bool
-	leader    fleet.HostID
-	termLead  termLeader
-	heard     time.Time
-	electAt   time.Time
-	random    uint64
-	campaign  campaign
+	leading  bool
+	leader   fleet.HostID
+	termLead termLeader
+	heard    time.Time
+	electAt  time.Time
+	random   uint64
+	campaign campaign
+	// handover is set while the votes asked for are wished by the leader.
+	handover  bool
 	lead      leadership
 	hello     helloState
 	incoming  *SnapshotPart
@@ -128,6 +130,12 @@
 		r.propose(ev)
 	case Replace:
 		r.replaceMember(ev)
+	case Contacts:
+		r.addContacts(ev.Hosts)
+	case Confirm:
+		r.confirm()
+	case StepAside:
+		r.stepAside()
 	}
 	r.announce()
 	r.flush()
@@ -143,6 +151,10 @@
 	case r.isVoter() && !r.now.Before(r.electAt):
 		r.startPreVote()
 	}
+	// A member that was dropped during its silence is told so by nobody.
+	if r.cfg.Tending != nil && !r.leading && len(r.members()) > 0 && r.now.Sub(r.heard) > forgottenAfter {
+		r.tickHello()
+	}
 }
 
 // receive handles a message that was meant for this incarnation.
@@ -172,6 +184,8 @@
 		r.receiveVoteReply(m)
 	case KindHeartbeat, KindAppend, KindSnapshot:
 		r.receiveFromLeader(m)
+	case KindHandover:
+		r.receiveHandover(m)
 	case KindHeartbeatReply, KindAppendReply, KindSnapshotReply:
 		r.receiveFromFollower(m)
 	}
--- a/fleet/quorum/status.go
+++ b/fleet/quorum/status.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "github.com/fuchsiashed/fuchsiashed/fleet"
+import (
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
 
 // Standing returns what the replica is at the moment.
 func (r *Replica) Standing() Standing {
@@ -18,6 +22,15 @@
 // Term returns the current term.
 func (r *Replica) Term() fleet.Term { return r.vote.Term }
 
+// InTouch says whether the replica has been in contact with a majority within d: as a
+// leader by its followers' answers, otherwise by a leader's heartbeat.
+func (r *Replica) InTouch(d time.Duration) bool {
+	if r.leading {
+		return r.contactWithin(d)
+	}
+	return r.leader != "" && r.now.Sub(r.heard) < d
+}
+
 // KnownLeader returns the leader that the replica follows, or "".
 func (r *Replica) KnownLeader() fleet.HostID { return r.leader }
 
--- a/fleet/quorum/storage.go
+++ b/fleet/quorum/storage.go
@@ -92,7 +92,8 @@
 // there are enough of them to be worth the write.
 func (r *Replica) takeSnapshot() {
 	covered := int(r.applied - r.log.snapshot.Index)
-	if covered < r.cfg.SnapshotEntries || r.log.bytes < len(r.log.snapshot.Data)/2 {
+	worthwhile := covered >= r.cfg.SnapshotEntries && r.log.bytes >= len(r.log.snapshot.Data)/2
+	if covered == 0 || !worthwhile && r.log.bytes < maxLogBytes {
 		return
 	}
 	term, _ := r.log.term(r.applied)
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -42,4 +42,5 @@
 	ReasonSuspectWithdrawn   Reason = "SuspectWithdrawn"
 	ReasonLeaderChanged      Reason = "LeaderChanged"
 	ReasonControlUnavailable Reason = "ControlUnavailable"
+	ReasonCustomerShare      Reason = "CustomerShare"
 )
--- a/fleet/registry/ask.go
+++ b/fleet/registry/ask.go
@@ -16,7 +16,7 @@
 		s.answer(id, &status)
 		return
 	}
-	if !s.leads(id) {
+	if s.askNumbered(id, r) || !s.leads(id) {
 		return
 	}
 	switch {
--- a/fleet/registry/command.go
+++ b/fleet/registry/command.go
@@ -25,6 +25,9 @@
 	End     *fleet.LedgerEndRequest   `json:",omitempty"`
 	Abandon *AbandonCommand           `json:",omitempty"`
 	Expire  *ExpireCommand            `json:",omitempty"`
+
+	PutConfig *fleet.PutConfigRequest `json:",omitempty"`
+	SetOut    *fleet.SetOutRequest    `json:",omitempty"`
 }
 
 // TextCommand proposes a fleet text that the proposer has parsed.
--- a/fleet/registry/event.go
+++ b/fleet/registry/event.go
@@ -21,6 +21,9 @@
 	History     *fleet.HistoryRequest     `json:",omitempty"`
 	Status      *fleet.StatusRequest      `json:",omitempty"`
 	Replace     *fleet.ReplaceRequest     `json:",omitempty"`
+	PutConfig   *fleet.PutConfigRequest   `json:",omitempty"`
+	ReadConfig  *fleet.ReadConfigRequest  `json:",omitempty"`
+	SetOut      *fleet.SetOutRequest      `json:",omitempty"`
 }
 
 // Asked is a request of another process.
--- a/fleet/registry/replay.go
+++ b/fleet/registry/replay.go
@@ -19,6 +19,7 @@
 	Hosts           []fleet.HostID
 	Bootstrap       bool
 	SnapshotEntries int
+	Tending         *quorum.Tending `json:",omitempty"`
 	Records         []quorum.Record
 }
 
@@ -29,7 +30,7 @@
 func StartedBy(cfg *quorum.Config) Started {
 	return Started{
 		Host: cfg.Host, Incarnation: cfg.Incarnation, Hosts: cfg.Hosts,
-		Bootstrap: cfg.Bootstrap, SnapshotEntries: cfg.SnapshotEntries, Records: cfg.Records,
+		Bootstrap: cfg.Bootstrap, SnapshotEntries: cfg.SnapshotEntries, Tending: cfg.Tending, Records: cfg.Records,
 	}
 }
 
@@ -37,7 +38,7 @@
 func (s *Started) config() quorum.Config {
 	return quorum.Config{
 		Host: s.Host, Incarnation: s.Incarnation, Hosts: s.Hosts,
-		Bootstrap: s.Bootstrap, SnapshotEntries: s.SnapshotEntries, Records: s.Records,
+		Bootstrap: s.Bootstrap, SnapshotEntries: s.SnapshotEntries, Tending: s.Tending, Records: s.Records,
 	}
 }
 
@@ -75,6 +76,10 @@
 		return eventlog.DecodeAs[quorum.Received](raw)
 	case quorum.Written{}.EventName():
 		return eventlog.DecodeAs[quorum.Written](raw)
+	case quorum.Contacts{}.EventName():
+		return eventlog.DecodeAs[quorum.Contacts](raw)
+	case quorum.StepAside{}.EventName():
+		return eventlog.DecodeAs[quorum.StepAside](raw)
 	}
 	return nil, errors.Errorf("event %q does not exist in a control replica", name)
 }
--- a/fleet/registry/server.go
+++ b/fleet/registry/server.go
@@ -32,6 +32,10 @@
 	waiting   map[quorum.ProposalID]waiter
 	tenure    tenure
 	faults    fault.Set
+	// reads wait for a majority to confirm this leader.
+	reads []read
+	// announced is the newest revision that a NumberedChanged told of.
+	announced fleet.Revision
 }
 
 // waiter is a request that waits for the log.
@@ -76,6 +80,13 @@
 // Status returns the replica's view of the quorum.
 func (s *Server) Status() fleet.StatusReply { return s.replica.Status() }
 
+// InTouch says whether the replica has been in contact with a majority within d, as of
+// the last event.
+func (s *Server) InTouch(d time.Duration) bool { return s.replica.InTouch(d) }
+
+// KnownLeader returns the leader that the replica follows or is, or "".
+func (s *Server) KnownLeader() fleet.HostID { return s.replica.KnownLeader() }
+
 // Confirmed says whether the replica leads and no other can lead, as of the last event.
 func (s *Server) Confirmed() bool { return s.replica.Ready() && s.replica.LeaseHeld(s.now) }
 
@@ -92,6 +103,8 @@
 		s.drive(ev)
 		s.keepHouse()
 	}
+	s.settleReads()
+	s.announceNumbered()
 	return s.out
 }
 
@@ -173,6 +186,10 @@
 		return &r
 	case fleet.LedgerEndReply:
 		return &r
+	case fleet.PutConfigReply:
+		return &r
+	case fleet.SetOutReply:
+		return &r
 	}
 	return &fleet.ReplaceReply{Accepted: true}
 }
--- a/fleet/registry/state.go
+++ b/fleet/registry/state.go
@@ -43,6 +43,7 @@
 	Operations map[fleet.OperationID]operation
 	Order      []fleet.OperationID
 	Leases     map[fleet.LeaseName]lease
+	Numbered   Numbered
 }
 
 // keptText is the text and data centres in force from a version on.
@@ -90,7 +91,8 @@
 }
 
 // Apply implements quorum.StateMachine. The result is a fleet.ChangeReply, a
-// fleet.LeaseState, a fleet.LedgerBeginReply, a fleet.LedgerEndReply or nil.
+// fleet.LeaseState, a fleet.LedgerBeginReply, a fleet.LedgerEndReply, a
+// fleet.PutConfigReply, a fleet.SetOutReply or nil.
 func (s *State) Apply(index fleet.Index, command []byte) any {
 	c, err := DecodeCommand(command)
 	if !invariant.Check(err == nil, "CommandDecoded", "entry %d: %v", index, err) {
@@ -112,6 +114,10 @@
 		return s.applyDataCentre(c)
 	case c.Lease != nil:
 		return s.applyLease(c.Lease)
+	case c.PutConfig != nil:
+		return s.applyConfig(c.PutConfig)
+	case c.SetOut != nil:
+		return s.applyOut(c.SetOut)
 	case c.Begin != nil:
 		return s.ledger.begin(c.Begin)
 	case c.End != nil:
--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -24,7 +24,10 @@
 	// Down, when set, is called when no connection is left.
 	Down    func()
 	Traffic *Traffic
-	Log     *slog.Logger
+	// Plain leaves out compression, which takes 1.24 MB a connection. The server must
+	// do the same.
+	Plain bool
+	Log   *slog.Logger
 }
 
 // Client keeps a connection to one peer. It is safe for concurrent use.
@@ -127,7 +130,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", c.cfg.Address)
 	}
-	p, err := newPeer(c.ctx, nc, c.cfg.Handler, c.cfg.Traffic)
+	p, err := newPeer(c.ctx, nc, c.cfg.Handler, c.cfg.Traffic, c.cfg.Plain)
 	if err != nil {
 		_ = nc.Close()
 		return nil, err
--- a/fleet/rpc/compress.go
+++ b/fleet/rpc/compress.go
@@ -19,6 +19,14 @@
 	out *flate.Writer
 }
 
+// codedConn compresses a connection, unless both ends agreed to leave it plain.
+func codedConn(nc net.Conn, plain bool) (net.Conn, error) {
+	if plain {
+		return nc, nil
+	}
+	return newCompressedConn(nc)
+}
+
 func newCompressedConn(nc net.Conn) (*compressedConn, error) {
 	out, err := flate.NewWriter(nc, CompressionLevel)
 	if err != nil {
--- a/fleet/rpc/rpc.go
+++ b/fleet/rpc/rpc.go
@@ -80,8 +80,8 @@
 	conn *jsonrpc2.Conn
 }
 
-func newPeer(ctx context.Context, nc net.Conn, h Handler, bytes *Traffic) (*peer, error) {
-	cc, err := newCompressedConn(&timedConn{Conn: nc, traffic: bytes})
+func newPeer(ctx context.Context, nc net.Conn, h Handler, bytes *Traffic, plain bool) (*peer, error) {
+	cc, err := codedConn(&timedConn{Conn: nc, traffic: bytes}, plain)
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/rpc/server.go
+++ b/fleet/rpc/server.go
@@ -19,7 +19,9 @@
 	// Gone, when set, is told of each connection that ended.
 	Gone    func(peer fleet.Caller)
 	Traffic *Traffic
-	Log     *slog.Logger
+	// Plain leaves out compression, see ClientConfig.
+	Plain bool
+	Log   *slog.Logger
 }
 
 // Server accepts connections of peers.
@@ -71,7 +73,7 @@
 
 func (s *Server) serve(nc net.Conn) {
 	defer s.wg.Done()
-	p, err := newPeer(s.ctx, nc, s.cfg.Handler, s.cfg.Traffic)
+	p, err := newPeer(s.ctx, nc, s.cfg.Handler, s.cfg.Traffic, s.cfg.Plain)
 	if err != nil {
 		_ = nc.Close()
 		return
--- a/fleet/settings/value.go
+++ b/fleet/settings/value.go
@@ -29,6 +29,8 @@
 		return setString(v, f, text)
 	case reflect.Int, reflect.Int64, reflect.Uint64:
 		return setInteger(v, f, text)
+	case reflect.Float64:
+		return setFloat(v, f, text)
 	case reflect.Bool:
 		return setBool(v, text)
 	case reflect.Slice:
@@ -82,6 +84,21 @@
 	return nil
 }
 
+func setFloat(v reflect.Value, f reflect.StructField, text string) error {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return errors.Errorf("value %q is not a number", text)
+	}
+	if lower, err := strconv.ParseFloat(f.Tag.Get("min"), 64); err == nil && n < lower {
+		return errors.Errorf("value %s is out of bounds", text)
+	}
+	if upper, err := strconv.ParseFloat(f.Tag.Get("max"), 64); err == nil && n > upper {
+		return errors.Errorf("value %s is out of bounds", text)
+	}
+	v.SetFloat(n)
+	return nil
+}
+
 func setDuration(v reflect.Value, f reflect.StructField, text string) error {
 	d, err := time.ParseDuration(text)
 	if err != nil {
@@ -156,6 +173,8 @@
 		return "true or false"
 	case t.Kind() == reflect.String:
 		return "a text"
+	case t.Kind() == reflect.Float64:
+		return "a number"
 	}
 	return "a whole number"
 }
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -44,6 +44,9 @@
 	Slots Slots
 	// State says whether it takes new work.
 	State TargetState
+	// ColdFor is how much longer the target bears only a little, counted from the
+	// announcement; 0 for a warm one.
+	ColdFor time.Duration `json:",omitempty"`
 	// Running lists the requests that the target runs now. It clears work in doubt.
 	Running []RequestID `json:",omitempty"`
 	// Prefixes lists prompt prefixes that its cache holds; it may be incomplete.
@@ -71,6 +74,9 @@
 	if a.State != TargetServing && a.State != TargetLeaving {
 		return errors.Errorf("State %q does not exist; use %s or %s", a.State, TargetServing, TargetLeaving)
 	}
+	if a.ColdFor < 0 {
+		return errors.Errorf("ColdFor is %s; it must not be negative", a.ColdFor)
+	}
 	if len(a.Prefixes) > MaxAnnouncedPrefixes {
 		return errors.Errorf("Prefixes has %d entries; at most %d are allowed", len(a.Prefixes), MaxAnnouncedPrefixes)
 	}
--- /dev/null
+++ b/router/forward/answer.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// hopByHop lists the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd returns the headers that are passed on: neither those of one connection nor
+// those that its Connection header names.
+func EndToEnd(h http.Header) http.Header {
+	passed := h.Clone()
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			passed.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		passed.Del(name)
+	}
+	return passed
+}
+
+// answerWriter writes one answer to a caller.
+type answerWriter struct {
+	w http.ResponseWriter
+	// begun says that the header was written.
+	begun bool
+}
+
+// header writes the status and headers of a target's answer. The length is -1 when it
+// is not known.
+func (a *answerWriter) header(status int, h http.Header, length int64) {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	to := a.w.Header()
+	for name, values := range EndToEnd(h) {
+		to[name] = values
+	}
+	to.Del("Content-Length")
+	if length >= 0 {
+		to.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	if _, ok := to["Content-Type"]; !ok {
+		// Without an entry the server would guess a type from the body.
+		to["Content-Type"] = nil
+	}
+	a.w.WriteHeader(status)
+}
+
+// write passes a part of a stream on at once.
+func (a *answerWriter) write(p []byte) error {
+	if _, err := a.w.Write(p); err != nil {
+		return err
+	}
+	return http.NewResponseController(a.w).Flush()
+}
+
+// abort closes the caller's connection, so that what was passed on does not look whole.
+func (a *answerWriter) abort() { panic(http.ErrAbortHandler) }
+
+// failure is the body of an answer that the router makes itself.
+type failure struct {
+	Reason  fleet.Reason
+	Verdict fleet.Verdict
+}
+
+// fail answers with a failure of the router's own. Only a status of 503 or 429 promises
+// that the request has not run.
+func (a *answerWriter) fail(status int, d Dialect, id fleet.RequestID, reason fleet.Reason, after time.Duration) {
+	if a.begun {
+		a.abort()
+	}
+	verdict := fleet.MayHaveRun
+	h := a.w.Header()
+	if status == http.StatusServiceUnavailable {
+		verdict = fleet.NotRun
+		h.Set("Retry-After", retryAfter(after))
+	}
+	h.Set(d.RequestID, string(id))
+	h.Set("Content-Type", "application/json")
+	body, err := json.Marshal(failure{Reason: reason, Verdict: verdict})
+	if err != nil {
+		body = nil
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	a.begun = true
+	a.w.WriteHeader(status)
+	// A caller that has left does not read its answer.
+	_, _ = a.w.Write(body)
+}
--- /dev/null
+++ b/router/forward/events.go
@@ -0,0 +1,49 @@
+package forward
+
+import (
+	"bytes"
+)
+
+// eventEnd ends an event of a stream.
+var eventEnd = []byte("\n\n")
+
+// eventScanner splits a stream into whole events and remembers the id of the last one.
+
+type eventScanner struct {
+	partial []byte
+	// last is the id of the last event that was returned; empty when it had none.
+	last string
+}
+
+// restart begins the stream of another attempt.
+func (s *eventScanner) restart() { s.partial = nil }
+
+// add takes the next part of a stream and returns the events that are whole now.
+func (s *eventScanner) add(p []byte) []byte {
+	s.partial = append(s.partial, p...)
+	end := bytes.LastIndex(s.partial, eventEnd)
+	if end < 0 {
+		return nil
+	}
+	end += len(eventEnd)
+	events := bytes.Clone(s.partial[:end])
+	s.partial = append(s.partial[:0], s.partial[end:]...)
+	s.remember(events)
+	return events
+}
+
+// rest returns what follows the last whole event at the end of a stream.
+func (s *eventScanner) rest() []byte {
+	out := s.partial
+	s.partial = nil
+	return out
+}
+
+// remember notes the last id among whole events.
+func (s *eventScanner) remember(events []byte) {
+	for line := range bytes.Lines(events) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			s.last = string(bytes.TrimSpace(id))
+		}
+	}
+}
--- /dev/null
+++ b/router/forward/exchange.go
@@ -0,0 +1,272 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
+
+	"github.com/fuchsiashed/fuchsiashed/router/targetconn"
+)
+
+const (
+	// dialTimeout bounds opening a connection. Nothing has been sent by then, so another
+	// target can be tried.
+	dialTimeout = 500 * time.Millisecond
+	// unacknowledged bounds how long a target may leave sent data unacknowledged.
+	unacknowledged = 3 * time.Second
+	// inlineBody is the largest body that is written before the answer is read, in bytes.
+	inlineBody = 16 << 10
+	// maxBuffered is the largest answer that is read in full before it is passed on, in
+	// bytes. One that breaks off before can be asked for again.
+	maxBuffered = 64 << 10
+	// idleFor is how long an unused connection is kept to a target that does not say how
+	// long it keeps it.
+	idleFor = 20 * time.Second
+	// idleMargin is how much sooner than the target an unused connection is given up.
+	idleMargin = 300 * time.Millisecond
+	// maxSkipped bounds the answers to earlier requests that are skipped on a connection.
+	maxSkipped = 3
+)
+
+// exchange is one request with its attempts.
+type exchange struct {
+	f   *Forwarder
+	req *Request
+	ctx context.Context
+	out *answerWriter
+
+	send   placement.Send
+	events eventScanner
+	// kept is the target's failure that is passed on when there is no other attempt.
+	kept *keptAnswer
+	// passed says that a target's answer was passed on that is a failure.
+	passed bool
+	detail error
+	status int
+}
+
+// keptAnswer is an answer that was read in full.
+type keptAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempt sends the request to a target and returns what is to be done next.
+func (x *exchange) attempt(s placement.Send) []fleet.Effect {
+	x.send, x.detail, x.status, x.passed = s, nil, 0, false
+	x.f.sent(x.req, s)
+	outcome := x.run()
+	if x.ctx.Err() != nil && outcome != placement.Answered {
+		outcome = x.ended(outcome)
+	}
+	effects := x.f.Reduce(placement.Ended{
+		Call: x.req.Call.ID, Attempt: s.Attempt, Outcome: outcome, Failed: x.passed,
+	})
+	x.f.ended(x, outcome)
+	switch outcome {
+	case placement.Expired:
+		x.out.fail(http.StatusGatewayTimeout, x.f.cfg.Dialect, x.req.Call.Request, fleet.ReasonDeadline, 0)
+		return nil
+	case placement.Cut, placement.CallerGone:
+		x.out.abort()
+	}
+	return effects
+}
+
+// ended tells a caller that left from time that ran out.
+func (x *exchange) ended(outcome placement.Outcome) placement.Outcome {
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+		if outcome == placement.Unreached {
+			return placement.Unreached
+		}
+		return placement.Expired
+	}
+	return placement.CallerGone
+}
+
+// giveUp answers with what the last attempt came to.
+func (x *exchange) giveUp(e placement.GiveUp) {
+	id := x.req.Call.Request
+	switch {
+	case x.kept != nil && !x.out.begun:
+		x.out.header(x.kept.status, x.kept.header, int64(len(x.kept.body)))
+		// A caller that has left does not read its answer.
+		_, _ = x.out.w.Write(x.kept.body)
+	case e.NotRun:
+		x.out.fail(http.StatusServiceUnavailable, x.f.cfg.Dialect, id, e.Reason, e.RetryAfter)
+	default:
+		x.out.fail(http.StatusBadGateway, x.f.cfg.Dialect, id, e.Reason, 0)
+	}
+}
+
+// run performs one attempt.
+func (x *exchange) run() placement.Outcome {
+	c, err := x.connect()
+	if err != nil {
+		x.detail = err
+		return placement.Unreached
+	}
+	stop := context.AfterFunc(x.ctx, func() { targetconn.Discard(c) })
+	defer stop()
+	written, err := x.write(c)
+	if err != nil && c.Wrote() == 0 {
+		targetconn.Discard(c)
+		x.detail = err
+		return placement.Unreached
+	}
+	resp, err := x.read(c)
+	if err != nil {
+		targetconn.Discard(c)
+		x.detail = err
+		return placement.Broken
+	}
+	outcome, clean := x.take(resp)
+	x.keep(c, resp, clean && stop() && isClosed(written))
+	return outcome
+}
+
+func (x *exchange) connect() (*targetconn.Conn, error) {
+	if c := x.f.pool.Get(x.send.Address, x.f.cfg.Clock.Now()); c != nil {
+		return c, nil
+	}
+	c, err := targetconn.Dial(x.ctx, x.send.Address, targetconn.Options{Timeout: dialTimeout, Unacknowledged: unacknowledged})
+	if err != nil {
+		return nil, err
+	}
+	handshakes.Add(1)
+	return c, nil
+}
+
+// write sends the request. A long body is sent while the answer is read already, for a
+// target may answer before it has read all of it. The channel is closed when all of
+// the request has been written.
+func (x *exchange) write(c *targetconn.Conn) (written chan struct{}, err error) {
+	req := x.request()
+	written = make(chan struct{})
+	if len(x.req.Body) <= inlineBody {
+		if err := c.WriteRequest(req); err != nil {
+			return written, err
+		}
+		close(written)
+		return written, nil
+	}
+	go func() {
+		if err := c.WriteRequest(req); err != nil {
+			// The reader sees the close and reports the end of the attempt.
+			targetconn.Discard(c)
+			return
+		}
+		close(written)
+	}()
+	return written, nil
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// request returns the request as it goes to the target.
+func (x *exchange) request() *http.Request {
+	d := &x.f.cfg.Dialect
+	h := x.req.Header.Clone()
+	h.Set(d.RequestID, string(x.req.Call.Request))
+	left := x.req.Call.Deadline.Sub(x.f.cfg.Clock.Now())
+	h.Set(d.Remaining, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	h.Set(d.Expected, string(x.send.Target))
+	if x.req.Call.Customer != "" {
+		h.Set(d.Customer, string(x.req.Call.Customer))
+	}
+	if id := x.events.last; id != "" {
+		h.Set(d.LastEvent, id)
+	}
+	if h.Get("User-Agent") == "" {
+		// An empty entry keeps the library from adding its own.
+		h["User-Agent"] = []string{""}
+	}
+	path, query, _ := strings.Cut(x.req.URI, "?")
+	r := &http.Request{
+		Method: x.req.Method, Host: x.req.Host, Header: h,
+		URL:           &url.URL{Scheme: "http", Host: x.req.Host, Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(x.req.URI, "?")},
+		ContentLength: int64(len(x.req.Body)), Body: http.NoBody,
+	}
+	if len(x.req.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(x.req.Body))
+	}
+	return r
+}
+
+// read reads the header of the answer to this request. A target may answer an earlier
+// request a second time; such answers are skipped.
+func (x *exchange) read(c *targetconn.Conn) (*http.Response, error) {
+	req := &http.Request{Method: x.req.Method}
+	for range maxSkipped {
+		resp, err := c.ReadResponse(req)
+		if err != nil {
+			return nil, err
+		}
+		echo := resp.Header.Get(x.f.cfg.Dialect.RequestID)
+		if echo == string(x.req.Call.Request) || echo == "" && isNotRun(resp, &x.f.cfg.Dialect) {
+			return resp, nil
+		}
+		if !framed(resp) {
+			return nil, errors.Errorf("answer without an end belongs to request %q", echo)
+		}
+		skipped.Add(1)
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered)); err != nil {
+			return nil, errors.Wrapf(err, "skip the answer to request %q", echo)
+		}
+	}
+	return nil, errors.Errorf("%d answers belong to other requests", maxSkipped)
+}
+
+// isNotRun says whether a target states that it did not run the request.
+func isNotRun(resp *http.Response, d *Dialect) bool {
+	return resp.Header.Get(d.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+}
+
+// framed says whether the end of a body can be told from a broken connection.
+func framed(resp *http.Response) bool {
+	return len(resp.TransferEncoding) > 0 || resp.ContentLength >= 0
+}
+
+// keep gives a connection back for another request, when it is certain that nothing of
+// this one is left on it.
+func (x *exchange) keep(c *targetconn.Conn, resp *http.Response, clean bool) {
+	if !clean || resp.Close || !framed(resp) || c.Reader.Buffered() > 0 {
+		targetconn.Discard(c)
+		return
+	}
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		targetconn.Discard(c)
+		return
+	}
+	x.f.pool.Put(c, x.f.cfg.Clock.Now().Add(idleTime(resp.Header)), x.send.Idle)
+}
+
+// idleTime returns how long a target keeps an unused connection, less a margin.
+func idleTime(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		n, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && n > 0 {
+			return min(time.Duration(n)*time.Second, idleFor) - idleMargin
+		}
+	}
+	return idleFor
+}
--- /dev/null
+++ b/router/forward/log.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"expvar"
+	"log/slog"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
+)
+
+var (
+	refusals   = expvar.NewMap("ForwardRefusals")
+	outcomes   = expvar.NewMap("ForwardOutcomes")
+	retries    = expvar.NewMap("ForwardRetries")
+	handshakes = expvar.NewInt("ForwardHandshakes")
+	skipped    = expvar.NewInt("ForwardSkippedAnswers")
+)
+
+// sent logs the choice of a target and what decided it.
+func (f *Forwarder) sent(req *Request, s placement.Send) {
+	f.cfg.Log.Info("RequestSent", "request", string(req.Call.Request), "route", req.Call.Route.Name,
+		"customer", string(req.Call.Customer), "attempt", s.Attempt, "target", string(s.Target),
+		"incarnation", uint64(s.Incarnation), "rank", s.Reason.Rank, "candidates", s.Reason.Candidates,
+		"waitingTokens", s.Reason.Waiting, "running", s.Reason.Running,
+		"expectedMs", s.Reason.Expected.Milliseconds(), "digestAgeMs", s.Reason.DigestAge.Milliseconds())
+}
+
+// refused logs a refusal.
+func (f *Forwarder) refused(req *Request, e placement.Refuse) {
+	refusals.Add(string(e.Reason), 1)
+	f.cfg.Log.Info("RequestRefused", "request", string(req.Call.Request), "route", req.Call.Route.Name,
+		"customer", string(req.Call.Customer), "reason", string(e.Reason), "retryAfterMs", e.RetryAfter.Milliseconds())
+}
+
+// ended logs how an attempt ended.
+func (f *Forwarder) ended(x *exchange, o placement.Outcome) {
+	outcomes.Add(string(o), 1)
+	if x.send.Attempt > 1 {
+		retries.Add(string(o), 1)
+	}
+	attrs := []any{
+		"request", string(x.req.Call.Request), "attempt", x.send.Attempt, "target", string(x.send.Target),
+		"outcome", string(o), "status", x.status, "elapsedMs", f.cfg.Clock.Now().Sub(x.req.Call.Arrived).Milliseconds(),
+	}
+	level := slog.LevelInfo
+	if x.detail != nil {
+		attrs = append(attrs, "error", x.detail.Error())
+	}
+	if o != placement.Answered {
+		level = slog.LevelWarn
+	}
+	f.cfg.Log.Log(x.ctx, level, "AttemptEnded", attrs...)
+}
--- /dev/null
+++ b/router/forward/take.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"bytes"
+	"io"
+	"mime"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
+
+	"github.com/fuchsiashed/fuchsiashed/router/targetconn"
+)
+
+// buffers holds the buffers through which answers pass.
+var buffers = sync.Pool{New: func() any { b := make([]byte, targetconn.BufferSize); return &b }}
+
+// take passes an answer on, or keeps it when there may be a better one. Clean says that
+// the answer was read to its end.
+func (x *exchange) take(resp *http.Response) (outcome placement.Outcome, clean bool) {
+	d := &x.f.cfg.Dialect
+	x.status = resp.StatusCode
+	if isNotRun(resp, d) {
+		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			return placement.Misdirected, err == nil
+		}
+		return placement.Declined, err == nil
+	}
+	if resp.Header.Get(d.Stamp) == "" {
+		x.detail = errors.Errorf("answer %s bears no stamp", resp.Status)
+		return placement.Broken, false
+	}
+	if resp.StatusCode == http.StatusOK && isEventStream(resp) {
+		return x.stream(resp)
+	}
+	if x.out.begun {
+		x.detail = errors.Errorf("the rest of the stream was answered by %s", resp.Status)
+		return placement.Broken, false
+	}
+	return x.whole(resp)
+}
+
+func isEventStream(resp *http.Response) bool {
+	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && media == "text/event-stream"
+}
+
+// whole reads an answer in full and passes it on. A target's failure is kept instead,
+// for another target may do better.
+func (x *exchange) whole(resp *http.Response) (placement.Outcome, bool) {
+	var body bytes.Buffer
+	n, err := io.Copy(&body, io.LimitReader(resp.Body, maxBuffered+1))
+	if err != nil {
+		x.detail = errors.Wrapf(err, "answer ended after %d bytes", n)
+		return placement.Broken, false
+	}
+	x.begin()
+	if n > maxBuffered {
+		return x.long(resp, &body)
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		x.kept = &keptAnswer{status: resp.StatusCode, header: resp.Header, body: body.Bytes()}
+		return placement.FailedAnswer, true
+	}
+	x.out.header(resp.StatusCode, resp.Header, n)
+	if _, err := x.out.w.Write(body.Bytes()); err != nil {
+		x.detail = err
+		return placement.CallerGone, true
+	}
+	return placement.Answered, true
+}
+
+// long passes an answer on while it is read.
+func (x *exchange) long(resp *http.Response, begin io.Reader) (placement.Outcome, bool) {
+	x.out.header(resp.StatusCode, resp.Header, resp.ContentLength)
+	bp := buffers.Get().(*[]byte)
+	defer buffers.Put(bp)
+	source := io.MultiReader(begin, resp.Body)
+	for {
+		n, err := source.Read(*bp)
+		if n > 0 {
+			if _, werr := x.out.w.Write((*bp)[:n]); werr != nil {
+				x.detail = werr
+				return placement.CallerGone, false
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return placement.Answered, true
+		}
+		if err != nil {
+			x.detail = err
+			return placement.Cut, false
+		}
+	}
+}
+
+// begin tells the placement that the answer has begun.
+func (x *exchange) begin() {
+	x.f.Reduce(placement.Begun{Call: x.req.Call.ID, Attempt: x.send.Attempt})
+}
+
+// stream passes the events of a stream on as they come, each in one piece.
+func (x *exchange) stream(resp *http.Response) (placement.Outcome, bool) {
+	bp := buffers.Get().(*[]byte)
+	defer buffers.Put(bp)
+	x.events.restart()
+	begun := false
+	for {
+		n, err := resp.Body.Read(*bp)
+		events := x.events.add((*bp)[:n])
+		if errors.Is(err, io.EOF) {
+			events = append(events, x.events.rest()...)
+		}
+		if len(events) > 0 {
+			if !begun {
+				begun = true
+				x.begin()
+			}
+			x.out.header(resp.StatusCode, resp.Header, -1)
+			if werr := x.out.write(events); werr != nil {
+				x.detail = werr
+				return placement.CallerGone, false
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			x.out.header(resp.StatusCode, resp.Header, -1)
+			return placement.Answered, true
+		case err != nil:
+			x.detail = errors.Wrapf(err, "stream ended after event %q", x.events.last)
+			return x.interrupted(), false
+		}
+	}
+}
+
+// interrupted says what becomes of a stream that broke off.
+func (x *exchange) interrupted() placement.Outcome {
+	if !x.out.begun {
+		return placement.Broken
+	}
+	if x.req.Call.Route.Repeatable() && x.events.last != "" {
+		return placement.Broken
+	}
+	return placement.Cut
+}
--- a/router/internal/target/client.go
+++ b/router/internal/target/client.go
@@ -1,7 +1,8 @@
+// Package target speaks HTTP/1.1 to targets: it sends requests, passes their answers
+// on, resumes and cancels streams, and takes the targets' announcements.
 package target
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -9,12 +10,17 @@
 	"net/url"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+
+	"github.com/fuchsiashed/fuchsiashed/router/targetconn"
 )
 
 const (
+	// idleLimit is how long an unused connection is kept. It is short, so that few
+	// requests meet a connection that its target is about to close.
+	idleLimit = 2 * time.Second
+	// idlePerTarget is how many unused connections are kept for each target.
+	idlePerTarget = 32
 	// headerRequestID carries the request id to the target and, echoed, back.
 	headerRequestID = "Fuchsiashed-Request-Id"
 	// headerNotRun is "true" on a refusal of a target that did not run the request.
@@ -31,13 +37,13 @@
 // Client sends requests to targets. It is safe for concurrent use.
 type Client struct {
 	cfg  Config
-	pool *pool
+	pool *targetconn.Pool
 	done chan struct{}
 }
 
 // NewClient makes a Client.
 func NewClient(cfg Config) *Client {
-	return &Client{cfg: cfg, pool: newPool(), done: make(chan struct{})}
+	return &Client{cfg: cfg, pool: targetconn.NewPool(), done: make(chan struct{})}
 }
 
 // Start begins to close unused connections.
@@ -50,7 +56,7 @@
 			case <-c.done:
 				return
 			case <-ticker.C:
-				c.pool.sweep(c.cfg.Clock.Now())
+				c.pool.Sweep(c.cfg.Clock.Now())
 			}
 		}
 	}()
@@ -64,11 +70,11 @@
 func (c *Client) Cancel(ctx context.Context, addr netip.AddrPort, id fleet.RequestID) bool {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	cn, err := dial(ctx, addr, cancelTimeout)
+	cn, err := targetconn.Dial(ctx, addr, targetconn.Options{Timeout: cancelTimeout})
 	if err != nil {
 		return false
 	}
-	defer discard(cn)
+	defer targetconn.Discard(cn)
 	if err := cn.SetDeadline(time.Now().Add(cancelTimeout)); err != nil {
 		return false
 	}
@@ -77,7 +83,7 @@
 	if err != nil {
 		return false
 	}
-	discard(resp.Body)
+	targetconn.Discard(resp.Body)
 	return resp.StatusCode == http.StatusNoContent
 }
 
@@ -93,37 +99,11 @@
 }
 
 // roundTrip sends a request without a body and reads the header of its answer.
-func roundTrip(c *conn, req *http.Request) (*http.Response, error) {
-	if err := writeRequest(c, req); err != nil {
+func roundTrip(c *targetconn.Conn, req *http.Request) (*http.Response, error) {
+	if err := c.WriteRequest(req); err != nil {
 		return nil, err
 	}
-	return readResponse(c, req)
-}
-
-func writeRequest(c *conn, req *http.Request) error {
-	bw := bufio.NewWriterSize(c, readBuffer)
-	if err := req.Write(bw); err != nil {
-		return errors.Wrap(err, "write request")
-	}
-	return errors.Wrap(bw.Flush(), "write request")
-}
-
-// readResponse reads the header of the final answer.
-func readResponse(c *conn, req *http.Request) (*http.Response, error) {
-	c.header = maxAnswerHeader
-	defer func() { c.header = -1 }()
-	for {
-		resp, err := http.ReadResponse(c.br, req)
-		if err != nil {
-			return nil, errors.Wrap(err, "read header of the answer")
-		}
-		if resp.StatusCode >= 200 {
-			return resp, nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("target switched protocols without being asked")
-		}
-	}
+	return c.ReadResponse(req)
 }
 
 // drained reads what is left of a small body, so that its connection can be used again.
--- a/router/internal/target/exchange.go
+++ b/router/internal/target/exchange.go
@@ -13,6 +13,8 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+
+	"github.com/fuchsiashed/fuchsiashed/router/targetconn"
 )
 
 // Request is a request as it is sent to a target.
@@ -54,7 +56,7 @@
 	// wrote says that a byte of the attempt may have reached the target.
 	wrote bool
 	// waiting is a connection on which the first byte of the answer is awaited.
-	waiting *conn
+	waiting *targetconn.Conn
 	patient bool
 	answer  answer
 
@@ -62,7 +64,7 @@
 	writing chan struct{}
 
 	mu      sync.Mutex
-	current []*conn
+	current []*targetconn.Conn
 	// aborted is the highest attempt that was aborted.
 	aborted int
 	cancel  context.CancelFunc
@@ -123,7 +125,7 @@
 		x.cancel()
 	}
 	for _, c := range x.current {
-		discard(c)
+		targetconn.Discard(c)
 	}
 	x.current = nil
 }
@@ -139,14 +141,13 @@
 
 // connect opens a connection. Calls that may run once get one of their own, since a
 // used connection may have been closed or gone silent without a sign of it.
-func (x *Exchange) connect(ctx context.Context, s routing.StartSend) (*conn, error) {
+func (x *Exchange) connect(ctx context.Context, s routing.StartSend) (*targetconn.Conn, error) {
 	if !s.Once {
-		if c := x.client.pool.get(s.Address, x.client.cfg.Clock.Now()); c != nil {
-			c.wrote.Store(0)
+		if c := x.client.pool.Get(s.Address, x.client.cfg.Clock.Now()); c != nil {
 			return c, x.hold(c)
 		}
 	}
-	c, err := dial(ctx, s.Address, dialTimeout)
+	c, err := targetconn.Dial(ctx, s.Address, targetconn.Options{Timeout: targetconn.DialTimeout})
 	if err != nil {
 		return nil, err
 	}
@@ -154,11 +155,11 @@
 }
 
 // hold registers a connection for Abort.
-func (x *Exchange) hold(c *conn) error {
+func (x *Exchange) hold(c *targetconn.Conn) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.start.Attempt <= x.aborted {
-		discard(c)
+		targetconn.Discard(c)
 		return context.Canceled
 	}
 	x.current = append(x.current, c)
@@ -166,7 +167,7 @@
 }
 
 // let forgets a connection without closing it.
-func (x *Exchange) let(c *conn) {
+func (x *Exchange) let(c *targetconn.Conn) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for i := range x.current {
@@ -177,9 +178,9 @@
 	}
 }
 
-func (x *Exchange) drop(c *conn) {
+func (x *Exchange) drop(c *targetconn.Conn) {
 	x.let(c)
-	discard(c)
+	targetconn.Discard(c)
 }
 
 func (x *Exchange) request(addr netip.AddrPort) *http.Request {
@@ -209,15 +210,15 @@
 
 // write sends the request. A large body is sent while the answer is read already, for
 // a target may answer before it has read all of it.
-func (x *Exchange) write(c *conn) error {
+func (x *Exchange) write(c *targetconn.Conn) error {
 	until := time.Now().Add(x.start.IdleTimeout)
 	if err := c.SetWriteDeadline(until); err != nil {
 		return err
 	}
 	req := x.request(x.start.Address)
 	if len(x.req.Body) <= inlineBody {
-		err := writeRequest(c, req)
-		x.wrote = c.wrote.Load() > 0
+		err := c.WriteRequest(req)
+		x.wrote = c.Wrote() > 0
 		return err
 	}
 	x.wrote = true
@@ -225,9 +226,9 @@
 	x.writing = written
 	go func() {
 		defer close(written)
-		if err := writeRequest(c, req); err != nil {
+		if err := c.WriteRequest(req); err != nil {
 			// The reader sees the close and reports the end of the attempt.
-			discard(c)
+			targetconn.Discard(c)
 		}
 	}()
 	return nil
--- a/router/internal/target/receive.go
+++ b/router/internal/target/receive.go
@@ -13,6 +13,8 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
+
+	"github.com/fuchsiashed/fuchsiashed/router/targetconn"
 )
 
 // progressInterval is the time between two reports of an attempt's cost.
@@ -22,19 +24,19 @@
 type errSink struct{ error }
 
 // buffers holds the buffers through which answers pass.
-var buffers = sync.Pool{New: func() any { b := make([]byte, readBuffer); return &b }}
+var buffers = sync.Pool{New: func() any { b := make([]byte, targetconn.BufferSize); return &b }}
 
 // receive waits for the answer to a request that was written and passes it on.
-func (x *Exchange) receive(c *conn, req *http.Request) routing.AttemptEnded {
+func (x *Exchange) receive(c *targetconn.Conn, req *http.Request) routing.AttemptEnded {
 	if err := x.await(c); err != nil {
-		if isTimeout(err) && !x.expired() {
+		if targetconn.IsTimeout(err) && !x.expired() {
 			x.waiting = c
 			return x.ended(routing.CauseSilent, errors.Errorf("no answer for %s", x.start.IdleTimeout))
 		}
 		x.drop(c)
 		return x.ended(causeOf(err), err)
 	}
-	resp, err := readResponse(c, req)
+	resp, err := c.ReadResponse(req)
 	if err != nil {
 		x.drop(c)
 		return x.ended(causeOf(err), err)
@@ -43,16 +45,16 @@
 }
 
 // await waits for the first byte of an answer.
-func (x *Exchange) await(c *conn) error {
+func (x *Exchange) await(c *targetconn.Conn) error {
 	if err := x.extend(c); err != nil {
 		return err
 	}
-	_, err := c.br.Peek(1)
+	_, err := c.Reader.Peek(1)
 	return err
 }
 
 // extend allows the target another idle timeout, but not past the deadline.
-func (x *Exchange) extend(c *conn) error {
+func (x *Exchange) extend(c *targetconn.Conn) error {
 	left := x.start.Deadline.Sub(x.client.cfg.Clock.Now())
 	if !x.patient || x.answer.begun {
 		left = min(left, x.start.IdleTimeout)
@@ -66,14 +68,14 @@
 }
 
 func causeOf(err error) routing.Cause {
-	if isTimeout(err) {
+	if targetconn.IsTimeout(err) {
 		return routing.CauseSilent
 	}
 	return routing.CauseReset
 }
 
 // take passes an answer on, unless it is not one to be passed on.
-func (x *Exchange) take(c *conn, resp *http.Response) routing.AttemptEnded {
+func (x *Exchange) take(c *targetconn.Conn, resp *http.Response) routing.AttemptEnded {
 	echo := resp.Header.Get(headerRequestID)
 	if echo != "" && echo != string(x.req.ID) {
 		x.drop(c)
@@ -101,7 +103,7 @@
 	return "", false
 }
 
-func (x *Exchange) refused(c *conn, resp *http.Response, cause routing.Cause) routing.AttemptEnded {
+func (x *Exchange) refused(c *targetconn.Conn, resp *http.Response, cause routing.Cause) routing.AttemptEnded {
 	ev := x.ended(cause, errors.Errorf("answered %s", resp.Status))
 	ev.RetryAfter = retryAfter(resp.Header)
 	x.finishConn(c, resp, drained(resp.Body))
@@ -152,7 +154,7 @@
 }
 
 // passOn passes the body on until its end, and says how it ended.
-func (x *Exchange) passOn(c *conn, resp *http.Response) routing.AttemptEnded {
+func (x *Exchange) passOn(c *targetconn.Conn, resp *http.Response) routing.AttemptEnded {
 	err := x.copyBody(c, resp.Body)
 	var se errSink
 	switch {
@@ -185,7 +187,7 @@
 }
 
 // copyBody passes the body on. It returns io.EOF when the body ended as framed.
-func (x *Exchange) copyBody(c *conn, body io.Reader) error {
+func (x *Exchange) copyBody(c *targetconn.Conn, body io.Reader) error {
 	bp := buffers.Get().(*[]byte)
 	defer buffers.Put(bp)
 	buf := *bp
@@ -233,18 +235,18 @@
 
 // finishConn keeps a connection for another request when its target names the request
 // that each answer belongs to; otherwise a second answer could be taken for the next.
-func (x *Exchange) finishConn(c *conn, resp *http.Response, clean bool) {
+func (x *Exchange) finishConn(c *targetconn.Conn, resp *http.Response, clean bool) {
 	x.let(c)
 	echoed := resp.Header.Get(headerRequestID) != ""
-	if !clean || !x.written() || resp.Close || !echoed || c.br.Buffered() > 0 || !framed(resp) {
-		discard(c)
+	if !clean || !x.written() || resp.Close || !echoed || c.Reader.Buffered() > 0 || !framed(resp) {
+		targetconn.Discard(c)
 		return
 	}
 	if err := c.SetDeadline(time.Time{}); err != nil {
-		discard(c)
+		targetconn.Discard(c)
 		return
 	}
-	x.client.pool.put(c, x.client.cfg.Clock.Now())
+	x.client.pool.Put(c, x.client.cfg.Clock.Now().Add(idleLimit), idlePerTarget)
 }
 
 // Resume asks the target for the rest of the answer on a new connection.
@@ -267,7 +269,7 @@
 }
 
 // reconnect opens a new connection to the target after a delay.
-func (x *Exchange) reconnect(delay time.Duration) (*conn, error) {
+func (x *Exchange) reconnect(delay time.Duration) (*targetconn.Conn, error) {
 	ctx, err := x.begin()
 	if err != nil {
 		return nil, err
@@ -277,14 +279,14 @@
 		return nil, ctx.Err()
 	case <-time.After(delay):
 	}
-	c, err := dial(ctx, x.start.Address, dialTimeout)
+	c, err := targetconn.Dial(ctx, x.start.Address, targetconn.Options{Timeout: targetconn.DialTimeout})
 	if err != nil {
 		return nil, err
 	}
 	return c, x.hold(c)
 }
 
-func (x *Exchange) resumed(c *conn, resp *http.Response) routing.AttemptEnded {
+func (x *Exchange) resumed(c *targetconn.Conn, resp *http.Response) routing.AttemptEnded {
 	echo := resp.Header.Get(headerRequestID)
 	if echo != "" && echo != string(x.req.ID) {
 		x.drop(c)
--- /dev/null
+++ b/router/targetconn/pool.go
@@ -0,0 +1,87 @@
+package targetconn
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Pool keeps unused connections to targets.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*Conn
+}
+
+// NewPool makes an empty pool.
+func NewPool() *Pool { return &Pool{idle: map[netip.AddrPort][]*Conn{}} }
+
+// Get returns an open connection that was used before, or nil.
+func (p *Pool) Get(addr netip.AddrPort, now time.Time) *Conn {
+	for {
+		c := p.take(addr)
+		if c == nil {
+			return nil
+		}
+		if now.Before(c.idleUntil) && c.Alive() {
+			c.Reuse()
+			return c
+		}
+		Discard(c)
+	}
+}
+
+func (p *Pool) take(addr netip.AddrPort) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	list[len(list)-1] = nil
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+// Put keeps a connection for another request until a moment, unless most are kept for
+// its target already.
+func (p *Pool) Put(c *Conn, until time.Time, most int) {
+	c.idleUntil = until
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.Address]) >= most {
+		go Discard(c)
+		return
+	}
+	p.idle[c.Address] = append(p.idle[c.Address], c)
+}
+
+// Drop closes the unused connections to a target.
+func (p *Pool) Drop(addr netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[addr] {
+		Discard(c)
+	}
+	delete(p.idle, addr)
+}
+
+// Sweep closes connections that were unused for too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.idleUntil) {
+				kept = append(kept, c)
+			} else {
+				Discard(c)
+			}
+		}
+		clear(list[len(kept):])
+		if p.idle[addr] = kept; len(kept) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+}
