Placement: a request that would be late is refused at once; customers keep to max-min shares under load

Change: a part stays among its owners; a request whose expected first byte is later than 0.75 of the route's goal is refused with a time to come back; the leader finds what the engines bear from the delay there and cuts the customers that ask for most.

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -23,11 +23,18 @@
 	maxSuspects = 4096
 )
 
+// governing keeps the mean delay at the engines at about a third of the time to the
+// first byte that callers hope for, which is 600 to 1000 ms.
+var governing = fairshare.GovernorConfig{
+	High: 250 * time.Millisecond, Low: 120 * time.Millisecond, Fall: 1.5, Rise: 0.15,
+}
+
 // loads collects the reports of routers at the leader.
 type loads struct {
-	mu      sync.Mutex
-	reports map[fleet.HostID]report
-	demand  *fairshare.Window
+	mu       sync.Mutex
+	reports  map[fleet.HostID]report
+	demand   *fairshare.Window
+	governor *fairshare.Governor
 	// capacity is that of the newest report that tells it, in tokens a second.
 	capacity float64
 	suspects map[fleet.ContentHash]*suspect
@@ -46,6 +53,7 @@
 func newLoads(window time.Duration) *loads {
 	return &loads{
 		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window),
+		governor: fairshare.NewGovernor(governing),
 		suspects: map[fleet.ContentHash]*suspect{},
 	}
 }
@@ -103,7 +111,7 @@
 			total[t.Target] = fleet.TargetLoad{Target: t.Target, Waiting: sum.Waiting + t.Waiting, Running: sum.Running + t.Running}
 		}
 	}
-	shares := fairshare.Admitted(l.demand.Rates(now), l.capacity)
+	shares := l.shares(now, total)
 	suspects := l.crashed(now)
 	return func(host fleet.HostID) *fleet.LoadDigest {
 		d := &fleet.LoadDigest{Shares: shares, Suspects: suspects}
@@ -117,6 +125,24 @@
 	}
 }
 
+// shares returns the customers that ask for more than fits, with the part that does.
+func (l *loads) shares(now time.Time, total map[fleet.TargetID]fleet.TargetLoad) []fleet.CustomerShare {
+	if l.capacity == 0 {
+		return nil
+	}
+	waiting := 0
+	for _, t := range total {
+		waiting += t.Waiting
+	}
+	rates := l.demand.Rates(now)
+	demand := 0.0
+	for _, rate := range rates {
+		demand += rate
+	}
+	delay := time.Duration(float64(waiting) / l.capacity * float64(time.Second))
+	return fairshare.Admitted(rates, l.governor.Update(now, demand, delay))
+}
+
 // crashed returns the requests that took down more than one target.
 func (l *loads) crashed(now time.Time) []fleet.SuspectCount {
 	var out []fleet.SuspectCount
--- a/fleet/fairshare/fairshare.go
+++ b/fleet/fairshare/fairshare.go
@@ -40,7 +40,7 @@
 // for the customers that ask for more than it.
 func Admitted(demand Demand, capacity float64) []fleet.CustomerShare {
 	level := Level(demand, capacity)
-	if level == 0 {
+	if capacity == 0 || level == 0 {
 		return nil
 	}
 	var out []fleet.CustomerShare
--- a/fleet/placement/admit.go
+++ b/fleet/placement/admit.go
@@ -52,6 +52,27 @@
 	return true
 }
 
+// isTooLate says whether a call would wait so long for its first byte that it is better
+// refused now.
+func (r *Router) isTooLate(k *call, reason Reason) bool {
+	if k.Prompt.Tokens == 0 || k.Route.Goal == 0 {
+		return false
+	}
+	return reason.Expected > seconds(k.Route.Goal.Seconds()*r.cfg.Policy.AdmitShare)
+}
+
+// returnTime returns when a place is likely to be free for a call that would be late.
+func (r *Router) returnTime(k *call, reason Reason) time.Duration {
+	excess := reason.Expected - seconds(k.Route.Goal.Seconds()*r.cfg.Policy.AdmitShare)
+	return min(max(excess, minReturn), maxReturn)
+}
+
+const (
+	// minReturn and maxReturn bound when a caller may come back. Callers honour up to a
+	// third of the time that they have left.
+	minReturn, maxReturn = 200 * time.Millisecond, 2 * time.Second
+)
+
 // admitCall says whether a call is to be placed now; otherwise it returns the refusal.
 func (r *Router) admitCall(k *call) (Refuse, bool) {
 	if k.Prompt.Tokens == 0 || r.digestAge() >= digestValidity {
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -107,23 +107,14 @@
 	rate := r.readRate(k.service)
 	owners := r.owners(k, key, rate)
 	best, bestCost := -1, 0.0
-	for i, t := range usable {
-		cost := r.wait(t, rate).Seconds() * 1
-		step := float64(shared) / rate
-		if i < owners {
-			cost += float64(i) * step * r.cfg.Policy.OwnerBias
-		} else {
-			cost += step * (r.cfg.Policy.ReadWeight + float64(i-owners)*r.cfg.Policy.OwnerBias)
-		}
+	for i, t := range usable[:min(owners, len(usable))] {
+		cost := r.wait(t, rate).Seconds() + float64(i)*float64(shared)/rate*r.cfg.Policy.OwnerBias
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
 	t := usable[best]
 	k.read = own
-	if best >= owners {
-		k.read += shared
-	}
 	reason := r.reason(t, best, len(usable))
 	reason.Expected = r.wait(t, rate) + seconds(float64(k.read)/rate*t.slowness)
 	return t, reason
--- a/fleet/placement/policy.go
+++ b/fleet/placement/policy.go
@@ -10,9 +10,9 @@
 	// OwnerBias is the cost of the next owner, as a share of the time to read the shared
 	// part: while loads are alike, a part stays at its first owner.
 	OwnerBias float64
-	// ReadWeight multiplies the time to read a shared part anew at a target that is not
-	// among its owners. It is more than 1, for the reading delays the others there, too.
-	ReadWeight float64
+	// AdmitShare is the share of a route's goal that a request may be expected to wait.
+	// One that would wait longer is refused at once: it would be late, and make others late.
+	AdmitShare float64
 	// HotShare is the share of one target's capacity that a shared part may take before
 	// it gets another owner.
 	HotShare float64
@@ -26,7 +26,7 @@
 var DefaultPolicy = Policy{
 	Owners:        2,
 	OwnerBias:     0.15,
-	ReadWeight:    2,
+	AdmitShare:    0.75,
 	HotShare:      0.5,
 	RetryNoTarget: 500 * time.Millisecond,
 	RetryDeclined: 300 * time.Millisecond,
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -210,6 +210,10 @@
 		r.emit(GiveUp{Call: k.ID, Reason: fleet.ReasonNoTarget, NotRun: k.attempts == 0, RetryAfter: r.cfg.Policy.RetryNoTarget})
 		return
 	}
+	if k.sends == 0 && r.isTooLate(k, reason) {
+		r.emit(Refuse{Call: k.ID, Reason: fleet.ReasonExpectedLate, RetryAfter: r.returnTime(k, reason)})
+		return
+	}
 	r.send(k, t, reason)
 }
 
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -43,4 +43,5 @@
 	ReasonLeaderChanged      Reason = "LeaderChanged"
 	ReasonControlUnavailable Reason = "ControlUnavailable"
 	ReasonCustomerShare      Reason = "CustomerShare"
+	ReasonExpectedLate       Reason = "ExpectedLate"
 )
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -261,7 +261,8 @@
 	}
 	f.config = config
 	f.cfg.Reduce(placement.Configured{Config: config})
-	f.cfg.Log.Info("ConfigInForce", "number", int64(config.Number), "routes", len(config.Routes), "control", addr.String())
+	f.cfg.Log.Info("ConfigInForce", "number", int64(config.Number), "routes", len(config.Routes),
+		"tokensPerSecond", config.TokensPerSecond, "control", addr.String())
 }
 
 func (f *Follower) fetchFrom(addr netip.AddrPort) (*deployment.Configuration, error) {
