Placement: backlog that decays while it is read, pace learnt from first bytes

Change: a waiting prompt counts for what is left of it; pace of a service and slowness of a target are learnt by geometric means; a prompt that is long by itself is admitted at a short queue.

--- a/fleet/placement/admit.go
+++ b/fleet/placement/admit.go
@@ -58,7 +58,9 @@
 	if k.Prompt.Tokens == 0 || k.Route.Goal == 0 {
 		return false
 	}
-	return reason.Expected > seconds(k.Route.Goal.Seconds()*r.cfg.Policy.AdmitShare)
+	limit := seconds(k.Route.Goal.Seconds() * r.cfg.Policy.AdmitShare)
+	wait := seconds(k.Route.Goal.Seconds() * r.cfg.Policy.LongWaitShare)
+	return reason.Wait > limit || reason.Expected > limit && reason.Wait > wait
 }
 
 // returnTime returns when a place is likely to be free for a call that would be late.
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -104,7 +104,7 @@
 	})
 	shared := k.Prompt.sharedTokens()
 	own := max(k.Prompt.Tokens-shared, 0)
-	rate := r.readRate(k.service)
+	rate := r.readRate(k.service) / r.pace(k.service)
 	owners := r.owners(k, key, rate)
 	best, bestCost := -1, 0.0
 	for i, t := range usable[:min(owners, len(usable))] {
@@ -116,7 +116,9 @@
 	t := usable[best]
 	k.read = own
 	reason := r.reason(t, best, len(usable))
-	reason.Expected = r.wait(t, rate) + seconds(float64(k.read)/rate*t.slowness)
+	reason.Read = k.read
+	reason.Wait = r.wait(t, rate)
+	reason.Expected = reason.Wait + seconds(float64(k.read)/rate*t.slowness)
 	return t, reason
 }
 
@@ -151,15 +153,18 @@
 
 func (r *Router) reason(t *target, rank, candidates int) Reason {
 	return Reason{
-		Rank: rank, Candidates: candidates, Waiting: t.waiting + t.others.Waiting,
+		Rank: rank, Candidates: candidates, Waiting: t.waiting(r.now) + t.others.Waiting,
 		Running: t.running + t.others.Running, DigestAge: r.digestAge(),
 	}
 }
 
 // wait returns the time that a request without a prompt would wait for its first byte.
 func (r *Router) wait(t *target, rate float64) time.Duration {
-	d := firstByteTime + seconds(float64(t.waiting+t.others.Waiting)/rate*t.slowness)
-	return max(d, t.oldest(r.now))
+	d := firstByteTime + seconds(float64(t.waiting(r.now)+t.others.Waiting)/rate*t.slowness)
+	if oldest := t.oldest(r.now); oldest > hungAfter {
+		d = max(d, oldest)
+	}
+	return d
 }
 
 // readRate returns the prompt tokens that a target of a service reads in a second.
@@ -173,7 +178,7 @@
 	if r.config.TokensPerSecond == 0 || n == 0 {
 		return defaultReadRate
 	}
-	return max(defaultReadRate, r.config.TokensPerSecond/float64(n))
+	return r.config.TokensPerSecond / float64(n)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -190,8 +190,12 @@
 	Candidates int
 	// Expected is the time to the first byte that was expected.
 	Expected time.Duration
+	// Wait is the part of Expected that is due to other requests.
+	Wait time.Duration
 	// Waiting is the number of prompt tokens before the request.
 	Waiting int
+	// Read is the number of prompt tokens that the target is expected to read.
+	Read int
 	// Running is the number of requests at the target.
 	Running int
 	// DigestAge is the age of what is known of the other routers.
--- a/fleet/placement/policy.go
+++ b/fleet/placement/policy.go
@@ -13,6 +13,9 @@
 	// AdmitShare is the share of a route's goal that a request may be expected to wait.
 	// One that would wait longer is refused at once: it would be late, and make others late.
 	AdmitShare float64
+	// LongWaitShare is the share of a route's goal up to which a request may wait whose
+	// own prompt is so long that its answer is late anyhow.
+	LongWaitShare float64
 	// HotShare is the share of one target's capacity that a shared part may take before
 	// it gets another owner.
 	HotShare float64
@@ -27,6 +30,7 @@
 	Owners:        2,
 	OwnerBias:     0.15,
 	AdmitShare:    0.75,
+	LongWaitShare: 0.25,
 	HotShare:      0.5,
 	RetryNoTarget: 500 * time.Millisecond,
 	RetryDeclined: 300 * time.Millisecond,
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -63,7 +63,7 @@
 	}
 	for _, t := range r.targets {
 		if t.running > 0 {
-			out.Targets = append(out.Targets, fleet.TargetLoad{Target: t.id, Waiting: t.waiting, Running: t.running})
+			out.Targets = append(out.Targets, fleet.TargetLoad{Target: t.id, Waiting: t.waiting(r.now), Running: t.running})
 		}
 	}
 	slices.SortFunc(out.Targets, func(a, b fleet.TargetLoad) int { return cmp.Compare(a.Target, b.Target) })
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -38,6 +38,7 @@
 
 	calls   map[CallID]*call
 	budgets map[fleet.ServiceName]*budget
+	paces   map[fleet.ServiceName]float64
 	keys    keyRates
 	digest  digestState
 	admit   admission
@@ -67,7 +68,7 @@
 		out: map[fleet.DataCentreName]bool{}, returned: map[fleet.DataCentreName]time.Time{},
 		targets: map[fleet.TargetID]*target{}, services: map[fleet.ServiceName][]*target{},
 		calls: map[CallID]*call{}, budgets: map[fleet.ServiceName]*budget{},
-		keys: keyRates{}, admit: newAdmission(), report: newReportState(),
+		paces: map[fleet.ServiceName]float64{}, keys: keyRates{}, admit: newAdmission(), report: newReportState(),
 	}
 }
 
@@ -224,7 +225,7 @@
 	k.tried = append(k.tried, t.id)
 	k.expected = reason.Expected
 	r.calls[k.ID] = k
-	t.take(k, r.now)
+	t.take(k)
 	if r.isCold(t) {
 		t.coldSends = append(t.coldSends, r.now)
 	}
@@ -252,6 +253,7 @@
 	}
 	k.begun = true
 	k.current.begin(k, r.now)
+	r.learnPace(k)
 }
 
 // end notes that an attempt has ended, and sends the call again where that is allowed.
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -46,6 +46,7 @@
 	out *answerWriter
 
 	send   placement.Send
+	sentAt time.Time
 	events eventScanner
 	// kept is the target's failure that is passed on when there is no other attempt.
 	kept *keptAnswer
@@ -53,6 +54,8 @@
 	passed bool
 	detail error
 	status int
+	// firstByte is when the current attempt's answer began; zero before.
+	firstByte time.Time
 }
 
 // keptAnswer is an answer that was read in full.
@@ -64,7 +67,8 @@
 
 // attempt sends the request to a target and returns what is to be done next.
 func (x *exchange) attempt(s placement.Send) []fleet.Effect {
-	x.send, x.detail, x.status, x.passed = s, nil, 0, false
+	x.send, x.detail, x.status, x.passed, x.firstByte = s, nil, 0, false, time.Time{}
+	x.sentAt = x.f.cfg.Clock.Now()
 	x.f.sent(x.req, s)
 	outcome := x.run()
 	if x.ctx.Err() != nil && outcome != placement.Answered {
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -20,7 +20,7 @@
 	f.cfg.Log.Info("RequestSent", "request", string(req.Call.Request), "route", req.Call.Route.Name,
 		"customer", string(req.Call.Customer), "attempt", s.Attempt, "target", string(s.Target),
 		"incarnation", uint64(s.Incarnation), "rank", s.Reason.Rank, "candidates", s.Reason.Candidates,
-		"waitingTokens", s.Reason.Waiting, "running", s.Reason.Running,
+		"waitingTokens", s.Reason.Waiting, "readTokens", s.Reason.Read, "running", s.Reason.Running,
 		"expectedMs", s.Reason.Expected.Milliseconds(), "digestAgeMs", s.Reason.DigestAge.Milliseconds())
 }
 
@@ -42,6 +42,9 @@
 		"outcome", string(o), "status", x.status, "elapsedMs", f.cfg.Clock.Now().Sub(x.req.Call.Arrived).Milliseconds(),
 	}
 	level := slog.LevelInfo
+	if !x.firstByte.IsZero() {
+		attrs = append(attrs, "firstByteMs", x.firstByte.Sub(x.sentAt).Milliseconds())
+	}
 	if x.detail != nil {
 		attrs = append(attrs, "error", x.detail.Error())
 	}
--- a/router/forward/take.go
+++ b/router/forward/take.go
@@ -99,6 +99,7 @@
 
 // begin tells the placement that the answer has begun.
 func (x *exchange) begin() {
+	x.firstByte = x.f.cfg.Clock.Now()
 	x.f.Reduce(placement.Begun{Call: x.req.Call.ID, Attempt: x.send.Attempt})
 }
 
