Placement: a shared part leaves its first owner only for a wait of twice its reading

Cause: each of eight routers moved a part to its second owner at the first small difference of loads, where it was read again; while overloaded this costs capacity.

--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -62,52 +63,71 @@
 
 // choose returns the best target for a call, or nil when none can take it.
 func (r *Router) choose(k *call) (*target, Reason) {
-	usable := r.usable(k, false)
+	present := r.present(k)
+	if key, ok := keyOf(&k.Call); ok {
+		slices.SortFunc(present, func(a, b *target) int { return cmp.Compare(weight(key, b.id), weight(key, a.id)) })
+		return r.chooseOwner(k, key, present)
+	}
+	usable := r.sound(present)
 	if len(usable) == 0 {
-		usable = r.usable(k, true)
+		usable = r.withRoom(present)
 	}
 	if len(usable) == 0 {
 		return nil, Reason{}
 	}
-	if key, ok := keyOf(&k.Call); ok {
-		return r.chooseOwner(k, key, usable)
-	}
 	return r.chooseIdle(k, usable)
 }
 
-// usable returns the targets that may take a call; desperate includes those that are
-// paused or fail a lot.
-func (r *Router) usable(k *call, desperate bool) []*target {
+// present returns the targets that serve the service of a call and were not tried.
+func (r *Router) present(k *call) []*target {
 	var out []*target
 	for _, t := range r.services[k.service] {
-		if t.entry.State != fleet.TargetServing || r.out[t.entry.DataCentre] || k.isTried(t.id) {
-			continue
+		if t.entry.State == fleet.TargetServing && !r.out[t.entry.DataCentre] && !k.isTried(t.id) {
+			out = append(out, t)
 		}
-		if r.isCold(t) && !r.hasColdRoom(t) {
-			continue
-		}
-		if !desperate && (r.now.Before(t.pausedUntil) || t.failures > badFailureRate) {
-			continue
+	}
+	return out
+}
+
+// withRoom returns the targets that are warm or may have another request nevertheless.
+func (r *Router) withRoom(targets []*target) []*target {
+	var out []*target
+	for _, t := range targets {
+		if !r.isCold(t) || r.hasColdRoom(t) {
+			out = append(out, t)
 		}
-		out = append(out, t)
 	}
 	return out
 }
 
-// chooseOwner places a call by the deepest shared part of its prompt.
-func (r *Router) chooseOwner(k *call, key PartID, usable []*target) (*target, Reason) {
-	slices.SortFunc(usable, func(a, b *target) int {
-		if weight(key, a.id) > weight(key, b.id) {
-			return -1
+// sound returns those targets with room that neither are paused nor fail a lot.
+func (r *Router) sound(targets []*target) []*target {
+	var out []*target
+	for _, t := range r.withRoom(targets) {
+		if !r.now.Before(t.pausedUntil) && t.failures <= badFailureRate {
+			out = append(out, t)
 		}
-		return 1
-	})
+	}
+	return out
+}
+
+// chooseOwner places a call at one of the owners of the deepest shared part of its
+// prompt: the first targets in the part's order. Only when none of them can take it
+// does it go to another, which has to read the part.
+func (r *Router) chooseOwner(k *call, key PartID, order []*target) (*target, Reason) {
 	shared := k.Prompt.sharedTokens()
 	own := max(k.Prompt.Tokens-shared, 0)
 	rate := r.readRate(k.service) / r.pace(k.service)
 	owners := r.owners(k, key, rate)
+	usable := r.sound(order[:min(owners, len(order))])
+	if len(usable) == 0 {
+		usable = firstOf(r.sound(order), r.withRoom(order))
+	}
+	if len(usable) == 0 {
+		return nil, Reason{}
+	}
 	best, bestCost := -1, 0.0
-	for i, t := range usable[:min(owners, len(usable))] {
+	for i, t := range usable {
 		cost := r.wait(t, rate).Seconds() + float64(i)*float64(shared)/rate*r.cfg.Policy.OwnerBias
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
@@ -115,13 +135,26 @@
 	}
 	t := usable[best]
 	k.read = own
-	reason := r.reason(t, best, len(usable))
+	if !slices.Contains(order[:min(owners, len(order))], t) {
+		k.read += shared
+	}
+	reason := r.reason(t, slices.Index(order, t), len(usable))
 	reason.Read = k.read
 	reason.Wait = r.wait(t, rate)
 	reason.Expected = reason.Wait + seconds(float64(k.read)/rate*t.slowness)
 	return t, reason
 }
 
+// firstOf returns the first target of the first list that has one.
+func firstOf(lists ...[]*target) []*target {
+	for _, list := range lists {
+		if len(list) > 0 {
+			return list[:1]
+		}
+	}
+	return nil
+}
+
 // owners returns among how many targets the requests of a part are spread.
 func (r *Router) owners(k *call, key PartID, rate float64) int {
 	own := max(k.Prompt.Tokens-k.Prompt.sharedTokens(), 0) + 2*k.Prompt.expectedOutput()
--- a/fleet/placement/policy.go
+++ b/fleet/placement/policy.go
@@ -28,7 +28,7 @@
 // DefaultPolicy is the policy that docs/design/platform.md compares with others.
 var DefaultPolicy = Policy{
 	Owners:        2,
-	OwnerBias:     0.15,
+	OwnerBias:     2,
 	AdmitShare:    0.75,
 	LongWaitShare: 0.25,
 	HotShare:      0.5,
