Quorum: commits are recorded, a restart without leases votes at once, a planned stop hands over

Ruled out: serving entries that are not known to be committed. Found by the new tests: a replica that stands at the wish of the leader went on naming the old leader in the new term (TestPlannedStopHandsOver failed first); two of three replicas that start together split the vote and waited another 0.8 to 1.3 s (TestRestartKnowsWhatWasCommitted failed first).

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -144,7 +144,7 @@
 	c.shell, err = shell.New(shell.Config{
 		Quorum: quorum.Config{
 			Host: c.host, Incarnation: fleet.Incarnation(rand.Uint64()>>1 | 1),
-			Hosts: founders, Bootstrap: bootstrap,
+			Hosts: founders, Bootstrap: bootstrap, RecordCommits: true, NoLeases: true,
 			Tending: &quorum.Tending{SilentAfter: memberSilentAfter, MinVoters: minVoters, MaxMembers: maxMembers},
 		},
 		Storage: storage, Sender: c.transport, Clock: c.cfg.Clock, Log: c.cfg.Log,
--- a/fleet/quorum/apply.go
+++ b/fleet/quorum/apply.go
@@ -7,12 +7,21 @@
 	if i <= r.commit {
 		return
 	}
-	r.commit = i
+	r.applyTo(i)
+	if r.cfg.RecordCommits && i > r.storage.commit {
+		r.storage.commit = i
+		r.save(Record{Commit: &i})
+	}
+	r.takeSnapshot()
+}
+
+// applyTo applies the entries up to i, which are committed.
+func (r *Replica) applyTo(i fleet.Index) {
+	r.commit = max(r.commit, i)
 	for r.applied < r.commit {
 		r.applied++
 		r.apply(r.log.at(r.applied))
 	}
-	r.takeSnapshot()
 }
 
 func (r *Replica) apply(e *Entry) {
--- a/fleet/quorum/config.go
+++ b/fleet/quorum/config.go
@@ -20,6 +20,10 @@
 	MaxElectionTimeout = 1300 * time.Millisecond
 	// resendInterval is how long the answer to entries may take before they are sent again.
 	resendInterval = 400 * time.Millisecond
+	// startElectionTimeout is how long a replica without leases waits for a leader after
+	// its start, and the span over which the replicas spread.
+	startElectionTimeout = 150 * time.Millisecond
+	startElectionSpread  = 400 * time.Millisecond
 	// forgottenAfter is the silence of all leaders after which a member asks whether it
 	// still is one. It is longer than an election takes.
 	forgottenAfter = 2 * MaxElectionTimeout
@@ -80,6 +84,12 @@
 	// them permit it and none has ever belonged to one.
 	Bootstrap bool
 	Machine   StateMachine
+	// RecordCommits stores how far the log is committed, at the price of a write for each
+	// commit, so that a replica starts with what it knew to be committed.
+	RecordCommits bool
+	// NoLeases says that nobody relies on a leader's lease, so that a replica may vote
+	// right after its start.
+	NoLeases bool
 	// SnapshotEntries is the number of entries after which a snapshot is taken.
 	SnapshotEntries int
 	// Records is what the storage holds.
--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -81,6 +81,7 @@
 	if m.Term != r.vote.Term || m.From != r.leader || !r.isVoter() {
 		return
 	}
+	r.leader = ""
 	r.handover = true
 	r.startVote()
 	r.handover = false
--- a/fleet/quorum/record.go
+++ b/fleet/quorum/record.go
@@ -16,6 +16,9 @@
 	Initial  *Initial  `json:",omitempty"`
 	Entry    *Entry    `json:",omitempty"`
 	Snapshot *Snapshot `json:",omitempty"`
+	// Commit is an entry before it that is committed, so that a replica which starts
+	// knows some of the committed state before there is a leader.
+	Commit *fleet.Index `json:",omitempty"`
 }
 
 // Identity is drawn when a replica finds its storage empty.
--- a/fleet/quorum/replica.go
+++ b/fleet/quorum/replica.go
@@ -1,8 +1,10 @@
 package quorum
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
@@ -63,9 +65,19 @@
 	r.cfg.Records = nil
 	// Until then a vote could break the lease of a leader heard before the restart.
 	r.electAt = now.Add(MaxElectionTimeout)
+	if cfg.NoLeases {
+		r.heard = time.Time{}
+		r.electAt = now.Add(startElectionTimeout + spreadOf(r.identity))
+	}
 	return r, nil
 }
 
+// spreadOf returns a part of startElectionSpread that differs from replica to replica.
+func spreadOf(id Identity) time.Duration {
+	h := xxhash.Sum64String(fmt.Sprint(id.Host, id.Incarnation))
+	return time.Duration(h % uint64(startElectionSpread))
+}
+
 // load restores the durable state.
 func (r *Replica) load(records []Record) error {
 	for i := range records {
@@ -82,10 +94,13 @@
 	if r.identity.Host != r.cfg.Host {
 		return errors.Errorf("the storage belongs to replica %q; the settings name %q", r.identity.Host, r.cfg.Host)
 	}
-	if r.log.snapshot.Data == nil {
-		return nil
+	if r.log.snapshot.Data != nil {
+		if err := r.cfg.Machine.Restore(r.log.snapshot.Data); err != nil {
+			return errors.Wrap(err, "restore snapshot")
+		}
 	}
-	return errors.Wrap(r.cfg.Machine.Restore(r.log.snapshot.Data), "restore snapshot")
+	r.applyTo(min(r.storage.commit, r.log.last()))
+	return nil
 }
 
 func (r *Replica) loadRecord(rec *Record) error {
@@ -100,6 +115,8 @@
 		r.log = newEntryLog(*rec.Snapshot)
 	case rec.Entry != nil:
 		return r.loadEntry(rec.Entry)
+	case rec.Commit != nil:
+		r.storage.commit = *rec.Commit
 	default:
 		return errors.New("kind of record is unknown")
 	}
@@ -226,10 +243,14 @@
 
 // resetElection draws the next moment to stand for election.
 func (r *Replica) resetElection() {
-	spread := MaxElectionTimeout - MinElectionTimeout
+	least, spread := MinElectionTimeout, MaxElectionTimeout-MinElectionTimeout
+	if r.cfg.NoLeases && r.heard.IsZero() {
+		// No leader was heard since the start, so none is disturbed.
+		least, spread = 2*startElectionTimeout, startElectionSpread
+	}
 	// Several draws between two ticks must differ, also between replicas.
 	r.random = r.random*6364136223846793005 + 1442695040888963407
-	r.electAt = r.now.Add(MinElectionTimeout + time.Duration((r.random>>16)%uint64(spread)))
+	r.electAt = r.now.Add(least + time.Duration((r.random>>16)%uint64(spread)))
 }
 
 func (r *Replica) emit(e fleet.Effect) { r.out = append(r.out, e) }
--- a/fleet/quorum/storage.go
+++ b/fleet/quorum/storage.go
@@ -12,8 +12,10 @@
 	term fleet.Sequence
 	// index is the last entry that is durable.
 	index fleet.Index
-	marks []mark
-	held  []heldMessage
+	// commit is the last entry that a record tells to be committed.
+	commit fleet.Index
+	marks  []mark
+	held   []heldMessage
 }
 
 // mark tells which entry is durable with a Write.
--- a/fleet/registry/cluster_test.go
+++ b/fleet/registry/cluster_test.go
@@ -35,6 +35,10 @@
 	leaders   map[fleet.Term]fleet.HostID
 	states    map[fleet.Index]uint64
 	violation string
+	// founders is the number of replicas that found the quorum; 0 means all.
+	founders int
+	// configure changes the configuration of a replica before its start.
+	configure func(*quorum.Config)
 	// keepIncarnation lets a replica that lost its disk come back as the member it was.
 	keepIncarnation bool
 	recorder        func(n *node, now time.Time, ev fleet.Event, effects []fleet.Effect)
@@ -56,6 +60,8 @@
 	pending []quorum.Write
 	syncing bool
 	inc     fleet.Incarnation
+	// lag is the time for which the replica's clock stood still.
+	lag     time.Duration
 	slow    time.Duration
 	checked fleet.Index
 }
@@ -137,7 +143,7 @@
 }
 
 func (n *node) clock() time.Time {
-	return epoch.Add(time.Duration(float64(n.c.now) * n.rate))
+	return epoch.Add(time.Duration(float64(n.c.now)*n.rate) - n.lag)
 }
 
 // start runs the replica from what its disk holds; an empty disk draws a new incarnation.
@@ -154,13 +160,18 @@
 		n.inc = fleet.Incarnation(c.now) + fleet.Incarnation(n.id) + 1
 	}
 	var hosts []fleet.HostID
-	for _, other := range c.nodes {
-		hosts = append(hosts, other.host)
+	for i, other := range c.nodes {
+		if c.founders == 0 || i < c.founders {
+			hosts = append(hosts, other.host)
+		}
 	}
 	cfg := quorum.Config{
 		Host: n.host, Incarnation: n.inc, Hosts: hosts, Bootstrap: true,
 		SnapshotEntries: 40, Records: records, Faults: c.faults,
 	}
+	if c.configure != nil {
+		c.configure(&cfg)
+	}
 	if c.recorder != nil {
 		c.recorder(n, n.clock(), registry.StartedBy(&cfg), nil)
 	}
--- a/fleet/registry/replay.go
+++ b/fleet/registry/replay.go
@@ -20,6 +20,8 @@
 	Bootstrap       bool
 	SnapshotEntries int
 	Tending         *quorum.Tending `json:",omitempty"`
+	RecordCommits   bool            `json:",omitempty"`
+	NoLeases        bool            `json:",omitempty"`
 	Records         []quorum.Record
 }
 
@@ -30,7 +32,8 @@
 func StartedBy(cfg *quorum.Config) Started {
 	return Started{
 		Host: cfg.Host, Incarnation: cfg.Incarnation, Hosts: cfg.Hosts,
-		Bootstrap: cfg.Bootstrap, SnapshotEntries: cfg.SnapshotEntries, Tending: cfg.Tending, Records: cfg.Records,
+		Bootstrap: cfg.Bootstrap, SnapshotEntries: cfg.SnapshotEntries, Tending: cfg.Tending,
+		RecordCommits: cfg.RecordCommits, NoLeases: cfg.NoLeases, Records: cfg.Records,
 	}
 }
 
@@ -38,7 +41,8 @@
 func (s *Started) config() quorum.Config {
 	return quorum.Config{
 		Host: s.Host, Incarnation: s.Incarnation, Hosts: s.Hosts,
-		Bootstrap: s.Bootstrap, SnapshotEntries: s.SnapshotEntries, Tending: s.Tending, Records: s.Records,
+		Bootstrap: s.Bootstrap, SnapshotEntries: s.SnapshotEntries, Tending: s.Tending,
+		RecordCommits: s.RecordCommits, NoLeases: s.NoLeases, Records: s.Records,
 	}
 }
 
--- /dev/null
+++ b/fleet/registry/tending_test.go
@@ -0,0 +1,295 @@
+package registry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/internal/fault"
+	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
+	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
+)
+
+// tended makes a cluster of n replicas whose first three found the quorum.
+func tended(n int, seed uint64) *cluster {
+	c := newCluster(n, seed, fault.Set{})
+	c.founders = 3
+	c.configure = func(cfg *quorum.Config) {
+		cfg.Tending = &quorum.Tending{SilentAfter: 8 * time.Second, MinVoters: 3, MaxMembers: 9}
+		cfg.RecordCommits, cfg.NoLeases = true, true
+	}
+	return c
+}
+
+// leader returns the replica that leads and is confirmed, or nil.
+func (c *cluster) leader() *node {
+	for _, n := range c.nodes {
+		if n.up && !n.frozen && n.server.Confirmed() {
+			return n
+		}
+	}
+	return nil
+}
+
+// put proposes a configuration at whoever leads until it is acknowledged.
+func (c *cluster) put(number fleet.ConfigNumber, text string) bool {
+	done := false
+	for range 100 {
+		if l := c.leader(); l != nil {
+			req := &fleet.PutConfigRequest{NumberedConfig: fleet.NumberedConfig{Number: number, Text: []byte(text)}}
+			c.ask(l, registry.Request{PutConfig: req}, func(a registry.Answer) { done = done || a.Failure == nil })
+		}
+		c.runFor(100 * time.Millisecond)
+		if done {
+			return true
+		}
+	}
+	return false
+}
+
+// read returns the number that a confirmed read of the leader answers, or -1.
+func (c *cluster) read() fleet.ConfigNumber {
+	got := fleet.ConfigNumber(-1)
+	for range 100 {
+		if l := c.leader(); l != nil {
+			c.ask(l, registry.Request{ReadConfig: &fleet.ReadConfigRequest{}}, func(a registry.Answer) {
+				if r, ok := a.Reply.(*fleet.ReadConfigReply); ok {
+					got = r.Number
+				}
+			})
+		}
+		c.runFor(100 * time.Millisecond)
+		if got >= 0 {
+			return got
+		}
+	}
+	return got
+}
+
+// voters returns the hosts that vote, as the leader knows them.
+func (c *cluster) voters() map[fleet.HostID]bool {
+	out := map[fleet.HostID]bool{}
+	if l := c.leader(); l != nil {
+		for _, m := range l.server.Status().Members {
+			if m.Voter {
+				out[m.Host] = true
+			}
+		}
+	}
+	return out
+}
+
+// crashFor stops a replica for a while.
+func (n *node) crashFor(d time.Duration) {
+	n.crash()
+	n.c.after(d, n.start)
+}
+
+func TestHostsJoinTheQuorum(t *testing.T) {
+	convey.Convey("Hosts that are not founders become voters", t, func() {
+		c := tended(5, 1)
+		c.start()
+		c.runFor(6 * time.Second)
+		convey.So(c.violation, convey.ShouldBeEmpty)
+		convey.So(len(c.voters()), convey.ShouldEqual, 5)
+		convey.So(c.put(7, "seven"), convey.ShouldBeTrue)
+		convey.So(c.read(), convey.ShouldEqual, 7)
+	})
+}
+
+func TestReplacedHostTakesTheVote(t *testing.T) {
+	convey.Convey("A new host takes the place of one that is gone for good", t, func() {
+		c := tended(4, 2)
+		for _, n := range c.nodes[:3] {
+			n.start()
+		}
+		c.runFor(4 * time.Second)
+		convey.So(c.put(3, "three"), convey.ShouldBeTrue)
+		c.nodes[1].crash()
+		c.nodes[3].start()
+		c.runFor(20 * time.Second)
+		convey.So(c.violation, convey.ShouldBeEmpty)
+		voters := c.voters()
+		convey.So(voters["control-3"], convey.ShouldBeTrue)
+		convey.So(voters["control-1"], convey.ShouldBeFalse)
+		convey.So(c.read(), convey.ShouldEqual, 3)
+		convey.Convey("and a second host may be lost right after", func() {
+			c.nodes[0].wipe()
+			c.runFor(5 * time.Second)
+			convey.So(c.read(), convey.ShouldEqual, 3)
+		})
+	})
+}
+
+func TestWipedHostDoesNotVoteAsBefore(t *testing.T) {
+	convey.Convey("What was acknowledged survives the loss of one disk while all lose power", t, func() {
+		for seed := uint64(1); seed <= 20; seed++ {
+			c := tended(5, seed)
+			c.start()
+			c.runFor(6 * time.Second)
+			convey.So(c.put(5, "five"), convey.ShouldBeTrue)
+			for i, n := range c.nodes {
+				if i == int(seed%5) {
+					n.wipe()
+				} else {
+					n.crash()
+				}
+			}
+			for _, n := range c.nodes {
+				c.after(c.between(time.Millisecond, time.Second), n.start)
+			}
+			c.runFor(5 * time.Second)
+			convey.So(c.violation, convey.ShouldBeEmpty)
+			convey.So(c.read(), convey.ShouldEqual, 5)
+			c.runFor(5 * time.Second)
+			convey.So(len(c.voters()), convey.ShouldEqual, 5)
+		}
+	})
+}
+
+func TestMinorityThatMissedChangesDoesNotDecide(t *testing.T) {
+	convey.Convey("A minority with an older state does not win while those that know more are away", t, func() {
+		c := tended(5, 9)
+		c.start()
+		c.runFor(6 * time.Second)
+		convey.So(c.put(1, "one"), convey.ShouldBeTrue)
+		for i := 3; i < 5; i++ {
+			c.nodes[i].crash()
+		}
+		c.runFor(time.Second)
+		convey.So(c.put(2, "two"), convey.ShouldBeTrue)
+		c.nodes[0].wipe()
+		c.nodes[1].crash()
+		c.nodes[2].crash()
+		c.nodes[0].start()
+		c.nodes[3].start()
+		c.nodes[4].start()
+		c.runFor(4 * time.Second)
+		convey.So(c.leader(), convey.ShouldBeNil)
+		c.nodes[1].start()
+		c.nodes[2].start()
+		c.runFor(4 * time.Second)
+		convey.So(c.violation, convey.ShouldBeEmpty)
+		convey.So(c.read(), convey.ShouldEqual, 2)
+	})
+}
+
+func TestRestartKnowsWhatWasCommitted(t *testing.T) {
+	convey.Convey("A replica that starts without a leader knows a committed configuration", t, func() {
+		c := tended(3, 4)
+		c.start()
+		c.runFor(4 * time.Second)
+		convey.So(c.put(8, "eight"), convey.ShouldBeTrue)
+		c.runFor(time.Second)
+		for _, n := range c.nodes {
+			n.crash()
+		}
+		c.nodes[1].start()
+		convey.So(c.nodes[1].server.State().Numbered().Config.Number, convey.ShouldEqual, 8)
+		convey.Convey("and a quorum is back within two seconds", func() {
+			c.nodes[0].start()
+			c.nodes[2].start()
+			c.runFor(2 * time.Second)
+			convey.So(c.leader(), convey.ShouldNotBeNil)
+		})
+	})
+}
+
+func TestSuspendedLeaderAnswersNoRead(t *testing.T) {
+	convey.Convey("A leader that was suspended does not answer a read from its old state", t, func() {
+		c := tended(3, 5)
+		c.start()
+		c.runFor(4 * time.Second)
+		convey.So(c.put(1, "one"), convey.ShouldBeTrue)
+		old := c.leader()
+		// The steady clock of a suspended host stands still; here its rate does.
+		stopped, rate := old.clock(), old.rate
+		old.frozen = true
+		c.runFor(4 * time.Second)
+		convey.So(c.put(2, "two"), convey.ShouldBeTrue)
+		lag := epoch.Add(time.Duration(float64(c.now) * rate)).Sub(stopped)
+		old.lag = lag
+		old.backlog = nil
+		old.frozen = false
+		var answers []registry.Answer
+		c.ask(old, registry.Request{ReadConfig: &fleet.ReadConfigRequest{}}, func(a registry.Answer) { answers = append(answers, a) })
+		c.runFor(3 * time.Second)
+		for _, a := range answers {
+			if r, ok := a.Reply.(*fleet.ReadConfigReply); ok {
+				convey.So(r.Number, convey.ShouldEqual, 2)
+			}
+		}
+		convey.So(answers, convey.ShouldNotBeEmpty)
+	})
+}
+
+func TestPlannedStopHandsOver(t *testing.T) {
+	convey.Convey("A leader that steps aside is followed at once", t, func() {
+		c := tended(3, 6)
+		c.start()
+		c.runFor(4 * time.Second)
+		convey.So(c.put(1, "one"), convey.ShouldBeTrue)
+		old := c.leader()
+		old.handle(quorum.StepAside{})
+		c.runFor(250 * time.Millisecond)
+		next := c.leader()
+		convey.So(next, convey.ShouldNotBeNil)
+		convey.So(next.host, convey.ShouldNotEqual, old.host)
+		convey.So(c.violation, convey.ShouldBeEmpty)
+	})
+}
+
+func TestNumberedConfigurations(t *testing.T) {
+	convey.Convey("The highest number is in force, and an older change is acknowledged", t, func() {
+		c := tended(3, 7)
+		c.start()
+		c.runFor(4 * time.Second)
+		convey.So(c.put(4, "four"), convey.ShouldBeTrue)
+		convey.So(c.put(9, "nine"), convey.ShouldBeTrue)
+		convey.So(c.put(4, "another four"), convey.ShouldBeTrue)
+		convey.So(c.put(9, "another nine"), convey.ShouldBeTrue)
+		convey.So(c.read(), convey.ShouldEqual, 9)
+		n := c.leader().server.State().Numbered()
+		convey.So(string(n.Config.Text), convey.ShouldEqual, "nine")
+	})
+	convey.Convey("Random kills, wipes, cuts and freezes lose nothing that was acknowledged", t, func() {
+		for seed := uint64(1); seed <= 30; seed++ {
+			c := tended(5, seed)
+			c.start()
+			c.runFor(5 * time.Second)
+			number := fleet.ConfigNumber(0)
+			wiped := time.Duration(-time.Minute)
+			for range 12 {
+				number += fleet.ConfigNumber(1 + c.rng.IntN(3))
+				convey.So(c.put(number, fmt.Sprint(number)), convey.ShouldBeTrue)
+				n := c.nodes[c.rng.IntN(5)]
+				switch c.rng.IntN(4) {
+				case 0:
+					n.crashFor(c.between(time.Millisecond, 3*time.Second))
+				case 1:
+					// One disk at a time: the next only after the last has caught up.
+					if c.now-wiped > 8*time.Second {
+						wiped = c.now
+						n.wipe()
+						c.after(c.between(time.Millisecond, time.Second), n.start)
+					}
+				case 2:
+					n.frozen = true
+					c.after(c.between(time.Second, 3*time.Second), n.thaw)
+				case 3:
+					for _, other := range c.nodes {
+						c.cut[[2]int{n.id, other.id}], c.cut[[2]int{other.id, n.id}] = true, true
+					}
+					c.after(c.between(time.Second, 4*time.Second), func() { c.cut = map[[2]int]bool{} })
+				}
+				c.runFor(c.between(time.Millisecond, 3*time.Second))
+			}
+			c.runFor(10 * time.Second)
+			convey.So(c.violation, convey.ShouldBeEmpty)
+			convey.So(c.read(), convey.ShouldEqual, number)
+		}
+	})
+}
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -106,8 +106,9 @@
 // Stop ends the following.
 func (f *Follower) Stop() {
 	close(f.stop)
-	f.wg.Wait()
+	// The end of the connections ends the calls that wait for them.
 	f.mesh.Stop()
+	f.wg.Wait()
 }
 
 // SetSeeds exchanges the seeds.
