Fair shares: the governor works at 160 ms of delay, averaged over half a second

Cause: the window of demand was divided by its whole span right after a new leader took over, so the demand and with it what was admitted came out too low; and at 250 ms of mean delay many requests were late already.

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -26,7 +26,8 @@
 // governing keeps the mean delay at the engines at about a third of the time to the
 // first byte that callers hope for, which is 600 to 1000 ms.
 var governing = fairshare.GovernorConfig{
-	High: 250 * time.Millisecond, Low: 120 * time.Millisecond, Fall: 1.5, Rise: 0.15,
+	High: 160 * time.Millisecond, Low: 70 * time.Millisecond, Fall: 1.5, Rise: 0.15,
+	Smoothing: 500 * time.Millisecond,
 }
 
 // loads collects the reports of routers at the leader.
--- a/fleet/fairshare/governor.go
+++ b/fleet/fairshare/governor.go
@@ -10,6 +10,9 @@
 	// Fall and Rise are the parts by which what is admitted changes in a second.
 	Fall float64
 	Rise float64
+	// Smoothing is the span over which the delay is averaged: one long prompt is no
+	// reason to admit less.
+	Smoothing time.Duration
 }
 
 // Governor finds how much of the customers' demand the engines bear, from how long
@@ -19,6 +22,7 @@
 	cfg GovernorConfig
 	// capacity is 0 while everything is admitted.
 	capacity float64
+	delay    time.Duration
 	at       time.Time
 }
 
@@ -31,8 +35,11 @@
 // Update takes the demand of all customers together, in tokens a second, and the delay
 // of requests at the engines. It returns what may be admitted; 0 means all of it.
 func (g *Governor) Update(now time.Time, demand float64, delay time.Duration) float64 {
-	step := min(now.Sub(g.at), maxStep).Seconds()
+	passed := min(now.Sub(g.at), maxStep)
 	g.at = now
+	g.delay += time.Duration(float64(delay-g.delay) * min(1, float64(passed)/float64(max(g.cfg.Smoothing, 1))))
+	delay = g.delay
+	step := passed.Seconds()
 	switch {
 	case delay > g.cfg.High:
 		if g.capacity == 0 || g.capacity > demand {
--- a/fleet/fairshare/window.go
+++ b/fleet/fairshare/window.go
@@ -15,6 +15,8 @@
 	parts [buckets]Demand
 	// last is the number of the newest part, counted from the Unix epoch.
 	last int64
+	// since is when the window began to be filled.
+	since time.Time
 }
 
 // NewWindow makes a window of a span.
@@ -36,6 +38,9 @@
 // Add takes tokens that a customer asked for.
 func (w *Window) Add(now time.Time, c fleet.CustomerName, tokens float64) {
 	w.advance(now)
+	if w.since.IsZero() {
+		w.since = now
+	}
 	p := &w.parts[w.last%buckets]
 	if *p == nil {
 		*p = Demand{}
@@ -46,10 +51,11 @@
 // Rates returns the tokens a second that each customer asked for.
 func (w *Window) Rates(now time.Time) Demand {
 	w.advance(now)
+	covered := max(min(now.Sub(w.since), w.span), w.span/buckets)
 	out := Demand{}
 	for _, p := range w.parts {
 		for c, tokens := range p {
-			out[c] += tokens / w.span.Seconds()
+			out[c] += tokens / covered.Seconds()
 		}
 	}
 	return out
