--- /dev/null
+++ b/fleet/placement/fixture_test.go
@@ -0,0 +1,137 @@
+package placement_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/deployment"
+	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const (
+	plans  fleet.ServiceName = "drafter"
+	filing fleet.ServiceName = "desk"
+)
+
+// fixture is a router with a configuration, and the names of its routes.
+type fixture struct {
+	*placement.Router
+	now    time.Time
+	config *deployment.Configuration
+	last   placement.CallID
+}
+
+func testConfig(t *testing.T) *deployment.Configuration {
+	c, err := deployment.New(deployment.Configuration{
+		Number: 1, TokensPerSecond: 90_000,
+		Services: []deployment.Service{
+			{Name: plans, Connections: 370, ColdFor: 3 * time.Second, ColdRate: 6, Engine: &deployment.Engine{Slots: 64}},
+			{Name: filing, Connections: 110},
+		},
+		Routes: []deployment.Route{
+			{
+				Name: "plan", Host: "h", Prefix: "/plan/", Kind: deployment.KindStream, Affinity: true,
+				Split: []deployment.Share{{Service: plans, Weight: 1}}, Timeout: 6 * time.Second, Goal: 800 * time.Millisecond, Attempts: 1,
+			},
+			{
+				Name: "file", Host: "h", Prefix: "/file/", Kind: deployment.KindOnce,
+				Split: []deployment.Share{{Service: filing, Weight: 1}}, Timeout: time.Second, Goal: 100 * time.Millisecond, Attempts: 1,
+			},
+			{
+				Name: "read", Host: "h", Prefix: "/read/", Kind: deployment.KindIdempotent,
+				Split: []deployment.Share{{Service: filing, Weight: 1}}, Timeout: time.Second, Goal: 100 * time.Millisecond, Attempts: 2,
+			},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func newFixture(t *testing.T, self fleet.HostID, routers int, targets ...fleet.HeardAnnouncement) *fixture {
+	f := &fixture{now: start, config: testConfig(t), Router: placement.New(placement.Config{
+		Self: self, DataCentre: "a", SilentAfter: 6 * time.Second, Policy: placement.DefaultPolicy,
+		Retries: placement.RetryLimits{Ratio: 0.2, Extra: 40, Window: 10 * time.Second},
+		Cold:    placement.ColdLimits{Overshoot: 1.5, Slack: 5},
+	})}
+	f.do(placement.Configured{Config: f.config})
+	f.do(placement.PeersChanged{Routers: hosts(routers), Listening: true})
+	f.do(placement.TargetsHeard{TargetsNotice: fleet.TargetsNotice{Announced: targets}})
+	return f
+}
+
+func hosts(n int) []fleet.HostID {
+	out := make([]fleet.HostID, n)
+	for i := range out {
+		out[i] = fleet.HostID(fmt.Sprintf("router-%d", i))
+	}
+	return out
+}
+
+func announced(service fleet.ServiceName, i int) fleet.HeardAnnouncement {
+	return fleet.HeardAnnouncement{Announcement: fleet.Announcement{
+		Target: fleet.TargetID(fmt.Sprintf("%s-%d", service, i)), Incarnation: 1, Sequence: 1, Service: service,
+		DataCentre: fleet.DataCentreName([]string{"a", "b", "c"}[i%3]), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+		Slots: 6, State: fleet.TargetServing,
+	}}
+}
+
+func several(service fleet.ServiceName, n int) []fleet.HeardAnnouncement {
+	out := make([]fleet.HeardAnnouncement, n)
+	for i := range out {
+		out[i] = announced(service, i)
+	}
+	return out
+}
+
+func (f *fixture) do(ev fleet.Event) fleet.Effect {
+	effects := f.Reduce(f.now, ev)
+	if len(effects) == 0 {
+		return nil
+	}
+	return effects[0]
+}
+
+// prompt returns a prompt of a shared part and some tokens of its own.
+func prompt(key placement.PartID, own int) placement.Prompt {
+	return placement.Prompt{
+		Tokens: 10_000 + own, MaxOutput: 100,
+		Parts: []placement.Part{{ID: key, Tokens: 10_000}, {ID: key << 32, Tokens: own}},
+	}
+}
+
+func (f *fixture) call(path string, p placement.Prompt) placement.Call {
+	f.last++
+	route, _ := f.config.Match("h", path)
+	return placement.Call{
+		ID: f.last, Request: fleet.RequestID(fmt.Sprint("r-", f.last)), Route: route, Customer: "majori",
+		Content: fleet.ContentHash(fmt.Sprint("c-", f.last)), Prompt: p, Arrived: f.now, Deadline: f.now.Add(route.Timeout),
+	}
+}
+
+func (f *fixture) ask(path string, p placement.Prompt) fleet.Effect {
+	return f.do(placement.Asked{Call: f.call(path, p)})
+}
+
+// end reports the outcome of a Send and returns what follows.
+func (f *fixture) end(s placement.Send, o placement.Outcome) fleet.Effect {
+	return f.do(placement.Ended{Call: s.Call, Attempt: s.Attempt, Outcome: o})
+}
+
+// sendOf expects an effect to be a Send.
+func sendOf(e fleet.Effect) placement.Send {
+	s, ok := e.(placement.Send)
+	convey.So(fmt.Sprintf("%T", e), convey.ShouldEqual, "placement.Send")
+	if !ok {
+		return placement.Send{}
+	}
+	return s
+}
--- /dev/null
+++ b/fleet/placement/placement_test.go
@@ -0,0 +1,240 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
+)
+
+func TestSharedPartStaysWithItsOwner(t *testing.T) {
+	convey.Convey("All routers send a shared part to the same target, and keep it there when others come", t, func() {
+		owners := map[placement.PartID]fleet.TargetID{}
+		for i := range 4 {
+			f := newFixture(t, hosts(4)[i], 4, several(plans, 9)...)
+			for key := placement.PartID(1); key <= 50; key++ {
+				s := sendOf(f.ask("/plan/1", prompt(key, 500)))
+				if i == 0 {
+					owners[key] = s.Target
+				}
+				convey.So(s.Target, convey.ShouldEqual, owners[key])
+				f.do(placement.Begun{Call: s.Call, Attempt: s.Attempt})
+				f.end(s, placement.Answered)
+			}
+		}
+		f := newFixture(t, "router-0", 4, several(plans, 10)...)
+		moved := 0
+		for key, owner := range owners {
+			s := sendOf(f.ask("/plan/1", prompt(key, 500)))
+			if s.Target != owner {
+				convey.So(s.Target, convey.ShouldEqual, fleet.TargetID("drafter-9"))
+				moved++
+			}
+			f.do(placement.Begun{Call: s.Call, Attempt: s.Attempt})
+			f.end(s, placement.Answered)
+		}
+		convey.So(moved, convey.ShouldBeLessThan, 15)
+	})
+}
+
+func TestLeavingAndOutTargetsGetNothing(t *testing.T) {
+	convey.Convey("Nothing goes to a target that leaves, has left, or is in a data centre taken out", t, func() {
+		f := newFixture(t, "router-0", 1, several(plans, 6)...)
+		leaving := announced(plans, 0)
+		leaving.Sequence, leaving.State = 2, fleet.TargetLeaving
+		f.do(placement.TargetsHeard{TargetsNotice: fleet.TargetsNotice{
+			Announced: []fleet.HeardAnnouncement{leaving}, Ended: []fleet.TargetEnd{{Target: "drafter-1"}},
+		}})
+		f.do(placement.OutChanged{Out: []fleet.DataCentreName{"c"}})
+		for key := placement.PartID(1); key <= 100; key++ {
+			s := sendOf(f.ask("/plan/1", prompt(key, 500)))
+			convey.So([]fleet.TargetID{"drafter-3", "drafter-4"}, convey.ShouldContain, s.Target)
+			f.end(s, placement.Answered)
+		}
+		convey.Convey("and a request is refused at once when no target is left", func() {
+			f.do(placement.OutChanged{Out: []fleet.DataCentreName{"a", "b", "c"}})
+			refuse, ok := f.ask("/plan/1", prompt(1, 500)).(placement.Refuse)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(refuse.Reason, convey.ShouldEqual, fleet.ReasonNoTarget)
+			convey.So(refuse.RetryAfter, convey.ShouldBeGreaterThan, 0)
+		})
+	})
+}
+
+func TestSilentTarget(t *testing.T) {
+	convey.Convey("A target that fell silent is left out, unless it answers or nobody hears anything", t, func() {
+		f := newFixture(t, "router-0", 1, several(filing, 2)...)
+		f.now = f.now.Add(7 * time.Second)
+		f.do(placement.PeersChanged{Routers: hosts(1), Listening: false})
+		f.do(placement.Tick{})
+		s := sendOf(f.ask("/file/1", placement.Prompt{}))
+		f.do(placement.Begun{Call: s.Call, Attempt: s.Attempt})
+		f.end(s, placement.Answered)
+		f.do(placement.PeersChanged{Routers: hosts(1), Listening: true})
+		f.do(placement.Tick{})
+		for range 5 {
+			next := sendOf(f.ask("/file/1", placement.Prompt{}))
+			convey.So(next.Target, convey.ShouldEqual, s.Target)
+			f.end(next, placement.Answered)
+		}
+	})
+}
+
+func TestColdTargetsOverAllRouters(t *testing.T) {
+	for _, routers := range []int{1, 8, 55, 73} {
+		convey.Convey(fmt.Sprintf("%d routers together send a cold target no more than it bears", routers), t, func() {
+			cold := announced(plans, 0)
+			cold.ColdFor = 3 * time.Second
+			var fixtures []*fixture
+			for i := range routers {
+				fixtures = append(fixtures, newFixture(t, hosts(routers)[i], routers, cold))
+			}
+			var sent []time.Time
+			for step := range 300 {
+				for _, f := range fixtures {
+					f.now = start.Add(time.Duration(step) * 10 * time.Millisecond)
+					if s, ok := f.ask("/plan/1", prompt(placement.PartID(step), 100)).(placement.Send); ok {
+						sent = append(sent, f.now)
+						f.do(placement.Begun{Call: s.Call, Attempt: s.Attempt})
+						f.end(s, placement.Answered)
+					}
+				}
+			}
+			convey.So(sent, convey.ShouldNotBeEmpty)
+			most := 0
+			for i := range sent {
+				n := 0
+				for _, at := range sent[i:] {
+					if at.Sub(sent[i]) < time.Second {
+						n++
+					}
+				}
+				most = max(most, n)
+			}
+			// The bound of the deployment: 6 a second, times 1.5, plus 5.
+			convey.So(most, convey.ShouldBeLessThanOrEqualTo, 14)
+		})
+	}
+}
+
+func TestReturnedDataCentreIsCold(t *testing.T) {
+	convey.Convey("The targets of a data centre that returns get little until they had time to warm", t, func() {
+		f := newFixture(t, "router-0", 8, several(plans, 1)...)
+		f.do(placement.OutChanged{Out: []fleet.DataCentreName{"a"}})
+		f.do(placement.OutChanged{})
+		sent := 0
+		for range 50 {
+			if s, ok := f.ask("/plan/1", prompt(1, 100)).(placement.Send); ok {
+				sent++
+				f.end(s, placement.Answered)
+			}
+		}
+		convey.So(sent, convey.ShouldBeLessThanOrEqualTo, 2)
+		f.now = f.now.Add(3100 * time.Millisecond)
+		sendOf(f.ask("/plan/1", prompt(1, 100)))
+	})
+}
+
+func TestAtMostOnce(t *testing.T) {
+	convey.Convey("What may have run is sent again only where the route allows", t, func() {
+		f := newFixture(t, "router-0", 1, several(filing, 3)...)
+		s := sendOf(f.ask("/file/1", placement.Prompt{}))
+		g, ok := f.end(s, placement.Broken).(placement.GiveUp)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(g.NotRun, convey.ShouldBeFalse)
+		convey.Convey("a call that reached nobody goes to another target", func() {
+			s := sendOf(f.ask("/file/1", placement.Prompt{}))
+			again := sendOf(f.end(s, placement.Unreached))
+			convey.So(again.Target, convey.ShouldNotEqual, s.Target)
+			g, ok := f.end(again, placement.Broken).(placement.GiveUp)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(g.NotRun, convey.ShouldBeFalse)
+		})
+		convey.Convey("an idempotent one goes to as many targets as its route says", func() {
+			s := sendOf(f.ask("/read/1", placement.Prompt{}))
+			again := sendOf(f.end(s, placement.Broken))
+			convey.So(again.Target, convey.ShouldNotEqual, s.Target)
+			_, ok := f.end(again, placement.Broken).(placement.GiveUp)
+			convey.So(ok, convey.ShouldBeTrue)
+		})
+		convey.Convey("a call that nobody ran is said not to have run", func() {
+			s := sendOf(f.ask("/file/1", placement.Prompt{}))
+			for range 2 {
+				s = sendOf(f.end(s, placement.Declined))
+			}
+			g, ok := f.end(s, placement.Declined).(placement.GiveUp)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(g.NotRun, convey.ShouldBeTrue)
+			convey.So(g.RetryAfter, convey.ShouldBeGreaterThan, 0)
+		})
+	})
+}
+
+func TestRetryBudgetOverAllRouters(t *testing.T) {
+	convey.Convey("All routers together stay within the budget of second attempts", t, func() {
+		const routers = 8
+		asked, repeated := 0, 0
+		for i := range routers {
+			f := newFixture(t, hosts(routers)[i], routers, several(filing, 4)...)
+			for step := range 100 {
+				f.now = start.Add(time.Duration(step) * 50 * time.Millisecond)
+				asked++
+				s := sendOf(f.ask("/read/1", placement.Prompt{}))
+				if again, ok := f.end(s, placement.Broken).(placement.Send); ok {
+					repeated++
+					f.end(again, placement.Answered)
+				}
+			}
+		}
+		convey.So(repeated, convey.ShouldBeGreaterThan, 0)
+		convey.So(float64(repeated), convey.ShouldBeLessThanOrEqualTo, 0.2*float64(asked)+40)
+	})
+}
+
+func TestRequestThatCrashesTargets(t *testing.T) {
+	convey.Convey("A request that took down three targets is refused, also after crashes at other routers", t, func() {
+		f := newFixture(t, "router-0", 2, several(filing, 5)...)
+		c := f.call("/file/1", placement.Prompt{})
+		f.do(placement.DigestHeard{LoadDigest: fleet.LoadDigest{Suspects: []fleet.SuspectCount{{Content: c.Content, Crashes: 3}}}})
+		refuse, ok := f.do(placement.Asked{Call: c}).(placement.Refuse)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(refuse.Reason, convey.ShouldEqual, fleet.ReasonQuarantined)
+	})
+}
+
+func TestMisdirectedTargetIsForgotten(t *testing.T) {
+	convey.Convey("A target whose address has another gets nothing more", t, func() {
+		f := newFixture(t, "router-0", 1, several(filing, 2)...)
+		s := sendOf(f.ask("/file/1", placement.Prompt{}))
+		again := sendOf(f.end(s, placement.Misdirected))
+		f.end(again, placement.Answered)
+		for range 10 {
+			next := sendOf(f.ask("/file/1", placement.Prompt{}))
+			convey.So(next.Target, convey.ShouldNotEqual, s.Target)
+			f.end(next, placement.Answered)
+		}
+	})
+}
+
+func TestFailingTargetIsAvoided(t *testing.T) {
+	convey.Convey("A target that fails most requests gets few of them", t, func() {
+		f := newFixture(t, "router-0", 1, several(filing, 3)...)
+		bad := 0
+		for range 100 {
+			f.now = f.now.Add(20 * time.Millisecond)
+			s := sendOf(f.ask("/file/1", placement.Prompt{}))
+			f.do(placement.Begun{Call: s.Call, Attempt: s.Attempt})
+			if s.Target == "desk-0" {
+				bad++
+				f.end(s, placement.FailedAnswer)
+			} else {
+				f.end(s, placement.Answered)
+			}
+		}
+		convey.So(bad, convey.ShouldBeLessThan, 15)
+	})
+}
--- /dev/null
+++ b/router/forward/forward_test.go
@@ -0,0 +1,418 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/deployment"
+	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
+
+	"github.com/fuchsiashed/fuchsiashed/router/forward"
+)
+
+var dialect = forward.Dialect{
+	RequestID: "Request-Id", Remaining: "Remaining", Expected: "Expected", Customer: "Customer",
+	Stamp: "Stamp", NotRun: "Not-Run", LastEvent: "Last-Event-Id",
+}
+
+// target is a scripted target: each request on each of its connections gets the next answer.
+type target struct {
+	ln net.Listener
+
+	mu       sync.Mutex
+	answers  []func(c net.Conn, r *http.Request)
+	requests []*http.Request
+	closed   chan struct{}
+}
+
+func newTarget(answers ...func(net.Conn, *http.Request)) *target {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	convey.So(err, convey.ShouldBeNil)
+	t := &target{ln: ln, answers: answers, closed: make(chan struct{}, 8)}
+	go t.accept()
+	convey.Reset(func() { _ = ln.Close() })
+	return t
+}
+
+func (t *target) accept() {
+	for {
+		c, err := t.ln.Accept()
+		if err != nil {
+			return
+		}
+		go t.serve(c)
+	}
+}
+
+func (t *target) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		t.closed <- struct{}{}
+	}()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		t.mu.Lock()
+		t.requests = append(t.requests, r)
+		if len(t.answers) == 0 {
+			t.mu.Unlock()
+			return
+		}
+		answer := t.answers[0]
+		t.answers = t.answers[1:]
+		t.mu.Unlock()
+		answer(c, r)
+	}
+}
+
+func (t *target) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.requests)
+}
+
+func (t *target) address() netip.AddrPort { return t.ln.Addr().(*net.TCPAddr).AddrPort() }
+
+// text writes an answer with the request's id and the given lines and body.
+func text(status, headers, body string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\nRequest-Id: %s\r\n%s\r\n%s", status, r.Header.Get("Request-Id"), headers, body)
+	}
+}
+
+func whole(body string) func(net.Conn, *http.Request) {
+	return text("200 OK", fmt.Sprintf("Stamp: s\r\nContent-Length: %d\r\n", len(body)), body)
+}
+
+// closing ends the connection after an answer.
+func closing(answer func(net.Conn, *http.Request)) func(net.Conn, *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		answer(c, r)
+		_ = c.Close()
+	}
+}
+
+// resetting resets the connection after an answer.
+func resetting(answer func(net.Conn, *http.Request)) func(net.Conn, *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		answer(c, r)
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+func nothing(net.Conn, *http.Request) {}
+
+const events = "Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// world is a forwarder before scripted targets, and a server for its callers.
+type world struct {
+	forwarder *forward.Forwarder
+	server    *httptest.Server
+	route     *deployment.Route
+	wait      time.Duration
+}
+
+func newWorld(kind deployment.Kind, attempts int, resumable bool, targets ...*target) *world {
+	cfg, err := deployment.New(deployment.Configuration{
+		Number: 1, Services: []deployment.Service{{Name: "desk"}},
+		Routes: []deployment.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: kind, Split: []deployment.Share{{Service: "desk", Weight: 1}},
+			Timeout: 2 * time.Second, Attempts: attempts, Resumable: resumable,
+		}},
+	})
+	convey.So(err, convey.ShouldBeNil)
+	f := forward.New(forward.Config{
+		Dialect: dialect, Clock: fleet.SystemClock{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Placement: placement.Config{
+			Self: "router-1", SilentAfter: time.Minute, Policy: placement.DefaultPolicy,
+			Retries: placement.RetryLimits{Ratio: 1, Extra: 10, Window: 10 * time.Second},
+		},
+	})
+	f.Reduce(placement.Configured{Config: cfg})
+	var heard fleet.TargetsNotice
+	for i, t := range targets {
+		heard.Announced = append(heard.Announced, fleet.HeardAnnouncement{Announcement: fleet.Announcement{
+			Target: fleet.TargetID(fmt.Sprintf("t-%d", i)), Incarnation: 1, Sequence: 1, Service: "desk",
+			DataCentre: "a", Address: t.address(), Slots: 4, State: fleet.TargetServing,
+		}})
+	}
+	f.Reduce(placement.TargetsHeard{TargetsNotice: heard})
+	route, _ := cfg.Match("h", "/")
+	w := &world{forwarder: f, route: route, wait: 2 * time.Second}
+	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
+	convey.Reset(w.server.Close)
+	return w
+}
+
+func (w *world) serve(rw http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	w.forwarder.Serve(r.Context(), rw, forward.Request{
+		Call: placement.Call{
+			Request: fleet.RequestID(r.Header.Get("Request-Id")), Route: w.route, Content: "c", Arrived: now, Deadline: now.Add(w.wait),
+		},
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: forward.EndToEnd(r.Header), Body: body,
+	})
+}
+
+// ask sends a request and returns the status, the body and what ended it.
+func (w *world) ask(id, body string) (status int, answer string, err error) {
+	req, err := http.NewRequest(http.MethodPost, w.server.URL+"/x?q=1", strings.NewReader(body))
+	convey.So(err, convey.ShouldBeNil)
+	req.Header.Set("Request-Id", id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+func TestAnswerIsPassedOn(t *testing.T) {
+	convey.Convey("An answer is passed on, and its connection used again", t, func() {
+		tg := newTarget(whole("one"), whole("two"))
+		w := newWorld(deployment.KindOnce, 1, false, tg)
+		for _, want := range []string{"one", "two"} {
+			status, body, err := w.ask("id-"+want, "hello")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(status, convey.ShouldEqual, 200)
+			convey.So(body, convey.ShouldEqual, want)
+		}
+		convey.So(len(tg.closed), convey.ShouldEqual, 0)
+		r := tg.requests[0]
+		convey.So(r.RequestURI, convey.ShouldEqual, "/x?q=1")
+		convey.So(r.Header.Get("Expected"), convey.ShouldEqual, "t-0")
+		convey.So(r.Header.Get("Remaining"), convey.ShouldNotBeEmpty)
+	})
+}
+
+func TestAnswersOfOthers(t *testing.T) {
+	convey.Convey("A second answer to an earlier request is not given to a later one", t, func() {
+		late := func(c net.Conn, r *http.Request) {
+			// The extra answer arrives together with the answer to the next request.
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nStamp: s\r\nContent-Length: 5\r\n\r\nwrong")
+			whole("right")(c, r)
+		}
+		w := newWorld(deployment.KindOnce, 1, false, newTarget(whole("first"), late))
+		_, _, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		_, body, err := w.ask("id-2", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(body, convey.ShouldEqual, "right")
+	})
+	convey.Convey("Bytes after an answer belong to no request", t, func() {
+		extra := func(c net.Conn, r *http.Request) {
+			whole("first")(c, r)
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+		w := newWorld(deployment.KindOnce, 1, false, newTarget(extra, whole("second")))
+		_, _, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		time.Sleep(20 * time.Millisecond)
+		_, body, err := w.ask("id-2", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(body, convey.ShouldEqual, "second")
+	})
+	convey.Convey("An answer without a stamp is no success", t, func() {
+		w := newWorld(deployment.KindOnce, 1, false, newTarget(text("200 OK", "Content-Length: 1\r\n", "x")))
+		status, _, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status, convey.ShouldEqual, http.StatusBadGateway)
+	})
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	short := text("200 OK", "Stamp: s\r\nContent-Length: 10\r\n", "half")
+	convey.Convey("A request that may run once is not sent again", t, func() {
+		for _, answer := range []func(net.Conn, *http.Request){closing(nothing), resetting(nothing), closing(short), resetting(short)} {
+			a, b := newTarget(answer), newTarget(answer)
+			w := newWorld(deployment.KindOnce, 3, false, a, b)
+			status, _, err := w.ask("id-1", "")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(status, convey.ShouldEqual, http.StatusBadGateway)
+			convey.So(a.count()+b.count(), convey.ShouldEqual, 1)
+		}
+	})
+	convey.Convey("An idempotent request is sent to another target", t, func() {
+		a, b := newTarget(closing(short), whole("whole")), newTarget(closing(short), whole("whole"))
+		w := newWorld(deployment.KindIdempotent, 2, false, a, b)
+		status, _, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status, convey.ShouldEqual, http.StatusBadGateway)
+		convey.So(a.count(), convey.ShouldEqual, 1)
+		convey.So(b.count(), convey.ShouldEqual, 1)
+	})
+	convey.Convey("An answer that ends with its connection is whole unless that is reset", t, func() {
+		open := text("200 OK", "Stamp: s\r\nConnection: close\r\n", "all of it")
+		status, body, err := newWorld(deployment.KindOnce, 1, false, newTarget(closing(open))).ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status, convey.ShouldEqual, 200)
+		convey.So(body, convey.ShouldEqual, "all of it")
+		status, _, err = newWorld(deployment.KindOnce, 1, false, newTarget(resetting(open))).ask("id-2", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status, convey.ShouldEqual, http.StatusBadGateway)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	notRun := text("503 Service Unavailable", "Not-Run: 1\r\nContent-Length: 0\r\n", "")
+	convey.Convey("A target that did not run a request leaves it to another, even one that may run once", t, func() {
+		a, b := newTarget(notRun, whole("x")), newTarget(notRun, whole("x"))
+		w := newWorld(deployment.KindOnce, 1, false, a, b)
+		_, _, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(a.count()+b.count(), convey.ShouldEqual, 2)
+	})
+	convey.Convey("Only what did not run is refused with a time to come back", t, func() {
+		w := newWorld(deployment.KindOnce, 1, false)
+		resp, err := http.Post(w.server.URL, "", nil)
+		convey.So(err, convey.ShouldBeNil)
+		defer resp.Body.Close()
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusServiceUnavailable)
+		convey.So(resp.Header.Get("Retry-After"), convey.ShouldNotBeEmpty)
+	})
+	convey.Convey("A target's own failure is passed on as it is", t, func() {
+		w := newWorld(deployment.KindOnce, 1, false, newTarget(text("500 Internal Server Error", "Stamp: s\r\nContent-Length: 4\r\n", "oops")))
+		status, body, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status, convey.ShouldEqual, 500)
+		convey.So(body, convey.ShouldEqual, "oops")
+	})
+	convey.Convey("A request that waits too long is answered at its deadline", t, func() {
+		w := newWorld(deployment.KindOnce, 1, false, newTarget(nothing))
+		w.wait = 100 * time.Millisecond
+		began := time.Now()
+		status, _, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status, convey.ShouldEqual, http.StatusGatewayTimeout)
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 600*time.Millisecond)
+	})
+}
+
+func TestStreams(t *testing.T) {
+	two := chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: b\n\n")
+	convey.Convey("A stream is passed on whole", t, func() {
+		w := newWorld(deployment.KindStream, 1, false, newTarget(text("200 OK", events, two+"0\r\n\r\n")))
+		_, body, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(body, convey.ShouldEqual, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	})
+	convey.Convey("A stream that breaks off does not look whole", t, func() {
+		w := newWorld(deployment.KindStream, 3, false, newTarget(closing(text("200 OK", events, two+chunk("id: 3\nda")))))
+		_, body, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(body, convey.ShouldNotContainSubstring, "id: 3")
+	})
+	convey.Convey("A resumable stream goes on at another target after the last whole event", t, func() {
+		broken := closing(text("200 OK", events, two+chunk("id: 3\nda")))
+		rest := func(c net.Conn, r *http.Request) {
+			if r.Header.Get("Last-Event-Id") != "2" {
+				text("400 Bad Request", "Stamp: s\r\nContent-Length: 0\r\n", "")(c, r)
+				return
+			}
+			text("200 OK", events, chunk("id: 3\ndata: c\n\n")+"0\r\n\r\n")(c, r)
+		}
+		first, second := newTarget(), newTarget()
+		first.answers = append(first.answers, func(c net.Conn, r *http.Request) { answerInTurn(first, second, broken, rest)(c, r) })
+		second.answers = append(second.answers, func(c net.Conn, r *http.Request) { answerInTurn(first, second, broken, rest)(c, r) })
+		w := newWorld(deployment.KindStream, 2, true, first, second)
+		_, body, err := w.ask("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(body, convey.ShouldEqual, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+		convey.So(first.count()+second.count(), convey.ShouldEqual, 2)
+	})
+}
+
+// answerInTurn gives the first request of two targets one answer and the second another.
+func answerInTurn(a, b *target, first, second func(net.Conn, *http.Request)) func(net.Conn, *http.Request) {
+	if a.count()+b.count() == 1 {
+		return first
+	}
+	return second
+}
+
+func TestCallerLeaves(t *testing.T) {
+	convey.Convey("The connection to the target is closed when the caller leaves", t, func() {
+		tg := newTarget(text("200 OK", events, chunk("id: 1\ndata: a\n\n")))
+		w := newWorld(deployment.KindStream, 1, false, tg)
+		ctx, cancel := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, w.server.URL, nil)
+		convey.So(err, convey.ShouldBeNil)
+		req.Header.Set("Request-Id", "id-1")
+		resp, err := http.DefaultClient.Do(req)
+		convey.So(err, convey.ShouldBeNil)
+		cancel()
+		_ = resp.Body.Close()
+		select {
+		case <-tg.closed:
+		case <-time.After(400 * time.Millisecond):
+			convey.So("the target's connection", convey.ShouldEqual, "closed")
+		}
+	})
+}
+
+func TestEarlyAnswer(t *testing.T) {
+	convey.Convey("A target that answers before it has read a long body gets nothing else there", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		convey.Reset(func() { _ = ln.Close() })
+		seen := make(chan string, 4)
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					br := bufio.NewReader(c)
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					text("429 Too Many Requests", "Not-Run: 1\r\nContent-Length: 0\r\n", "")(c, r)
+					time.Sleep(50 * time.Millisecond)
+					rest, _ := io.ReadAll(br)
+					seen <- strings.Trim(string(rest), "b")
+				}()
+			}
+		}()
+		tg := &target{ln: ln}
+		w := newWorld(deployment.KindOnce, 1, false, tg)
+		_, _, err = w.ask("id-1", strings.Repeat("b", 1<<20))
+		convey.So(err, convey.ShouldBeNil)
+		select {
+		case rest := <-seen:
+			convey.So(rest, convey.ShouldBeEmpty)
+		case <-time.After(2 * time.Second):
+			convey.So("the connection", convey.ShouldEqual, "ended")
+		}
+	})
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,6 +28,17 @@
   done
 }
 
+# Builds what deploy/system.toml builds, into a folder of its own.
+deployment() {
+  local out
+  out=$(mktemp -d)
+  grep -q '^build = "go build -ldflags=-linkmode=external -o target/ ./platform/cmd/..."$' deploy/system.toml || return 1
+  go build -ldflags=-linkmode=external -o "$out/" ./platform/cmd/...
+  local code=$?
+  rm -rf "$out"
+  return $code
+}
+
 # Prints "package TestName" for each failed top-level test, and "package -" for a
 # package that failed without naming a test.
 failures() {
@@ -58,6 +69,7 @@
 step "revive" go tool revive -set_exit_status "${packages[@]}"
 step "vet" go vet "${packages[@]}"
 step "build" go build "${packages[@]}"
+step "build of the deployment" deployment
 # Tests with real sockets and processes run one package at a time: their time bounds
 # are those of the product.
 decisions=()
