--- /dev/null
+++ b/control/core/core_test.go
@@ -0,0 +1,213 @@
+package core_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/control/core"
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
+)
+
+// group is some control hosts on loopback.
+type group struct {
+	addrs []netip.AddrPort
+	dirs  []string
+	cores []*core.Core
+}
+
+func freePort() netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	convey.So(err, convey.ShouldBeNil)
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newGroup(t *testing.T, n int) *group {
+	g := &group{cores: make([]*core.Core, n)}
+	for range n {
+		g.addrs = append(g.addrs, freePort())
+		g.dirs = append(g.dirs, t.TempDir())
+	}
+	convey.Reset(func() {
+		for i := range g.cores {
+			g.stop(i)
+		}
+	})
+	return g
+}
+
+func (g *group) start(i int, bootstrap bool) {
+	c, err := core.New(core.Config{
+		Self: g.addrs[i], DataCentre: "a", Seeds: g.addrs[:3], Bootstrap: bootstrap, DataFolder: g.dirs[i],
+		DemandWindow: 4 * time.Second, Clock: fleet.SystemClock{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	convey.So(err, convey.ShouldBeNil)
+	convey.So(c.Start(), convey.ShouldBeNil)
+	g.cores[i] = c
+}
+
+func (g *group) stop(i int) {
+	if g.cores[i] != nil {
+		convey.So(g.cores[i].Stop(), convey.ShouldBeNil)
+		g.cores[i] = nil
+	}
+}
+
+// put proposes a configuration at a host until it is acknowledged.
+func (g *group) put(i int, number fleet.ConfigNumber) error {
+	var err error
+	for range 10 {
+		_, err = g.cores[i].PutConfig(context.Background(), fleet.NumberedConfig{Number: number, Text: []byte(fmt.Sprint(number))})
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (g *group) read(i int) (fleet.ConfigNumber, error) {
+	var c fleet.NumberedConfig
+	var err error
+	for range 10 {
+		if c, err = g.cores[i].ReadConfig(context.Background()); err == nil {
+			break
+		}
+	}
+	return c.Number, err
+}
+
+// follower is a router that follows the feed of one control host.
+type follower struct {
+	mu      sync.Mutex
+	targets map[fleet.TargetID]fleet.TargetState
+	notice  fleet.Notice
+}
+
+func follow(addr netip.AddrPort, host fleet.HostID) *follower {
+	f := &follower{targets: map[fleet.TargetID]fleet.TargetState{}}
+	c := rpc.NewClient(rpc.ClientConfig{Address: addr, Plain: true, Handler: rpc.HandlerFunc(f.handle), Up: func(peer fleet.Caller) {
+		// The test fails by what is not heard.
+		_ = peer.Call(context.Background(), fleet.MethodJoin, &fleet.JoinRequest{
+			Host: host, Role: fleet.RoleRouter, Address: netip.MustParseAddrPort("127.0.0.1:9"), DataCentre: "a",
+		}, nil)
+	}})
+	c.Start()
+	convey.Reset(c.Stop)
+	return f
+}
+
+func eventually(f func() bool, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return true
+		}
+	}
+	return f()
+}
+
+func announcement(seq fleet.Sequence, state fleet.TargetState) fleet.Announcement {
+	return fleet.Announcement{
+		Target: "t-1", Incarnation: 5, Sequence: seq, Service: "drafter", DataCentre: "a",
+		Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4, State: state,
+	}
+}
+
+func TestConfigurationsThroughAnyHost(t *testing.T) {
+	convey.Convey("Changes and reads go through any host, and survive the restart of all", t, func() {
+		g := newGroup(t, 4)
+		for i := range 4 {
+			g.start(i, true)
+		}
+		for i := range 4 {
+			convey.So(g.put(i, fleet.ConfigNumber(10+i)), convey.ShouldBeNil)
+			for j := range 4 {
+				n, err := g.read(j)
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(n, convey.ShouldEqual, 10+i)
+			}
+		}
+		convey.So(g.cores[3].SetOut(context.Background(), "a", true), convey.ShouldBeNil)
+		for i := range 4 {
+			g.stop(i)
+		}
+		for i := range 4 {
+			g.start(i, false)
+		}
+		n, err := g.read(2)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(n, convey.ShouldEqual, 13)
+	})
+}
+
+func TestFeed(t *testing.T) {
+	convey.Convey("Routers hear of targets and of states within the time that a leaving target waits", t, func() {
+		g := newGroup(t, 3)
+		for i := range 3 {
+			g.start(i, true)
+		}
+		convey.So(g.put(0, 1), convey.ShouldBeNil)
+		f := follow(g.addrs[1], "router-1")
+		convey.So(eventually(func() bool { return g.cores[1].Announce(announcement(1, fleet.TargetServing)) == nil }, 5*time.Second), convey.ShouldBeTrue)
+		serving := func() bool { return f.state("t-1") == fleet.TargetServing }
+		convey.So(eventually(serving, time.Second), convey.ShouldBeTrue)
+		convey.So(g.cores[1].Announce(announcement(2, fleet.TargetLeaving)), convey.ShouldBeNil)
+		convey.So(eventually(func() bool { return f.state("t-1") == fleet.TargetLeaving }, time.Second), convey.ShouldBeTrue)
+		convey.So(g.cores[1].SetOut(context.Background(), "b", true), convey.ShouldBeNil)
+		convey.So(eventually(func() bool { return f.isOut("b") }, time.Second), convey.ShouldBeTrue)
+		convey.Convey("and a host that is asked names the router to callers", func() {
+			convey.So(len(g.cores[1].Routers("a")), convey.ShouldEqual, 1)
+		})
+	})
+}
+
+func TestCutOffHostTakesNoAnnouncement(t *testing.T) {
+	convey.Convey("A host without a majority and without routers sends targets elsewhere", t, func() {
+		g := newGroup(t, 3)
+		g.start(0, true)
+		convey.So(g.cores[0].Announce(announcement(1, fleet.TargetServing)), convey.ShouldEqual, core.ErrCutOff)
+		_, err := g.cores[0].ReadConfig(context.Background())
+		convey.So(err, convey.ShouldNotBeNil)
+	})
+}
+
+func (f *follower) handle(_ context.Context, _ fleet.Caller, method string, params json.RawMessage) (any, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch method {
+	case fleet.MethodNotice:
+		return nil, fleet.Decode(params, &f.notice)
+	case fleet.MethodTargets:
+		var n fleet.TargetsNotice
+		if err := fleet.Decode(params, &n); err != nil {
+			return nil, err
+		}
+		for _, a := range n.Announced {
+			f.targets[a.Target] = a.State
+		}
+	}
+	return nil, nil
+}
+
+func (f *follower) state(id fleet.TargetID) fleet.TargetState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets[id]
+}
+
+func (f *follower) isOut(dc fleet.DataCentreName) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Contains(f.notice.Out, dc)
+}
