--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -121,6 +121,11 @@
 		x.detail = err
 		return placement.Unreached
 	}
+	if hasLeft(x.ctx) {
+		// Nothing was sent, so the connection can serve another request.
+		x.f.pool.Put(c, x.f.cfg.Clock.Now().Add(idleFor), x.send.Idle)
+		return placement.CallerGone
+	}
 	stop := context.AfterFunc(x.ctx, func() { targetconn.Discard(c) })
 	defer stop()
 	written, err := x.write(c)
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -128,12 +128,17 @@
 
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 
+// busy delays each request before it is forwarded, as a host without time does.
+const busy = 50 * time.Millisecond
+
 // world is a forwarder before scripted targets, and a server for its callers.
 type world struct {
 	forwarder *forward.Forwarder
 	server    *httptest.Server
 	route     *deployment.Route
 	wait      time.Duration
+	// late delays each request by busy.
+	late bool
 }
 
 func newWorld(kind deployment.Kind, attempts int, resumable bool, targets ...*target) *world {
@@ -163,7 +168,9 @@
 	f.Reduce(placement.TargetsHeard{TargetsNotice: heard})
 	route, _ := cfg.Match("h", "/")
 	w := &world{forwarder: f, route: route, wait: 2 * time.Second}
-	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
+	w.server = httptest.NewUnstartedServer(http.HandlerFunc(w.serve))
+	w.server.Config.ConnContext = forward.ConnContext
+	w.server.Start()
 	convey.Reset(w.server.Close)
 	return w
 }
@@ -174,7 +181,13 @@
 		return
 	}
 	now := time.Now()
-	w.forwarder.Serve(r.Context(), rw, forward.Request{
+	ctx := r.Context()
+	if w.late {
+		time.Sleep(busy)
+		// The end of the connection is seen by the server, but not told yet.
+		ctx = context.WithoutCancel(ctx)
+	}
+	w.forwarder.Serve(ctx, rw, forward.Request{
 		Call: placement.Call{
 			Request: fleet.RequestID(r.Header.Get("Request-Id")), Route: w.route, Content: "c", Arrived: now, Deadline: now.Add(w.wait),
 		},
@@ -416,3 +429,17 @@
 		}
 	})
 }
+
+func TestCallerThatLeftBefore(t *testing.T) {
+	convey.Convey("The request of a caller that has left is not sent on", t, func() {
+		tg := newTarget(whole("x"))
+		w := newWorld(deployment.KindOnce, 1, false, tg)
+		w.late = true
+		c, err := net.Dial("tcp", w.server.Listener.Addr().String())
+		convey.So(err, convey.ShouldBeNil)
+		fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n\r\n")
+		convey.So(c.Close(), convey.ShouldBeNil)
+		time.Sleep(4 * busy)
+		convey.So(tg.count(), convey.ShouldEqual, 0)
+	})
+}
