Fair shares: whole prompts count; a late request gives its credit back; explain reads logs

Shares were divided by the tokens that engines have to read, so customers with much in common got more of what they see; and a request that passed its share but met a full engine used up credit for nothing.

--- a/cli/internal/explain/explain.go
+++ b/cli/internal/explain/explain.go
@@ -20,6 +20,7 @@
 	Args struct {
 		Request string `positional-arg-name:"REQUEST-ID" description:"the Fuchsiashed-Request-Id of the answer"`
 	} `positional-args:"yes" required:"yes"`
+	Logs []string `long:"logs" value-name:"FILE" description:"log file of a process, instead of asking the processes; may be repeated"`
 
 	Factory *factory.Factory `no-flag:"yes"`
 }
@@ -30,8 +31,10 @@
 		Name:  "explain",
 		Short: "Tell what happened to a request",
 		Long: "Collects the decisions about a request from the processes of --admin, oldest first. Each " +
-			"process keeps its newest decisions only.",
-		Example: "  fuchsiashed explain router-1-18f2a-42",
+			"process keeps its newest decisions only. With --logs the account is made from the JSON log lines " +
+			"of several processes.",
+		Example: "  fuchsiashed explain router-1-18f2a-42\n" +
+			"  fuchsiashed explain --logs router-1.log --logs control-1.log 9c41d07be2a35f68",
 		Options: &Options{Factory: f},
 	}
 }
@@ -41,6 +44,9 @@
 	if err := command.NoMore(args); err != nil {
 		return err
 	}
+	if len(o.Logs) > 0 {
+		return runLogs(o)
+	}
 	ctx, cancel := o.Factory.Context()
 	defer cancel()
 	return run(ctx, o)
--- /dev/null
+++ b/cli/internal/explain/logs.go
@@ -0,0 +1,64 @@
+package explain
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/table"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logtrail"
+)
+
+// runLogs makes the account of a request from log files.
+func runLogs(o *Options) error {
+	var lines []logtrail.Line
+	for _, path := range o.Logs {
+		more, err := readLog(path)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	account := logtrail.Of(lines, o.Args.Request)
+	if o.Factory.Globals.JSON {
+		return table.JSON(o.Factory.IO, account)
+	}
+	t := table.New(o.Factory.IO, "after", "host", "event", "detail")
+	for _, l := range account.Lines {
+		t.Row(l.Time.Sub(account.Lines[0].Time).Round(time.Microsecond), l.Host, l.Event, detail(l.Fields))
+	}
+	if err := t.Print(); err != nil {
+		return err
+	}
+	fmt.Fprintf(o.Factory.IO.Out, "Cause: %s\n", account.Cause)
+	for _, m := range account.Missing {
+		fmt.Fprintf(o.Factory.IO.Out, "Missing: %s\n", m)
+	}
+	return nil
+}
+
+func readLog(path string) ([]logtrail.Line, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer f.Close()
+	lines, _, err := logtrail.Read(f)
+	return lines, errors.Wrapf(err, "%s", path)
+}
+
+// detail returns the fields of a line in the order of their names.
+func detail(fields map[string]any) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		if name != "request" {
+			out = append(out, fmt.Sprintf("%s=%v", name, fields[name]))
+		}
+	}
+	return strings.Join(out, " ")
+}
--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -31,11 +31,17 @@
 	Gain: 0.5, MaxCut: 0.5, MaxPush: 0.3, Smoothing: time.Second,
 }
 
+// allCustomers is the name under which the work of all customers is summed.
+const allCustomers fleet.CustomerName = ""
+
 // loads collects the reports of routers at the leader.
 type loads struct {
-	mu       sync.Mutex
-	reports  map[fleet.HostID]report
+	mu      sync.Mutex
+	reports map[fleet.HostID]report
+	// demand is what each customer asks for, by which shares are divided; asked is the
+	// work of all of them, by which it is found how much fits.
 	demand   *fairshare.Window
+	asked    *fairshare.Window
 	governor *fairshare.Governor
 	// admitted is what was sent to engines since the last digest, in tokens.
 	admitted float64
@@ -56,7 +62,7 @@
 
 func newLoads(window time.Duration) *loads {
 	return &loads{
-		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window),
+		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window), asked: fairshare.NewWindow(window),
 		governor: fairshare.NewGovernor(governing),
 		suspects: map[fleet.ContentHash]*suspect{},
 	}
@@ -77,6 +83,7 @@
 	}
 	l.reports[r.Host] = report{RouterLoad: r, at: now}
 	l.admitted += float64(r.Admitted)
+	l.asked.Add(now, allCustomers, float64(r.Asked))
 	for _, d := range r.Demand {
 		l.demand.Add(now, d.Customer, float64(d.Tokens))
 	}
@@ -131,20 +138,25 @@
 }
 
 // shares returns the customers that ask for more than fits, with the part that does.
-func (l *loads) shares(now time.Time, total map[fleet.TargetID]fleet.TargetLoad) []fleet.CustomerShare {
+func (l *loads) shares(now time.Time, targets map[fleet.TargetID]fleet.TargetLoad) []fleet.CustomerShare {
 	if l.capacity == 0 {
 		return nil
 	}
-	load := fairshare.Load{Admitted: l.admitted, Nominal: l.capacity}
+	load := fairshare.Load{Demand: l.asked.Rates(now)[allCustomers], Admitted: l.admitted, Nominal: l.capacity}
 	l.admitted = 0
-	for _, t := range total {
+	for _, t := range targets {
 		load.Waiting += float64(t.Waiting)
 	}
+	admitted := l.governor.Update(now, load)
+	if admitted == 0 || load.Demand == 0 {
+		return nil
+	}
 	rates := l.demand.Rates(now)
+	total := 0.0
 	for _, rate := range rates {
-		load.Demand += rate
+		total += rate
 	}
-	return fairshare.Admitted(rates, l.governor.Update(now, load))
+	return fairshare.Admitted(rates, total*admitted/load.Demand)
 }
 
 // crashed returns the requests that took down more than one target.
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -115,7 +115,8 @@
 }
 
 // CustomerDemand is what a customer asked for since the last report, in tokens: each
-// one to be read counts once and each one to be generated twice.
+// one of a prompt counts once, whether an engine keeps it or not, and each one to be
+// generated twice.
 type CustomerDemand struct {
 	Customer CustomerName `json:"C"`
 	Tokens   int          `json:"T"`
@@ -135,10 +136,11 @@
 	Sequence Sequence         `json:",omitempty"`
 	Targets  []TargetLoad     `json:",omitempty"`
 	Demand   []CustomerDemand `json:",omitempty"`
-	// Admitted is what the router sent to model engines since the last report, in the
-	// tokens of Demand.
+	// Asked is the work that all customers asked for since the last report, Admitted the
+	// part of it that was sent to engines, in tokens: those of shared parts are left out.
+	Asked    int `json:",omitempty"`
 	Admitted int `json:",omitempty"`
-	// Capacity is what the model engines produce, in the tokens of Demand a second.
+	// Capacity is what the model engines produce, in the tokens of Asked a second.
 	Capacity float64        `json:",omitempty"`
 	Suspects []SuspectCount `json:",omitempty"`
 	// Stopping says that the router takes no new callers.
--- /dev/null
+++ b/fleet/logtrail/logtrail_test.go
@@ -0,0 +1,69 @@
+package logtrail_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet/logtrail"
+)
+
+func read(text string) []logtrail.Line {
+	lines, _, err := logtrail.Read(strings.NewReader(text))
+	convey.So(err, convey.ShouldBeNil)
+	return lines
+}
+
+const cutRequest = `
+   1.2 router-1 {"time":"2026-06-01T10:00:01.0Z","level":"INFO","msg":"RequestSent","host":"router-1","request":"r","attempt":1,"target":"t-1"}
+   1.5 router-1 {"time":"2026-06-01T10:00:00.5Z","level":"WARN","msg":"AttemptEnded","host":"router-1","request":"r","attempt":1,"target":"t-1","outcome":"Broken","status":0,"error":"connection reset","elapsedMs":300}
+{"time":"2026-06-01T10:00:01.4Z","level":"INFO","msg":"RequestSent","host":"router-1","request":"r","attempt":2,"target":"t-2"}
+{"time":"2026-06-01T10:00:01.9Z","level":"INFO","msg":"AttemptEnded","host":"router-1","request":"r","attempt":2,"target":"t-2","outcome":"Answered","status":200,"elapsedMs":800}
+{"time":"2026-06-01T10:00:00.9Z","level":"INFO","msg":"TargetAnnounced","host":"control-1","target":"t-1","state":"Leaving"}
+{"time":"2026-06-01T10:00:00.9Z","level":"INFO","msg":"TargetAnnounced","host":"control-1","target":"t-9","state":"Leaving"}
+not a line
+`
+
+func TestAccount(t *testing.T) {
+	convey.Convey("The lines of a request are in the order of their causes, with what changed around them", t, func() {
+		a := logtrail.Of(read(cutRequest), "r")
+		convey.So(len(a.Lines), convey.ShouldEqual, 5)
+		convey.So(a.Cause, convey.ShouldContainSubstring, "attempt 2 at target t-2 ended as Answered")
+		convey.So(a.Missing, convey.ShouldBeEmpty)
+		var attempts []string
+		for _, l := range a.Lines {
+			if l.Event != "TargetAnnounced" {
+				attempts = append(attempts, l.Event)
+			}
+		}
+		convey.So(attempts, convey.ShouldResemble, []string{"RequestSent", "AttemptEnded", "RequestSent", "AttemptEnded"})
+	})
+	convey.Convey("What is missing is said", t, func() {
+		a := logtrail.Of(read(strings.Join(strings.Split(cutRequest, "\n")[:2], "\n")), "r")
+		convey.So(a.Missing, convey.ShouldHaveLength, 1)
+		convey.So(logtrail.Of(nil, "r").Missing, convey.ShouldHaveLength, 1)
+	})
+}
+
+// TestRecordedFailures draws failed requests from the recorded log of a day with trouble.
+func TestRecordedFailures(t *testing.T) {
+	convey.Convey("Each of twenty failed requests of a recorded day has a cause", t, func() {
+		f, err := os.Open("testdata/failed.log")
+		convey.So(err, convey.ShouldBeNil)
+		defer f.Close()
+		lines, skipped, err := logtrail.Read(f)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(skipped, convey.ShouldEqual, 0)
+		ids, err := os.ReadFile("testdata/failed.ids")
+		convey.So(err, convey.ShouldBeNil)
+		failed := strings.Fields(string(ids))
+		convey.So(len(failed), convey.ShouldEqual, 20)
+		for _, id := range failed {
+			a := logtrail.Of(lines, id)
+			convey.So(a.Lines, convey.ShouldNotBeEmpty)
+			convey.So(a.Cause, convey.ShouldNotContainSubstring, "not logged")
+		}
+	})
+}
--- a/fleet/placement/admit.go
+++ b/fleet/placement/admit.go
@@ -19,7 +19,7 @@
 }
 
 // maxCredit bounds what a customer saves up, in the tokens of one large request.
-const maxCredit = 30_000
+const maxCredit = 60_000
 
 func newAdmission() admission { return admission{shares: map[fleet.CustomerName]*share{}} }
 
@@ -52,6 +52,13 @@
 	return true
 }
 
+// refund gives back what admits took for a call that was not placed after all.
+func (a *admission) refund(c fleet.CustomerName, tokens float64) {
+	if s := a.shares[c]; s != nil {
+		s.credit = min(s.credit+tokens, maxCredit)
+	}
+}
+
 // isTooLate says whether a call would wait so long for its first byte that it is better
 // refused now.
 func (r *Router) isTooLate(k *call, reason Reason) bool {
@@ -80,7 +87,7 @@
 	if k.Prompt.Tokens == 0 || r.digestAge() >= digestValidity {
 		return Refuse{}, true
 	}
-	if r.admit.admits(k.Customer, float64(tokensOf(&k.Call))) {
+	if r.admit.admits(k.Customer, float64(shareTokens(&k.Call))) {
 		return Refuse{}, true
 	}
 	return Refuse{Call: k.ID, Reason: fleet.ReasonCustomerShare, RetryAfter: shareRetry}, false
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -20,6 +20,7 @@
 type reportState struct {
 	sequence fleet.Sequence
 	demand   map[fleet.CustomerName]int
+	asked    int
 	admitted int
 	suspects map[fleet.ContentHash]int
 	// known is the number of crashes of the whole fleet.
@@ -39,9 +40,14 @@
 	return max(c.Prompt.Tokens-c.Prompt.sharedTokens(), 0) + 2*c.Prompt.expectedOutput()
 }
 
+// shareTokens returns what a call counts for in its customer's share: all tokens of its
+// prompt once, and each token to be generated twice.
+func shareTokens(c *Call) int { return c.Prompt.Tokens + 2*c.Prompt.expectedOutput() }
+
 func (s *reportState) demanded(k *call) {
 	if k.Customer != "" && k.Prompt.Tokens > 0 {
-		s.demand[k.Customer] += tokensOf(&k.Call)
+		s.demand[k.Customer] += shareTokens(&k.Call)
+		s.asked += tokensOf(&k.Call)
 	}
 }
 
@@ -58,8 +64,8 @@
 func (r *Router) makeReport() fleet.RouterLoad {
 	s := &r.report
 	s.sequence++
-	out := fleet.RouterLoad{Host: r.cfg.Self, Sequence: s.sequence, Admitted: s.admitted}
-	s.admitted = 0
+	out := fleet.RouterLoad{Host: r.cfg.Self, Sequence: s.sequence, Asked: s.asked, Admitted: s.admitted}
+	s.asked, s.admitted = 0, 0
 	if r.config != nil {
 		out.Capacity = r.config.TokensPerSecond
 	}
