Metrics: histograms of times by route, and what each process believes

Beliefs: configuration in force and its age, control hosts, leader, routers; targets by state. TestEarlyAnswer failed once beside load: a body of 1 MB can be written in full before the answer is read, so the connection stays open, which is right; the test waited for its end. It now reads what comes and checks that it is nothing but the body.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -313,6 +313,21 @@
 // InTouch says whether the host hears a majority of the quorum.
 func (c *Core) InTouch() bool { return c.shell.InTouch(inTouchWithin) }
 
+// Beliefs is what a control host believes of the deployment, for its metrics.
+type Beliefs struct {
+	Notice  fleet.Notice
+	Targets int
+	Leads   bool
+}
+
+// Beliefs returns what the host believes.
+func (c *Core) Beliefs() Beliefs {
+	n := c.notice()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Beliefs{Notice: n, Targets: len(c.targets.All()), Leads: c.leader == c.host}
+}
+
 // notice returns what this host believes.
 func (c *Core) notice() fleet.Notice {
 	n := fleet.Notice{Confirmed: c.InTouch(), Routers: c.hub.routers()}
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -11,6 +11,30 @@
 // digestValidity is the age from which the others' load is not relied on.
 const digestValidity = 2 * time.Second
 
+// Counts returns the number of targets by what this router believes of them.
+func (r *Router) Counts(now time.Time) map[string]int {
+	out := map[string]int{}
+	for _, t := range r.targets {
+		switch {
+		case t.entry == nil:
+			out["Gone"]++
+		case t.entry.State != fleet.TargetServing:
+			out["Leaving"]++
+		case r.out[t.entry.DataCentre]:
+			out["DataCentreOut"]++
+		case now.Before(t.pausedUntil):
+			out["Paused"]++
+		case t.failures > badFailureRate:
+			out["Failing"]++
+		case now.Before(t.entry.ColdUntil) || t.doubted:
+			out["Cold"]++
+		default:
+			out["Serving"]++
+		}
+	}
+	return out
+}
+
 // digestState is what the other routers reported.
 type digestState struct {
 	at time.Time
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -64,6 +64,7 @@
 	notices  map[netip.AddrPort]notice
 	revision fleet.Revision
 	config   *deployment.Configuration
+	configAt time.Time
 	fetching bool
 	stopping bool
 	routers  []fleet.HostID
@@ -141,6 +142,37 @@
 	return f.config != nil && !f.stopping
 }
 
+// Beliefs is what a router believes of the deployment, for its metrics.
+type Beliefs struct {
+	// Number is that of the configuration in force, Age the time for which it is.
+	Number   fleet.ConfigNumber
+	AgeMs    int64
+	Revision fleet.Revision
+	Controls []string
+	Leader   fleet.HostID
+	Routers  int
+	Stopping bool
+}
+
+// Beliefs returns what the router believes.
+func (f *Follower) Beliefs() Beliefs {
+	leader, _ := f.collector()
+	connected := f.mesh.Connected()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := Beliefs{Revision: f.revision, Routers: len(f.routers), Stopping: f.stopping}
+	if f.config != nil {
+		b.Number, b.AgeMs = f.config.Number, f.cfg.Clock.Now().Sub(f.configAt).Milliseconds()
+	}
+	for _, addr := range connected {
+		b.Controls = append(b.Controls, addr.String())
+	}
+	if leader.IsValid() {
+		b.Leader = fleet.HostID(leader.String())
+	}
+	return b
+}
+
 // connect keeps a connection to every control host that is known.
 func (f *Follower) connect() {
 	f.mu.Lock()
@@ -260,7 +292,7 @@
 	if f.config != nil && config.Number <= f.config.Number {
 		return
 	}
-	f.config = config
+	f.config, f.configAt = config, f.cfg.Clock.Now()
 	f.cfg.Reduce(placement.Configured{Config: config})
 	f.cfg.Log.Info("ConfigInForce", "number", int64(config.Number), "routes", len(config.Routes),
 		"tokensPerSecond", config.TokensPerSecond, "control", addr.String())
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -115,6 +115,13 @@
 	return f.router.Reduce(f.cfg.Clock.Now(), ev)
 }
 
+// Targets returns the number of targets by what this router believes of them.
+func (f *Forwarder) Targets() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.router.Counts(f.cfg.Clock.Now())
+}
+
 func (f *Forwarder) newCall() placement.CallID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -412,6 +412,8 @@
 					}
 					text("429 Too Many Requests", "Not-Run: 1\r\nContent-Length: 0\r\n", "")(c, r)
 					time.Sleep(50 * time.Millisecond)
+					// The connection is closed, or stays open once the whole body is there.
+					_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
 					rest, _ := io.ReadAll(br)
 					seen <- strings.Trim(string(rest), "b")
 				}()
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"log/slog"
 
+	"github.com/fuchsiashed/fuchsiashed/fleet/latency"
 	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
 )
 
@@ -13,6 +14,10 @@
 	retries    = expvar.NewMap("ForwardRetries")
 	handshakes = expvar.NewInt("ForwardHandshakes")
 	skipped    = expvar.NewInt("ForwardSkippedAnswers")
+	// times holds the time to the first byte at the target and to the end for the caller,
+	// by route; expectedOff how far the expected first byte was off, by route.
+	times       = latency.Publish("ForwardTimes")
+	expectedOff = latency.Publish("ForwardExpectedOff")
 )
 
 // sent logs the choice of a target and what decided it.
@@ -42,7 +47,12 @@
 		"outcome", string(o), "status", x.status, "elapsedMs", f.cfg.Clock.Now().Sub(x.req.Call.Arrived).Milliseconds(),
 	}
 	level := slog.LevelInfo
+	route := x.req.Call.Route.Name
+	times.Record("End "+string(o)+" "+route, f.cfg.Clock.Now().Sub(x.req.Call.Arrived))
 	if !x.firstByte.IsZero() {
+		seen := x.firstByte.Sub(x.sentAt)
+		times.Record("FirstByte "+route, seen)
+		expectedOff.Record(route, (seen - x.send.Reason.Expected).Abs())
 		attrs = append(attrs, "firstByteMs", x.firstByte.Sub(x.sentAt).Milliseconds())
 	}
 	if x.detail != nil {
