--- a/fleet/placement/admit.go
+++ b/fleet/placement/admit.go
@@ -90,7 +90,10 @@
 	if r.admit.admits(k.Customer, float64(shareTokens(&k.Call))) {
 		return Refuse{}, true
 	}
-	return Refuse{Call: k.ID, Reason: fleet.ReasonCustomerShare, RetryAfter: shareRetry}, false
+	return Refuse{
+		Call: k.ID, Reason: fleet.ReasonCustomerShare, RetryAfter: shareRetry,
+		Basis: Reason{DigestAge: r.digestAge()}, Share: r.admit.shares[k.Customer].admitted,
+	}, false
 }
 
 // shareRetry is when a customer may come back that asked for more than its share.
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -208,6 +208,10 @@
 	Reason fleet.Reason
 	// RetryAfter is when the caller may come back.
 	RetryAfter time.Duration
+	// Basis is what was expected at the best target, for the log.
+	Basis Reason
+	// Share is the part of its customer's demand that is admitted; 0 without a limit.
+	Share float64
 }
 
 // EffectName implements fleet.Effect.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -213,7 +213,7 @@
 	}
 	if k.sends == 0 && r.isTooLate(k, reason) {
 		r.admit.refund(k.Customer, float64(shareTokens(&k.Call)))
-		r.emit(Refuse{Call: k.ID, Reason: fleet.ReasonExpectedLate, RetryAfter: r.returnTime(k, reason)})
+		r.emit(Refuse{Call: k.ID, Reason: fleet.ReasonExpectedLate, RetryAfter: r.returnTime(k, reason), Basis: reason})
 		return
 	}
 	r.send(k, t, reason)
--- a/fleet/program/program.go
+++ b/fleet/program/program.go
@@ -66,6 +66,9 @@
 	Identity func() Identity
 	// Log, when set, makes the log in place of one in text on the error stream.
 	Log func(io *iostreams.IOStreams) *slog.Logger
+	// StopLimit, when set, bounds a planned stop in place of DefaultStopLimit. It is read
+	// after the settings are filled.
+	StopLimit func() time.Duration
 	// Modules returns the fx options of the program, after the settings are filled.
 	Modules func() fx.Option
 }
@@ -136,7 +139,7 @@
 		fx.Supply(log, Force(force)),
 		fx.Supply(fx.Annotate(fleet.SystemClock{}, fx.As(new(fleet.Clock)))),
 		fx.WithLogger(func() fxevent.Logger { return &quietLogger{log: log} }),
-		fx.StopTimeout(DefaultStopLimit),
+		fx.StopTimeout(stopLimit(spec)),
 		spec.Modules(),
 	)
 	if err := app.Err(); err != nil {
@@ -163,6 +166,13 @@
 	return stop(app, log, signals, force, ExitOK)
 }
 
+func stopLimit(spec Spec) time.Duration {
+	if spec.StopLimit != nil {
+		return spec.StopLimit()
+	}
+	return DefaultStopLimit
+}
+
 func newLog(spec Spec, io *iostreams.IOStreams) *slog.Logger {
 	if spec.Log != nil {
 		return spec.Log(io)
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -33,7 +33,9 @@
 func (f *Forwarder) refused(req *Request, e placement.Refuse) {
 	refusals.Add(string(e.Reason), 1)
 	f.cfg.Log.Info("RequestRefused", "request", string(req.Call.Request), "route", req.Call.Route.Name,
-		"customer", string(req.Call.Customer), "reason", string(e.Reason), "retryAfterMs", e.RetryAfter.Milliseconds())
+		"customer", string(req.Call.Customer), "reason", string(e.Reason), "retryAfterMs", e.RetryAfter.Milliseconds(),
+		"expectedMs", e.Basis.Expected.Milliseconds(), "waitMs", e.Basis.Wait.Milliseconds(), "candidates", e.Basis.Candidates,
+		"waitingTokens", e.Basis.Waiting, "share", e.Share, "digestAgeMs", e.Basis.DigestAge.Milliseconds())
 }
 
 // ended logs how an attempt ended.
