--- a/control/core/core.go
+++ b/control/core/core.go
@@ -81,6 +81,7 @@
 	clients   *clients.Handler
 	stop      chan struct{}
 	wg        sync.WaitGroup
+	started   time.Time
 
 	mu      sync.Mutex
 	seeds   []netip.AddrPort
@@ -101,7 +102,7 @@
 // New opens the storage and makes a Core; Start runs it.
 func New(cfg Config) (*Core, error) {
 	c := &Core{
-		cfg: cfg, host: HostOf(cfg.Self), seeds: cfg.Seeds, targets: targets.New(), stop: make(chan struct{}),
+		cfg: cfg, host: HostOf(cfg.Self), started: cfg.Clock.Now(), seeds: cfg.Seeds, targets: targets.New(), stop: make(chan struct{}),
 	}
 	c.hub = newHub(c)
 	c.loads = newLoads(cfg.DemandWindow)
@@ -304,7 +305,6 @@
 		for _, id := range gone {
 			c.cfg.Log.Warn("TargetForgotten", "target", string(id), "silentFor", targetForgottenAfter.String())
 		}
-		c.hub.sweep(now)
 		c.hub.aliveDue()
 		c.connect()
 	}
--- a/control/core/hub.go
+++ b/control/core/hub.go
@@ -16,6 +16,9 @@
 	// routerSilentAfter is the silence after which a router is not named to callers. A
 	// router reports every 250 ms to every control host.
 	routerSilentAfter = 1500 * time.Millisecond
+	// joinTime is how long the routers take to follow a host that has started: they dial
+	// it again every 200 ms, and a dial may take 1 s.
+	joinTime = 1500 * time.Millisecond
 	// notifyTimeout bounds one notification to a follower.
 	notifyTimeout = 3 * time.Second
 )
@@ -171,17 +174,6 @@
 	h.tellAll(func(f *follower) { f.aliveDue, f.notice = true, true })
 }
 
-// sweep forgets the routers that fell silent, so that callers are not sent to them.
-func (h *hub) sweep(now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, f := range h.followers {
-		if f.Role == fleet.RoleRouter && now.Sub(f.heard) > routerSilentAfter && !f.Stopping {
-			h.core.cfg.Log.Debug("RouterSilent", "router", string(f.Host), "for", now.Sub(f.heard).String())
-		}
-	}
-}
-
 // serve sends a follower what it has not been told, one message at a time.
 func (h *hub) serve(f *follower) {
 	for {
@@ -284,8 +276,15 @@
 }
 
 // Routers returns the routers that callers may use, those of a data centre first.
+//
+// A host that has just started, or is cut off from most of them, knows a few routers
+// only, which all of its callers would fall upon. It names none, and its callers go on
+// with what they know.
 func (c *Core) Routers(near fleet.DataCentreName) []RouterAddress {
 	now := c.cfg.Clock.Now()
+	if now.Sub(c.started) < joinTime || !c.reachesRouters() {
+		return nil
+	}
 	c.hub.mu.Lock()
 	defer c.hub.mu.Unlock()
 	seen := map[netip.AddrPort]bool{}
--- a/fleet/logsink/logsink.go
+++ b/fleet/logsink/logsink.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/program"
 )
 
@@ -28,14 +29,15 @@
 // Sink is a queue of lines before a writer.
 type Sink struct {
 	out   io.Writer
+	clock fleet.Clock
 	lines chan []byte
 	lost  atomic.Int64
 	done  chan struct{}
 }
 
 // New makes a sink and starts to write.
-func New(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+func New(out io.Writer, clock fleet.Clock) *Sink {
+	s := &Sink{out: out, clock: clock, lines: make(chan []byte, queueLines), done: make(chan struct{})}
 	go s.write()
 	return s
 }
@@ -66,10 +68,10 @@
 	for line := range s.lines {
 		// A log that can't be written has nowhere else to be reported.
 		_, _ = s.out.Write(line)
-		if s.lost.Load() == 0 || time.Since(reported) < dropReport {
+		if s.lost.Load() == 0 || s.clock.Now().Sub(reported) < dropReport {
 			continue
 		}
-		reported = time.Now()
+		reported = s.clock.Now()
 		note := slog.New(slog.NewJSONHandler(s.out, nil))
 		note.Warn("LogLinesDropped", "lines", s.lost.Swap(0))
 	}
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -76,7 +76,7 @@
 }
 
 // crashed notes that a target broke off while it ran a call.
-func (s *reportState) crashed(k *call, _ time.Time) {
+func (s *reportState) crashed(k *call) {
 	if k.Content != "" {
 		s.suspects[k.Content]++
 	}
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -156,7 +156,7 @@
 		return
 	case Broken, Cut:
 		failed = 1
-		r.report.crashed(k, r.now)
+		r.report.crashed(k)
 		if !k.begun {
 			t.doubted = true
 		}
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -3,7 +3,6 @@
 package feed
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -142,37 +141,6 @@
 	return f.config != nil && !f.stopping
 }
 
-// Beliefs is what a router believes of the deployment, for its metrics.
-type Beliefs struct {
-	// Number is that of the configuration in force, Age the time for which it is.
-	Number   fleet.ConfigNumber
-	AgeMs    int64
-	Revision fleet.Revision
-	Controls []string
-	Leader   fleet.HostID
-	Routers  int
-	Stopping bool
-}
-
-// Beliefs returns what the router believes.
-func (f *Follower) Beliefs() Beliefs {
-	leader, _ := f.collector()
-	connected := f.mesh.Connected()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	b := Beliefs{Revision: f.revision, Routers: len(f.routers), Stopping: f.stopping}
-	if f.config != nil {
-		b.Number, b.AgeMs = f.config.Number, f.cfg.Clock.Now().Sub(f.configAt).Milliseconds()
-	}
-	for _, addr := range connected {
-		b.Controls = append(b.Controls, addr.String())
-	}
-	if leader.IsValid() {
-		b.Leader = fleet.HostID(leader.String())
-	}
-	return b
-}
-
 // connect keeps a connection to every control host that is known.
 func (f *Follower) connect() {
 	f.mu.Lock()
@@ -315,107 +283,3 @@
 	}
 	return f.cfg.Decode(text)
 }
-
-// report sends the router's load to the control host that collects loads.
-func (f *Follower) report() {
-	for {
-		f.mu.Lock()
-		interval := max(minReportInterval, time.Duration(len(f.routers))*reportPerRouter)
-		f.mu.Unlock()
-		timer := time.NewTimer(interval)
-		select {
-		case <-f.stop:
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
-		addr, ok := f.collector()
-		if !ok {
-			continue
-		}
-		for _, e := range f.cfg.Reduce(placement.ReportDue{}) {
-			if r, ok := e.(placement.Report); ok {
-				f.sendLoad(addr, r.RouterLoad)
-			}
-		}
-	}
-}
-
-// collector returns the control host that the newest confirmed notice names as leader.
-func (f *Follower) collector() (netip.AddrPort, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var newest notice
-	for _, n := range f.notices {
-		if n.Confirmed && n.Leader != "" && n.at.After(newest.at) {
-			newest = n
-		}
-	}
-	addr, err := netip.ParseAddrPort(string(newest.Leader))
-	return addr, err == nil
-}
-
-func (f *Follower) sendLoad(addr netip.AddrPort, load fleet.RouterLoad) {
-	client := f.mesh.Client(addr)
-	if client == nil {
-		return
-	}
-	f.mu.Lock()
-	load.Stopping = f.stopping
-	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	if err := client.Notify(ctx, fleet.MethodLoad, &load); err != nil {
-		f.cfg.Log.Debug("ReportFailed", "control", addr.String(), "error", err)
-	}
-}
-
-// live tells all control hosts that the router lives, and follows what time changes.
-func (f *Follower) live() {
-	ticker := time.NewTicker(lifeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-f.stop:
-			return
-		case <-ticker.C:
-		}
-		f.tellLife(f.mesh.Connected())
-		f.mu.Lock()
-		peers := f.peers()
-		behind, addr := f.behind()
-		if behind {
-			f.fetching = true
-		}
-		f.mu.Unlock()
-		f.cfg.Reduce(peers)
-		if behind {
-			f.wg.Go(func() { f.fetch(addr) })
-		}
-		f.connect()
-	}
-}
-
-// behind says whether a control host has a newer configuration, which an earlier
-// attempt failed to fetch. The caller holds mu.
-func (f *Follower) behind() (bool, netip.AddrPort) {
-	if f.fetching {
-		return false, netip.AddrPort{}
-	}
-	addrs := make([]netip.AddrPort, 0, len(f.notices))
-	for addr := range f.notices {
-		addrs = append(addrs, addr)
-	}
-	slices.SortFunc(addrs, func(a, b netip.AddrPort) int { return cmp.Compare(f.notices[b].Number, f.notices[a].Number) })
-	for _, addr := range addrs {
-		n := f.notices[addr]
-		return n.Number > 0 && (f.config == nil || n.Number > f.config.Number), addr
-	}
-	return false, netip.AddrPort{}
-}
-
-func (f *Follower) tellLife(addrs []netip.AddrPort) {
-	for _, addr := range addrs {
-		f.sendLoad(addr, fleet.RouterLoad{Host: f.cfg.Self})
-	}
-}
--- a/router/forward/answer.go
+++ b/router/forward/answer.go
@@ -4,32 +4,12 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
-)
-
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
 
-// EndToEnd returns the headers that are passed on: neither those of one connection nor
-// those that its Connection header names.
-func EndToEnd(h http.Header) http.Header {
-	passed := h.Clone()
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			passed.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		passed.Del(name)
-	}
-	return passed
-}
+	"github.com/fuchsiashed/fuchsiashed/router/targetconn"
+)
 
 // answerWriter writes one answer to a caller.
 type answerWriter struct {
@@ -46,7 +26,7 @@
 	}
 	a.begun = true
 	to := a.w.Header()
-	for name, values := range EndToEnd(h) {
+	for name, values := range targetconn.EndToEnd(h) {
 		to[name] = values
 	}
 	to.Del("Content-Length")
--- /dev/null
+++ b/router/targetconn/header.go
@@ -0,0 +1,27 @@
+package targetconn
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop lists the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd returns the headers that are passed on: neither those of one connection nor
+// those that its Connection header names.
+func EndToEnd(h http.Header) http.Header {
+	passed := h.Clone()
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			passed.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		passed.Del(name)
+	}
+	return passed
+}
