Control: a host that was suspended does not name the first router alone that it hears

A control host that had no time to hear its routers counted all of them as silent but for the first one that it heard next, and named it to all of its callers. Ruled out: a restart (none before 20 s). TestSuspendedHostNamesAllRouters failed first.

--- a/control/core/hub.go
+++ b/control/core/hub.go
@@ -285,16 +285,32 @@
 	if now.Sub(c.started) < joinTime || !c.reachesRouters() {
 		return nil
 	}
+	return c.listed(near)
+}
+
+// listed returns the routers that take callers, as far as this host can tell.
+func (c *Core) listed(near fleet.DataCentreName) []RouterAddress {
+	now := c.cfg.Clock.Now()
 	c.hub.mu.Lock()
 	defer c.hub.mu.Unlock()
+	var all, heard []RouterAddress
 	seen := map[netip.AddrPort]bool{}
-	var out []RouterAddress
 	for _, f := range c.hub.followers {
-		if f.Role != fleet.RoleRouter || f.Stopping || now.Sub(f.heard) > routerSilentAfter || seen[f.Address] {
+		if f.Role != fleet.RoleRouter || f.Stopping || seen[f.Address] {
 			continue
 		}
 		seen[f.Address] = true
-		out = append(out, RouterAddress{Address: f.Address, DataCentre: f.DataCentre})
+		a := RouterAddress{Address: f.Address, DataCentre: f.DataCentre}
+		all = append(all, a)
+		if now.Sub(f.heard) <= routerSilentAfter {
+			heard = append(heard, a)
+		}
+	}
+	out := heard
+	if float64(len(heard)) < reachedShare*float64(len(all)) {
+		// Most of them did not fall silent at once: this host had no time to hear them,
+		// and the first that it hears must not get all callers.
+		out = all
 	}
 	slices.SortFunc(out, func(a, b RouterAddress) int {
 		if an, bn := a.DataCentre == near, b.DataCentre == near; an != bn {
