--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -155,11 +155,15 @@
 	return nil
 }
 
-// owners returns among how many targets the requests of a part are spread.
+// owners returns among how many targets the requests of a part are spread. The rate of
+// a part is known of this router alone, and taken to be the same at all others. That
+// is too much for a customer whose callers all use one router, so the owners are bounded.
 func (r *Router) owners(k *call, key PartID, rate float64) int {
 	own := max(k.Prompt.Tokens-k.Prompt.sharedTokens(), 0) + 2*k.Prompt.expectedOutput()
 	perSecond := r.keys.add(r.now, key, float64(own)) * float64(max(1, len(r.routers)))
-	return max(r.cfg.Policy.Owners, 1+int(perSecond/(rate*r.cfg.Policy.HotShare)))
+	wanted := 1 + int(perSecond/(rate*r.cfg.Policy.HotShare))
+	most := max(minHotOwners, len(r.services[k.service])/hotOwnersPart)
+	return max(r.cfg.Policy.Owners, min(wanted, most))
 }
 
 // chooseIdle places a call at the target with the least work for its slots, one of the
--- a/fleet/placement/policy.go
+++ b/fleet/placement/policy.go
@@ -42,6 +42,11 @@
 	// minRepeatTime is the time that must be left for another attempt: a new connection
 	// and the shortest answers take about as long.
 	minRepeatTime = 50 * time.Millisecond
+	// minHotOwners and hotOwnersPart bound the owners of a part that is asked for a lot:
+	// one in hotOwnersPart of the targets, but at least minHotOwners. A third of one kind
+	// of requests about one part asks for about that much of the deployments' engines.
+	minHotOwners  = 4
+	hotOwnersPart = 6
 	// maxIdle bounds the unused connections to one target.
 	maxIdle = 32
 	// maxCrashes is how many targets a request may take down before it is refused.
