--- a/e2e/docs_test.go
+++ b/e2e/docs_test.go
@@ -21,7 +21,7 @@
 }
 
 // programs lists the modules whose processes operators watch.
-var programs = []string{"fleet", "router", "dispatcher", "control"}
+var programs = []string{"fleet", "router", "dispatcher", "control", "platform"}
 
 func TestOperationsPage(t *testing.T) {
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
