--- a/e2e/docs_test.go
+++ b/e2e/docs_test.go
@@ -13,7 +13,7 @@
 
 // The names that the operations page has to explain.
 var documented = map[string]*regexp.Regexp{
-	"log event": regexp.MustCompile(`(?i)\blog\.(?:Info|Warn|Error)\("([A-Za-z]+)"`),
+	"log event": regexp.MustCompile(`(?i)\blog\.(?:Info|Warn|Error|Debug)\("([A-Za-z]+)"`),
 	"reason":    regexp.MustCompile(`Reason\w+ +Reason = "([A-Za-z]+)"`),
 	"counter":   regexp.MustCompile(`expvar\.(?:NewMap|NewInt|Publish)\("([A-Za-z]+)"`),
 	"decision":  regexp.MustCompile(`\bEvent[A-Z]\w+ += "([A-Za-z]+)"`),
