TestLedgerReplyLost: the stand-in of control kept a key that the registry frees

Cause: when a begin is given up at the request's deadline, its last message and the end of the same attempt are on their way at once. The registry remembers the attempt of an end that says "not run" and lets a later begin of it start nothing (TestLedger, "A beginning that its end overtook starts nothing"); the stand-in forgot it, so the key ran forever.

Ruled out: the router, which sends the end once, after the begin's reply or timeout; the registry, by its test.

The stand-in now does as the registry. A second case of the test has the begin handled after its end each time: it fails on the stand-in of before (line 147).

--- a/router/internal/routercmd/cutoff_test.go
+++ b/router/internal/routercmd/cutoff_test.go
@@ -131,4 +131,20 @@
 		convey.So(free, convey.ShouldBeTrue)
 		convey.So(target.runs(), convey.ShouldEqual, 1)
 	})
+	convey.Convey("A begin that is handled after its end does not keep the key", t, func() {
+		w.control.mu.Lock()
+		w.control.late = true
+		w.control.mu.Unlock()
+		a := w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "late", "Fuchsiashed-Deadline", "500ms")
+		convey.So(a.verdict(), convey.ShouldEqual, "MayHaveRun")
+		convey.So(eventually(w.control.ended), convey.ShouldBeTrue)
+		w.control.mu.Lock()
+		w.control.late = false
+		w.control.mu.Unlock()
+		free := eventually(func() bool {
+			return w.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "late").status == 200
+		})
+		convey.So(free, convey.ShouldBeTrue)
+		convey.So(target.runs(), convey.ShouldEqual, 2)
+	})
 }
--- a/router/internal/routercmd/fakes_test.go
+++ b/router/internal/routercmd/fakes_test.go
@@ -53,8 +53,15 @@
 	mu   sync.Mutex
 	down bool
 	// mute loses the replies to begins that were recorded.
-	mute   bool
+	mute bool
+	// late has begins handled only once the end of the same attempt was, as two messages
+	// on their way at once may be.
+	late   bool
+	held   *fleet.LedgerBeginRequest
 	ledger map[fleet.LedgerKey]*fakeCall
+	// notRun holds the attempts that ended without a run; as in the registry, a begin of
+	// theirs that comes later starts nothing.
+	notRun map[fleet.AttemptID]bool
 	hosts  map[fleet.HostID]fleet.HostState
 	ends   []fleet.LedgerEndRequest
 }
@@ -85,6 +92,10 @@
 		if err := fleet.Decode(raw, &req); err != nil {
 			return nil, err
 		}
+		if f.late && !f.notRun[req.By] {
+			f.held = &req
+			return nil, rpc.NewError(fleet.CodeUnavailable, "reply is lost", nil)
+		}
 		reply := f.begin(req)
 		if f.mute {
 			return nil, rpc.NewError(fleet.CodeUnavailable, "reply is lost", nil)
@@ -95,7 +106,12 @@
 		if err := fleet.Decode(raw, &req); err != nil {
 			return nil, err
 		}
-		return f.end(req), nil
+		reply := f.end(req)
+		if f.held != nil {
+			f.begin(*f.held)
+			f.held = nil
+		}
+		return reply, nil
 	}
 	return nil, rpc.NewError(fleet.CodeInvalid, "unknown", nil)
 }
@@ -112,6 +128,8 @@
 func (f *fakeControl) begin(req fleet.LedgerBeginRequest) fleet.LedgerBeginReply {
 	c := f.ledger[req.LedgerKey]
 	switch {
+	case f.notRun[req.By]:
+		return fleet.LedgerBeginReply{State: fleet.LedgerRunning}
 	case c == nil:
 		f.ledger[req.LedgerKey] = &fakeCall{begin: req, state: fleet.LedgerRunning}
 		return fleet.LedgerBeginReply{State: fleet.LedgerGranted}
@@ -126,12 +144,15 @@
 func (f *fakeControl) end(req fleet.LedgerEndRequest) fleet.LedgerEndReply {
 	f.ends = append(f.ends, req)
 	c := f.ledger[req.LedgerKey]
+	if req.Verdict == fleet.NotRun && (c == nil || c.begin.By == req.By) {
+		f.notRun[req.By] = true
+		delete(f.ledger, req.LedgerKey)
+		return fleet.LedgerEndReply{Recorded: true}
+	}
 	if c == nil || c.begin.By != req.By {
 		return fleet.LedgerEndReply{}
 	}
 	switch req.Verdict {
-	case fleet.NotRun:
-		delete(f.ledger, req.LedgerKey)
 	case fleet.MayHaveRun:
 		c.state = fleet.LedgerMayHaveRun
 	case fleet.Ran:
@@ -140,6 +161,13 @@
 	return fleet.LedgerEndReply{Recorded: true}
 }
 
+// ended says whether a held begin was handled after its end.
+func (f *fakeControl) ended() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.late && f.held == nil
+}
+
 func (f *fakeControl) setDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/internal/routercmd/world_test.go
+++ b/router/internal/routercmd/world_test.go
@@ -68,7 +68,7 @@
 	t.Helper()
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	w := &world{
-		control:    &fakeControl{text: text, ledger: map[fleet.LedgerKey]*fakeCall{}, hosts: map[fleet.HostID]fleet.HostState{}},
+		control:    &fakeControl{text: text, ledger: map[fleet.LedgerKey]*fakeCall{}, notRun: map[fleet.AttemptID]bool{}, hosts: map[fleet.HostID]fleet.HostState{}},
 		dispatcher: &fakeDispatcher{targets: map[fleet.ServiceName][]netip.AddrPort{}},
 		force:      make(chan struct{}),
 	}
