Router: no request late in a planned stop that may have to be broken off

A stopping router takes requests for 3.5 s, because callers keep the answer that named it; what comes after 3 s has no excuse if it is cut.

Departure says which requests are still taken: all for 2.8 s, then those whose time limit ends before the stop's.

--- /dev/null
+++ b/router/forward/departure_test.go
@@ -0,0 +1,25 @@
+package forward_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/router/forward"
+)
+
+func TestDeparture(t *testing.T) {
+	convey.Convey("A router that stops takes no request late that it may have to break off", t, func() {
+		start := time.Unix(1_700_000_000, 0)
+		d := &forward.Departure{Open: 2800 * time.Millisecond, Limit: 7 * time.Second}
+		takes := func(at, limit time.Duration) bool { return d.Takes(start.Add(at), start.Add(at+limit)) }
+		convey.So(takes(time.Hour, time.Hour), convey.ShouldBeTrue)
+		convey.So(d.Begun(), convey.ShouldBeFalse)
+		d.Begin(start)
+		convey.So(d.Begun(), convey.ShouldBeTrue)
+		convey.So(takes(2700*time.Millisecond, 8*time.Second), convey.ShouldBeTrue)
+		convey.So(takes(3242*time.Millisecond, 8*time.Second), convey.ShouldBeFalse)
+		convey.So(takes(3242*time.Millisecond, 800*time.Millisecond), convey.ShouldBeTrue)
+	})
+}
