Log events and shared fields are constants in one place; lines written together

fleet/logevent holds the name of each event and the fields by which lines of several processes are joined; writers and the reader (fleet/logtrail) use the same ones. TestOperationsPage compares them with docs/OPERATIONS.md and finds events that are no constants.

A refusal is now a warning: a refused request has no other line, and the queue drops warnings last. Lines that wait are written in one call (TestWaitingLinesAreWrittenTogether: 1000 lines in fewer than 10 writes; each was a write of its own before).

--- a/control/core/announce.go
+++ b/control/core/announce.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/targets"
 )
 
@@ -25,14 +26,14 @@
 	c.mu.Unlock()
 	switch result {
 	case targets.Changed:
-		c.cfg.Log.Info("TargetAnnounced", "target", string(a.Target), "service", string(a.Service), "address", a.Address.String(),
+		c.cfg.Log.Info(logevent.TargetAnnounced, "target", string(a.Target), "service", string(a.Service), "address", a.Address.String(),
 			"datacentre", string(a.DataCentre), "state", string(a.State), "incarnation", uint64(a.Incarnation),
 			"sequence", uint64(a.Sequence), "coldFor", a.ColdFor.String())
 		c.hub.announced(a.Target)
 	case targets.Refreshed:
 		c.hub.refreshed(a.Target)
 	case targets.Ignored:
-		c.cfg.Log.Info("AnnouncementIgnored", "target", string(a.Target), "incarnation", uint64(a.Incarnation), "sequence", uint64(a.Sequence))
+		c.cfg.Log.Info(logevent.AnnouncementIgnored, "target", string(a.Target), "incarnation", uint64(a.Incarnation), "sequence", uint64(a.Sequence))
 	}
 	return nil
 }
@@ -45,7 +46,7 @@
 	c.mu.Lock()
 	end = c.targets.End(c.cfg.Clock.Now(), end)
 	c.mu.Unlock()
-	c.cfg.Log.Info("TargetEnded", "target", string(end.Target), "incarnation", uint64(end.Incarnation))
+	c.cfg.Log.Info(logevent.TargetEnded, "target", string(end.Target), "incarnation", uint64(end.Incarnation))
 	c.hub.ended(end)
 	return nil
 }
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
@@ -124,7 +125,7 @@
 	storage, err := disk.Open(c.cfg.DataFolder)
 	var damaged *disk.DamagedError
 	if errors.As(err, &damaged) {
-		c.cfg.Log.Error("StorageDamaged", "error", err)
+		c.cfg.Log.Error(logevent.StorageDamaged, "error", err)
 		bootstrap = false
 		if err := os.Rename(damaged.File, damaged.File+".damaged"); err != nil {
 			return errors.Wrap(err, "set the damaged storage aside")
@@ -135,7 +136,7 @@
 		return err
 	}
 	if storage.Cut > 0 {
-		c.cfg.Log.Warn("TornTailCut", "bytes", storage.Cut, "file", filepath.Base(c.cfg.DataFolder))
+		c.cfg.Log.Warn(logevent.TornTailCut, "bytes", storage.Cut, "file", filepath.Base(c.cfg.DataFolder))
 	}
 	c.storage = storage
 	var founders []fleet.HostID
@@ -227,7 +228,7 @@
 	req := fleet.JoinRequest{Host: c.host, Role: fleet.RoleControl, DataCentre: c.cfg.DataCentre}
 	var reply fleet.JoinReply
 	if err := peer.Call(ctx, fleet.MethodJoin, &req, &reply); err != nil {
-		c.cfg.Log.Warn("JoinFailed", "peer", addr.String(), "error", err)
+		c.cfg.Log.Warn(logevent.JoinFailed, "peer", addr.String(), "error", err)
 	}
 }
 
@@ -303,7 +304,7 @@
 		gone := c.targets.Expire(now, now.Add(-targetForgottenAfter), nil)
 		c.mu.Unlock()
 		for _, id := range gone {
-			c.cfg.Log.Warn("TargetForgotten", "target", string(id), "silentFor", targetForgottenAfter.String())
+			c.cfg.Log.Warn(logevent.TargetForgotten, "target", string(id), "silentFor", targetForgottenAfter.String())
 		}
 		c.hub.aliveDue()
 		c.connect()
--- a/control/core/hub.go
+++ b/control/core/hub.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/targets"
 )
 
@@ -78,7 +79,7 @@
 	if n := h.countRouters(); n > h.most {
 		h.most = n
 	}
-	h.core.cfg.Log.Info("FollowerJoined", "follower", string(r.Host), "role", string(r.Role))
+	h.core.cfg.Log.Info(logevent.FollowerJoined, "follower", string(r.Host), "role", string(r.Role))
 	f.signal()
 	h.wg.Go(func() { h.serve(f) })
 	h.tellAll(func(f *follower) { f.notice = true })
@@ -99,7 +100,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if f := h.followers[peer]; f != nil {
-		h.core.cfg.Log.Info("FollowerLeft", "follower", string(f.Host), "role", string(f.Role))
+		h.core.cfg.Log.Info(logevent.FollowerLeft, "follower", string(f.Host), "role", string(f.Role))
 		close(f.quit)
 		delete(h.followers, peer)
 	}
@@ -225,7 +226,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
 	if err := f.peer.Notify(ctx, method, params); err != nil {
-		h.core.cfg.Log.Debug("NotifyFailed", "follower", string(f.Host), "method", method, "error", err)
+		h.core.cfg.Log.Debug(logevent.NotifyFailed, "follower", string(f.Host), "method", method, "error", err)
 	}
 }
 
--- a/control/internal/controlcmd/controlcmd.go
+++ b/control/internal/controlcmd/controlcmd.go
@@ -14,6 +14,7 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/program"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
@@ -62,7 +63,7 @@
 		return nil, err
 	}
 	if l.Cut > 0 {
-		log.Warn("TornTailCut", "bytes", l.Cut)
+		log.Warn(logevent.TornTailCut, "bytes", l.Cut)
 	}
 	lc.Append(fx.StopHook(l.Close))
 	return l, nil
--- a/control/shell/shell.go
+++ b/control/shell/shell.go
@@ -15,6 +15,7 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
 )
@@ -116,7 +117,7 @@
 		return
 	}
 	if err := s.recorder.Write(now, registry.Recorded(ev)); err != nil {
-		s.cfg.Log.Error("EventLogEnded", "error", err)
+		s.cfg.Log.Error(logevent.EventLogEnded, "error", err)
 		s.recorder = nil
 	}
 }
@@ -245,12 +246,12 @@
 	case quorum.Write:
 		s.writer.add(e)
 	case quorum.StandingChanged:
-		s.cfg.Log.Info("StandingChanged", "standing", string(e.Standing), "term", uint64(e.Term), "leader", string(e.Leader))
+		s.cfg.Log.Info(logevent.StandingChanged, "standing", string(e.Standing), "term", uint64(e.Term), "leader", string(e.Leader))
 		if s.cfg.Standing != nil {
 			s.cfg.Standing(e)
 		}
 	case registry.NumberedChanged:
-		s.cfg.Log.Info("ConfigInForce", "number", int64(e.Config.Number), "revision", uint64(e.Revision), "out", len(e.Out))
+		s.cfg.Log.Info(logevent.ConfigInForce, "number", int64(e.Config.Number), "revision", uint64(e.Revision), "out", len(e.Out))
 		if s.cfg.Changed != nil {
 			s.cfg.Changed(e.Numbered)
 		}
@@ -283,7 +284,7 @@
 			return
 		default:
 		}
-		s.cfg.Log.Error("StorageFailed", "error", err)
+		s.cfg.Log.Error(logevent.StorageFailed, "error", err)
 		s.cfg.Failed(err)
 	}
 }
@@ -294,7 +295,7 @@
 		return false
 	}
 	counters.Add("WriteErrors", 1)
-	s.cfg.Log.Error("WriteFailed", "error", err, "retry", s.cfg.RetryWrites)
+	s.cfg.Log.Error(logevent.WriteFailed, "error", err, "retry", s.cfg.RetryWrites)
 	timer := time.NewTimer(s.cfg.RetryWrites)
 	defer timer.Stop()
 	select {
--- a/dispatcher/internal/control/keeper.go
+++ b/dispatcher/internal/control/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsiashed/fuchsiashed/dispatcher/internal/loop"
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 )
 
 // Timing of the lease.
@@ -64,7 +65,7 @@
 	req.Release = true
 	var reply fleet.LeaseReply
 	if err := k.cfg.Control.Call(ctx, fleet.MethodLease, req, &reply); err != nil {
-		k.cfg.Log.Warn("LeaseNotReleased", "error", err)
+		k.cfg.Log.Warn(logevent.LeaseNotReleased, "error", err)
 		return nil
 	}
 	pause(ctx, grace)
@@ -100,7 +101,7 @@
 	asked := k.cfg.Clock.Now()
 	var reply fleet.LeaseReply
 	if err := k.cfg.Control.Call(ctx, fleet.MethodLease, k.request(), &reply); err != nil {
-		k.cfg.Log.Warn("LeaseNotAnswered", "epoch", uint64(k.epoch), "error", err)
+		k.cfg.Log.Warn(logevent.LeaseNotAnswered, "epoch", uint64(k.epoch), "error", err)
 		return
 	}
 	if !reply.Granted {
@@ -108,7 +109,7 @@
 		return
 	}
 	if reply.Epoch != k.epoch {
-		k.cfg.Log.Info("LeaseAcquired", "epoch", uint64(reply.Epoch))
+		k.cfg.Log.Info(logevent.LeaseAcquired, "epoch", uint64(reply.Epoch))
 	}
 	k.epoch = reply.Epoch
 	k.cfg.Loop.Post(dispatch.LeaseHeld{
@@ -120,7 +121,7 @@
 	if k.epoch == 0 {
 		return
 	}
-	k.cfg.Log.Warn("LeaseLost", "epoch", uint64(k.epoch), "holder", string(reply.Holder))
+	k.cfg.Log.Warn(logevent.LeaseLost, "epoch", uint64(k.epoch), "holder", string(reply.Holder))
 	k.epoch = 0
 	k.cfg.Loop.Post(dispatch.LeaseLost{})
 }
--- a/dispatcher/internal/router/link.go
+++ b/dispatcher/internal/router/link.go
@@ -6,6 +6,7 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 )
 
 // linkQueue is the number of messages that may wait for a router to read.
@@ -35,7 +36,7 @@
 	select {
 	case l.queue <- e:
 	default:
-		l.cfg.Log.Warn("RouterNotReading", "router", string(e.To))
+		l.cfg.Log.Warn(logevent.RouterNotReading, "router", string(e.To))
 		go l.cfg.Loop.Post(dispatch.RouterDisconnected{Router: e.To})
 	}
 }
@@ -58,7 +59,7 @@
 		return
 	}
 	if err := l.peer.Notify(context.Background(), fleet.MethodGrants, &e.Message); err != nil {
-		l.cfg.Log.Warn("GrantsNotSent", "router", string(e.To), "error", err)
+		l.cfg.Log.Warn(logevent.GrantsNotSent, "router", string(e.To), "error", err)
 		l.cfg.Loop.Post(dispatch.RouterDisconnected{Router: e.To})
 	}
 }
--- a/dispatcher/internal/router/router.go
+++ b/dispatcher/internal/router/router.go
@@ -13,6 +13,7 @@
 	"github.com/fuchsiashed/fuchsiashed/dispatcher/internal/loop"
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/dispatch"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
 )
 
@@ -80,7 +81,7 @@
 	}
 	var report fleet.RouterReport
 	if err := fleet.Decode(params, &report); err != nil {
-		s.cfg.Log.Warn("ReportRefused", "error", err)
+		s.cfg.Log.Warn(logevent.ReportRefused, "error", err)
 		return nil, err
 	}
 	s.bind(report.Router, peer)
--- a/fleet/configsync/configsync.go
+++ b/fleet/configsync/configsync.go
@@ -13,6 +13,7 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/fleettext"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 )
 
 const (
@@ -106,7 +107,7 @@
 	defer ticker.Stop()
 	for {
 		if err := f.Sync(ctx); err != nil && ctx.Err() == nil {
-			f.cfg.Log.Warn("ConfigUnconfirmed", "error", err)
+			f.cfg.Log.Warn(logevent.ConfigUnconfirmed, "error", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -196,7 +197,7 @@
 	}
 	f.mu.Unlock()
 	if changed {
-		f.cfg.Log.Info("ConfigInForce", "version", uint64(next.Version), "hash", next.Hash)
+		f.cfg.Log.Info(logevent.ConfigInForce, "version", uint64(next.Version), "hash", next.Hash)
 		if f.cfg.Changed != nil {
 			f.cfg.Changed(next)
 		}
--- a/fleet/invariant/invariant.go
+++ b/fleet/invariant/invariant.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"sync/atomic"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 )
 
 var (
@@ -41,6 +43,6 @@
 	if panics.Load() {
 		panic(v)
 	}
-	slog.Error("InvariantViolated", "invariant", v.Name, "detail", v.Detail)
+	slog.Error(logevent.InvariantViolated, "invariant", v.Name, "detail", v.Detail)
 	return false
 }
--- a/fleet/logsink/logsink.go
+++ b/fleet/logsink/logsink.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/program"
 )
 
@@ -20,6 +21,8 @@
 	// reservedLines is the part of the queue that only warnings and errors may use:
 	// these explain the requests that failed.
 	reservedLines = 1024
+	// batchBytes is how much is written at once; under load one write takes many lines.
+	batchBytes = 64 << 10
 	// dropReport is the shortest time between two lines that tell of dropped ones.
 	dropReport = time.Second
 )
@@ -65,18 +68,36 @@
 func (s *Sink) write() {
 	defer close(s.done)
 	reported := time.Time{}
+	var batch []byte
 	for line := range s.lines {
+		batch = s.gather(append(batch[:0], line...))
 		// A log that can't be written has nowhere else to be reported.
-		_, _ = s.out.Write(line)
+		_, _ = s.out.Write(batch)
 		if s.lost.Load() == 0 || s.clock.Now().Sub(reported) < dropReport {
 			continue
 		}
 		reported = s.clock.Now()
 		note := slog.New(slog.NewJSONHandler(s.out, nil))
-		note.Warn("LogLinesDropped", "lines", s.lost.Swap(0))
+		note.Warn(logevent.LogLinesDropped, "lines", s.lost.Swap(0))
 	}
 }
 
+// gather adds the lines that wait, as far as one write takes them.
+func (s *Sink) gather(batch []byte) []byte {
+	for len(batch) < batchBytes {
+		select {
+		case line, open := <-s.lines:
+			if !open {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
 // queue is a writer that takes lines while more than reserve places are free.
 type queue struct {
 	sink    *Sink
--- a/fleet/logtrail/logtrail.go
+++ b/fleet/logtrail/logtrail.go
@@ -14,18 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-)
 
-// Names of the log lines that an account is made of.
-const (
-	eventSent     = "RequestSent"
-	eventEnded    = "AttemptEnded"
-	eventRefused  = "RequestRefused"
-	eventTarget   = "TargetAnnounced"
-	eventGone     = "TargetEnded"
-	eventConfig   = "ConfigInForce"
-	eventNoticed  = "StateNoticed"
-	eventStopping = "Stopping"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 )
 
 // maxLine bounds one log line in bytes.
@@ -111,10 +101,10 @@
 	targets := map[string]bool{}
 	hosts := map[string]bool{}
 	for i := range lines {
-		if l := &lines[i]; l.text("request") == request {
+		if l := &lines[i]; l.text(logevent.FieldRequest) == request {
 			a.Lines = append(a.Lines, *l)
 			hosts[l.Host] = true
-			if t := l.text("target"); t != "" {
+			if t := l.text(logevent.FieldTarget); t != "" {
 				targets[t] = true
 			}
 		}
@@ -132,11 +122,11 @@
 func (a *Account) addContext(lines []Line, targets, hosts map[string]bool) {
 	first, last := a.Lines[0].Time.Add(-around), a.Lines[len(a.Lines)-1].Time
 	for _, l := range lines {
-		if l.Time.Before(first) || l.Time.After(last) || l.text("request") != "" {
+		if l.Time.Before(first) || l.Time.After(last) || l.text(logevent.FieldRequest) != "" {
 			continue
 		}
-		ofTarget := (l.Event == eventTarget || l.Event == eventGone) && targets[l.text("target")]
-		ofRouter := (l.Event == eventConfig || l.Event == eventNoticed || l.Event == eventStopping) && hosts[l.Host]
+		ofTarget := (l.Event == logevent.TargetAnnounced || l.Event == logevent.TargetEnded) && targets[l.text(logevent.FieldTarget)]
+		ofRouter := (l.Event == logevent.ConfigInForce || l.Event == logevent.StateNoticed || l.Event == logevent.Stopping) && hosts[l.Host]
 		if ofTarget || ofRouter {
 			a.Lines = append(a.Lines, l)
 		}
@@ -147,8 +137,8 @@
 // byCause puts the lines of one attempt in the order in which they must have come about,
 // and all others by their time: clocks of hosts may differ, and may jump.
 func byCause(a, b Line) int {
-	if a.text("request") != "" && a.text("request") == b.text("request") && a.Host == b.Host {
-		return cmp.Or(cmp.Compare(a.number("attempt"), b.number("attempt")), cmp.Compare(rank(a), rank(b)), a.Time.Compare(b.Time))
+	if a.text(logevent.FieldRequest) != "" && a.text(logevent.FieldRequest) == b.text(logevent.FieldRequest) && a.Host == b.Host {
+		return cmp.Or(cmp.Compare(a.number(logevent.FieldAttempt), b.number(logevent.FieldAttempt)), cmp.Compare(rank(a), rank(b)), a.Time.Compare(b.Time))
 	}
 	return a.Time.Compare(b.Time)
 }
@@ -156,9 +146,9 @@
 // rank orders the lines of one attempt.
 func rank(l Line) int {
 	switch l.Event {
-	case eventRefused:
+	case logevent.RequestRefused:
 		return 2
-	case eventEnded:
+	case logevent.AttemptEnded:
 		return 1
 	}
 	return 0
@@ -173,10 +163,10 @@
 	ended := map[float64]bool{}
 	for i := range lines {
 		switch l := &lines[i]; l.Event {
-		case eventSent:
-			sent[l.number("attempt")] = true
-		case eventEnded:
-			ended[l.number("attempt")] = true
+		case logevent.RequestSent:
+			sent[l.number(logevent.FieldAttempt)] = true
+		case logevent.AttemptEnded:
+			ended[l.number(logevent.FieldAttempt)] = true
 		}
 	}
 	for n := range sent {
@@ -187,29 +177,29 @@
 	slices.Sort(missing)
 	last := lines[len(lines)-1]
 	switch last.Event {
-	case eventRefused:
+	case logevent.RequestRefused:
 		return refusedBecause(&last), missing
-	case eventEnded:
+	case logevent.AttemptEnded:
 		return endedBecause(&last), missing
 	}
-	return fmt.Sprintf("it was sent to target %s and its end is not logged", last.text("target")), missing
+	return fmt.Sprintf("it was sent to target %s and its end is not logged", last.text(logevent.FieldTarget)), missing
 }
 
 func refusedBecause(l *Line) string {
-	s := "it was refused without having run: " + l.text("reason")
-	if after := l.text("retryAfterMs"); after != "" {
+	s := "it was refused without having run: " + l.text(logevent.FieldReason)
+	if after := l.text(logevent.FieldRetryAfter); after != "" {
 		s += fmt.Sprintf("; it may come back after %s ms", after)
 	}
 	return s
 }
 
 func endedBecause(l *Line) string {
-	parts := []string{fmt.Sprintf("attempt %s at target %s ended as %s", l.text("attempt"), l.text("target"), l.text("outcome"))}
-	if status := l.text("status"); status != "" && status != "0" {
+	parts := []string{fmt.Sprintf("attempt %s at target %s ended as %s", l.text(logevent.FieldAttempt), l.text(logevent.FieldTarget), l.text(logevent.FieldOutcome))}
+	if status := l.text(logevent.FieldStatus); status != "" && status != "0" {
 		parts = append(parts, "status "+status)
 	}
-	if e := l.text("error"); e != "" {
+	if e := l.text(logevent.FieldError); e != "" {
 		parts = append(parts, e)
 	}
-	return strings.Join(parts, "; ") + fmt.Sprintf(", %s ms after the request arrived", l.text("elapsedMs"))
+	return strings.Join(parts, "; ") + fmt.Sprintf(", %s ms after the request arrived", l.text(logevent.FieldElapsed))
 }
--- a/fleet/program/program.go
+++ b/fleet/program/program.go
@@ -18,6 +18,7 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/settings"
 )
 
@@ -143,7 +144,7 @@
 		spec.Modules(),
 	)
 	if err := app.Err(); err != nil {
-		log.Error("Build", "error", err)
+		log.Error(logevent.Build, "error", err)
 		return ExitError
 	}
 	signals := make(chan os.Signal, 2)
@@ -152,10 +153,10 @@
 	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
-		log.Error("Start", "error", err)
+		log.Error(logevent.Start, "error", err)
 		return ExitError
 	}
-	log.Info("Started", "version", Version, "pid", os.Getpid())
+	log.Info(logevent.Started, "version", Version, "pid", os.Getpid())
 	select {
 	case <-signals:
 	case sig := <-app.Wait():
@@ -190,23 +191,23 @@
 }
 
 func stop(app *fx.App, log *slog.Logger, signals <-chan os.Signal, force chan<- struct{}, code int) int {
-	log.Info("Stopping")
+	log.Info(logevent.Stopping)
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	go func() {
 		select {
 		case <-signals:
-			log.Warn("StopForced")
+			log.Warn(logevent.StopForced)
 			close(force)
 			time.AfterFunc(ForcedStopLimit, cancel)
 		case <-ctx.Done():
 		}
 	}()
 	if err := app.Stop(ctx); err != nil {
-		log.Error("Stop", "error", err)
+		log.Error(logevent.Stop, "error", err)
 		return ExitCancelled
 	}
-	log.Info("Stopped")
+	log.Info(logevent.Stopped)
 	return code
 }
 
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -15,6 +15,7 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/deployment"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/packed"
 	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
@@ -87,7 +88,7 @@
 		},
 		Up: f.join,
 		Down: func(addr netip.AddrPort) {
-			cfg.Log.Warn("ControlLost", "control", addr.String())
+			cfg.Log.Warn(logevent.ControlLost, "control", addr.String())
 			f.mu.Lock()
 			delete(f.notices, addr)
 			f.mu.Unlock()
@@ -168,10 +169,10 @@
 	defer cancel()
 	var reply fleet.JoinReply
 	if err := peer.Call(ctx, fleet.MethodJoin, &req, &reply); err != nil {
-		f.cfg.Log.Warn("JoinFailed", "control", addr.String(), "error", err)
+		f.cfg.Log.Warn(logevent.JoinFailed, "control", addr.String(), "error", err)
 		return
 	}
-	f.cfg.Log.Info("ControlJoined", "control", addr.String())
+	f.cfg.Log.Info(logevent.ControlJoined, "control", addr.String())
 }
 
 // handle takes a notification of a control host.
@@ -216,7 +217,7 @@
 	peers := f.peers()
 	f.mu.Unlock()
 	if newer {
-		f.cfg.Log.Info("StateNoticed", "control", addr.String(), "revision", uint64(n.Revision), "number", int64(n.Number), "out", n.Out)
+		f.cfg.Log.Info(logevent.StateNoticed, "control", addr.String(), "revision", uint64(n.Revision), "number", int64(n.Number), "out", n.Out)
 		f.cfg.Reduce(placement.OutChanged{Out: n.Out})
 	}
 	f.cfg.Reduce(peers)
@@ -252,7 +253,7 @@
 	}()
 	config, err := f.fetchFrom(addr)
 	if err != nil {
-		f.cfg.Log.Error("ConfigFetchFailed", "control", addr.String(), "error", err)
+		f.cfg.Log.Error(logevent.ConfigFetchFailed, "control", addr.String(), "error", err)
 		return
 	}
 	f.mu.Lock()
@@ -262,7 +263,7 @@
 	}
 	f.config, f.configAt = config, f.cfg.Clock.Now()
 	f.cfg.Reduce(placement.Configured{Config: config})
-	f.cfg.Log.Info("ConfigInForce", "number", int64(config.Number), "routes", len(config.Routes),
+	f.cfg.Log.Info(logevent.ConfigInForce, "number", int64(config.Number), "routes", len(config.Routes),
 		"tokensPerSecond", config.TokensPerSecond, "control", addr.String())
 }
 
--- a/router/feed/report.go
+++ b/router/feed/report.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
 )
 
@@ -61,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if err := client.Notify(ctx, fleet.MethodLoad, &load); err != nil {
-		f.cfg.Log.Debug("ReportFailed", "control", addr.String(), "error", err)
+		f.cfg.Log.Debug(logevent.ReportFailed, "control", addr.String(), "error", err)
 	}
 }
 
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -5,6 +5,7 @@
 	"log/slog"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet/latency"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
 )
 
@@ -22,20 +23,21 @@
 
 // sent logs the choice of a target and what decided it.
 func (f *Forwarder) sent(req *Request, s placement.Send) {
-	f.cfg.Log.Info("RequestSent", "request", string(req.Call.Request), "route", req.Call.Route.Name,
-		"customer", string(req.Call.Customer), "attempt", s.Attempt, "target", string(s.Target),
-		"incarnation", uint64(s.Incarnation), "rank", s.Reason.Rank, "candidates", s.Reason.Candidates,
-		"waitingTokens", s.Reason.Waiting, "readTokens", s.Reason.Read, "running", s.Reason.Running,
-		"expectedMs", s.Reason.Expected.Milliseconds(), "digestAgeMs", s.Reason.DigestAge.Milliseconds())
+	f.cfg.Log.Info(logevent.RequestSent, logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
+		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldAttempt, s.Attempt, logevent.FieldTarget, string(s.Target),
+		logevent.FieldIncarnation, uint64(s.Incarnation), logevent.FieldRank, s.Reason.Rank, logevent.FieldCandidates, s.Reason.Candidates,
+		logevent.FieldWaiting, s.Reason.Waiting, logevent.FieldRead, s.Reason.Read, logevent.FieldRunning, s.Reason.Running,
+		logevent.FieldExpected, s.Reason.Expected.Milliseconds(), logevent.FieldDigestAge, s.Reason.DigestAge.Milliseconds())
 }
 
 // refused logs a refusal.
 func (f *Forwarder) refused(req *Request, e placement.Refuse) {
 	refusals.Add(string(e.Reason), 1)
-	f.cfg.Log.Info("RequestRefused", "request", string(req.Call.Request), "route", req.Call.Route.Name,
-		"customer", string(req.Call.Customer), "reason", string(e.Reason), "retryAfterMs", e.RetryAfter.Milliseconds(),
-		"expectedMs", e.Basis.Expected.Milliseconds(), "waitMs", e.Basis.Wait.Milliseconds(), "candidates", e.Basis.Candidates,
-		"waitingTokens", e.Basis.Waiting, "share", e.Share, "digestAgeMs", e.Basis.DigestAge.Milliseconds())
+	// A warning, for a request that failed has no other line: it is dropped last.
+	f.cfg.Log.Warn(logevent.RequestRefused, logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
+		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldReason, string(e.Reason), logevent.FieldRetryAfter, e.RetryAfter.Milliseconds(),
+		logevent.FieldExpected, e.Basis.Expected.Milliseconds(), logevent.FieldWait, e.Basis.Wait.Milliseconds(), logevent.FieldCandidates, e.Basis.Candidates,
+		logevent.FieldWaiting, e.Basis.Waiting, logevent.FieldShare, e.Share, logevent.FieldDigestAge, e.Basis.DigestAge.Milliseconds())
 }
 
 // ended logs how an attempt ended.
@@ -45,8 +47,8 @@
 		retries.Add(string(o), 1)
 	}
 	attrs := []any{
-		"request", string(x.req.Call.Request), "attempt", x.send.Attempt, "target", string(x.send.Target),
-		"outcome", string(o), "status", x.status, "elapsedMs", f.cfg.Clock.Now().Sub(x.req.Call.Arrived).Milliseconds(),
+		logevent.FieldRequest, string(x.req.Call.Request), logevent.FieldAttempt, x.send.Attempt, logevent.FieldTarget, string(x.send.Target),
+		logevent.FieldOutcome, string(o), logevent.FieldStatus, x.status, logevent.FieldElapsed, f.cfg.Clock.Now().Sub(x.req.Call.Arrived).Milliseconds(),
 	}
 	level := slog.LevelInfo
 	route := x.req.Call.Route.Name
@@ -55,13 +57,13 @@
 		seen := x.firstByte.Sub(x.sentAt)
 		times.Record("FirstByte "+route, seen)
 		expectedOff.Record(route, (seen - x.send.Reason.Expected).Abs())
-		attrs = append(attrs, "firstByteMs", x.firstByte.Sub(x.sentAt).Milliseconds())
+		attrs = append(attrs, logevent.FieldFirstByte, x.firstByte.Sub(x.sentAt).Milliseconds())
 	}
 	if x.detail != nil {
-		attrs = append(attrs, "error", x.detail.Error())
+		attrs = append(attrs, logevent.FieldError, x.detail.Error())
 	}
 	if o != placement.Answered {
 		level = slog.LevelWarn
 	}
-	f.cfg.Log.Log(x.ctx, level, "AttemptEnded", attrs...)
+	f.cfg.Log.Log(x.ctx, level, logevent.AttemptEnded, attrs...)
 }
--- a/router/internal/control/ledger.go
+++ b/router/internal/control/ledger.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
 )
 
@@ -92,7 +93,7 @@
 	var reply fleet.LedgerBeginReply
 	err := l.cfg.Control.Call(ctx, fleet.MethodLedgerBegin, e.Begin, &reply)
 	if err != nil {
-		l.cfg.Log.Warn("LedgerBeginFailed", "request", string(e.Request), "error", err)
+		l.cfg.Log.Warn(logevent.LedgerBeginFailed, "request", string(e.Request), "error", err)
 	}
 	l.mu.Lock()
 	delete(l.begins, e.Request)
@@ -115,7 +116,7 @@
 			l.cfg.Events.Post(routing.LedgerEnded{Request: e.Request})
 			return
 		}
-		l.cfg.Log.Warn("LedgerEndFailed", "request", string(e.Request), "error", err)
+		l.cfg.Log.Warn(logevent.LedgerEndFailed, "request", string(e.Request), "error", err)
 		select {
 		case <-ctx.Done():
 			return
--- a/router/internal/engine/engine.go
+++ b/router/internal/engine/engine.go
@@ -8,6 +8,7 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/eventlog"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/routing"
 )
 
@@ -134,7 +135,7 @@
 	now := e.cfg.Clock.Now()
 	if e.cfg.Events != nil {
 		if err := e.cfg.Events.Write(now, ev); err != nil {
-			e.cfg.Log.Error("EventLog", "error", err)
+			e.cfg.Log.Error(logevent.EventLog, "error", err)
 		}
 	}
 	for _, eff := range e.cfg.Router.Reduce(now, ev) {
@@ -154,7 +155,7 @@
 	}
 	p := e.performers[eff.EffectName()]
 	if p == nil {
-		e.cfg.Log.Error("EffectUnknown", "effect", eff.EffectName())
+		e.cfg.Log.Error(logevent.EffectUnknown, "effect", eff.EffectName())
 		return
 	}
 	p.Perform(eff)
