Fair shares: balanced by what customers got, over a third of the window

Ruled out: processor time of the crowded router (63 % of its share, timers at most 12 ms late, trial); its connections (1,025).

Routers report what of each customer's work went to engines; a customer that got more than the mean of those held to a share is held back by that ratio, at most to half (TestBalancedSharesOfACrowd: 0.33 of the other's part before, 0.7 and more after). Demand is counted over a third of the window.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -57,6 +57,9 @@
 	// Self is the address for the fleet's own processes. It names the host, too.
 	Self       netip.AddrPort
 	DataCentre fleet.DataCentreName
+	// Listen is where the host takes the other processes' connections, when they reach it
+	// by another address than its own one; the zero value is Self.
+	Listen netip.AddrPort
 	// Seeds are addresses of control hosts for the fleet's own processes.
 	Seeds []netip.AddrPort
 	// Bootstrap is set at the first start of the whole deployment only.
@@ -106,14 +109,18 @@
 		cfg: cfg, host: HostOf(cfg.Self), started: cfg.Clock.Now(), seeds: cfg.Seeds, targets: targets.New(), stop: make(chan struct{}),
 	}
 	c.hub = newHub(c)
-	c.loads = newLoads(cfg.DemandWindow)
+	c.loads = newLoads(cfg.DemandWindow / demandParts)
 	c.mesh = rpc.NewMesh(rpc.MeshConfig{
 		Plain: true, Up: c.joinPeer,
 		Handler: func(netip.AddrPort) rpc.Handler { return rpc.HandlerFunc(c.handle) },
 	})
 	c.transport = replicas.New(replicas.Config{Mesh: c.mesh, Resolve: resolve})
+	listen := cfg.Listen
+	if !listen.IsValid() {
+		listen = cfg.Self
+	}
 	c.server = rpc.NewServer(rpc.ServerConfig{
-		Address: cfg.Self, Plain: true, Handler: rpc.HandlerFunc(c.handle), Gone: c.hub.gone, Log: cfg.Log,
+		Address: listen, Plain: true, Handler: rpc.HandlerFunc(c.handle), Gone: c.hub.gone, Log: cfg.Log,
 	})
 	return c, c.openShell()
 }
--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -31,6 +31,11 @@
 	Gain: 0.5, MaxCut: 0.5, MaxPush: 0.3, Smoothing: time.Second,
 }
 
+// demandParts is how many spans of demand make the window over which shares are to be
+// kept. A customer whose demand rises tenfold counts in full after one span, and takes
+// more than its share until then.
+const demandParts = 3
+
 // allCustomers is the name under which the work of all customers is summed.
 const allCustomers fleet.CustomerName = ""
 
@@ -40,8 +45,10 @@
 	reports map[fleet.HostID]report
 	// demand is what each customer asks for, by which shares are divided; asked is the
 	// work of all of them, by which it is found how much fits.
-	demand   *fairshare.Window
-	asked    *fairshare.Window
+	demand *fairshare.Window
+	asked  *fairshare.Window
+	// sent is what of each customer's work went to engines.
+	sent     *fairshare.Window
 	governor *fairshare.Governor
 	// admitted is what was sent to engines since the last digest, in tokens.
 	admitted float64
@@ -62,7 +69,7 @@
 
 func newLoads(window time.Duration) *loads {
 	return &loads{
-		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window), asked: fairshare.NewWindow(window),
+		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window), asked: fairshare.NewWindow(window), sent: fairshare.NewWindow(window),
 		governor: fairshare.NewGovernor(governing),
 		suspects: map[fleet.ContentHash]*suspect{},
 	}
@@ -86,6 +93,7 @@
 	l.asked.Add(now, allCustomers, float64(r.Asked))
 	for _, d := range r.Demand {
 		l.demand.Add(now, d.Customer, float64(d.Tokens))
+		l.sent.Add(now, d.Customer, float64(d.Sent))
 	}
 	for _, c := range r.Suspects {
 		l.suspect(now, c)
@@ -156,7 +164,7 @@
 	for _, rate := range rates {
 		total += rate
 	}
-	return fairshare.Admitted(rates, total*admitted/load.Demand)
+	return fairshare.Balanced(rates, l.sent.Rates(now), total*admitted/load.Demand)
 }
 
 // crashed returns the requests that took down more than one target.
--- a/fleet/fairshare/fairshare.go
+++ b/fleet/fairshare/fairshare.go
@@ -52,3 +52,25 @@
 	slices.SortFunc(out, func(a, b fleet.CustomerShare) int { return cmp.Compare(a.Customer, b.Customer) })
 	return out
 }
+
+// minBalance is the least part of its share to which a customer is held back for having
+// got more than the others: their work may not be of the kind that engines are free for.
+const minBalance = 0.5
+
+// Balanced returns the shares of Admitted, less for customers that got more than the mean
+// of all that are held to a share. What is admitted is not yet served: a router refuses
+// what would be late, and a router with many callers of one customer refuses more. The
+// others' surplus is then what that customer lacks.
+func Balanced(demand, got Demand, capacity float64) []fleet.CustomerShare {
+	out := Admitted(demand, capacity)
+	mean := 0.0
+	for _, s := range out {
+		mean += got[s.Customer] / float64(len(out))
+	}
+	for i := range out {
+		if g := got[out[i].Customer]; g > mean {
+			out[i].Admitted *= max(minBalance, mean/g)
+		}
+	}
+	return out
+}
--- a/fleet/fairshare/fairshare_test.go
+++ b/fleet/fairshare/fairshare_test.go
@@ -111,3 +111,33 @@
 		})
 	}
 }
+
+// TestBalancedSharesOfACrowd has two customers ask for twice what there is. The router of
+// the first one has a crowd and finds three of four free places taken: of what exceeds
+// the capacity, more is refused to the first.
+func TestBalancedSharesOfACrowd(t *testing.T) {
+	convey.Convey("Customers with equal shares get the same, though routers refuse one more often", t, func() {
+		const capacity, asked = 1000.0, 4000.0
+		got := func(shares func(demand, got fairshare.Demand) []fleet.CustomerShare) fairshare.Demand {
+			demand := fairshare.Demand{"crowd": asked, "spread": asked}
+			served := fairshare.Demand{}
+			for range 50 {
+				admitted := fairshare.Demand{}
+				for _, s := range shares(demand, served) {
+					admitted[s.Customer] = s.Admitted * asked
+				}
+				spread := min(admitted["spread"], capacity*3/4)
+				served = fairshare.Demand{"spread": spread, "crowd": min(admitted["crowd"], capacity-spread)}
+			}
+			return served
+		}
+		// More is believed to fit than does.
+		const believed = 1.6 * capacity
+		plain := got(func(demand, _ fairshare.Demand) []fleet.CustomerShare { return fairshare.Admitted(demand, believed) })
+		convey.So(plain["crowd"], convey.ShouldBeLessThan, plain["spread"]/2)
+		balanced := got(func(demand, got fairshare.Demand) []fleet.CustomerShare {
+			return fairshare.Balanced(demand, got, believed)
+		})
+		convey.So(balanced["crowd"], convey.ShouldBeGreaterThan, balanced["spread"]*0.7)
+	})
+}
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -120,6 +120,8 @@
 type CustomerDemand struct {
 	Customer CustomerName `json:"C"`
 	Tokens   int          `json:"T"`
+	// Sent is the part of it that went to engines.
+	Sent int `json:"S,omitempty"`
 }
 
 // SuspectCount is the number of targets that went down while they ran a request.
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -43,7 +43,7 @@
 // reportState is what this router reports besides the load of its targets.
 type reportState struct {
 	sequence fleet.Sequence
-	demand   map[fleet.CustomerName]int
+	demand   map[fleet.CustomerName]fleet.CustomerDemand
 	asked    int
 	admitted int
 	suspects map[fleet.ContentHash]int
@@ -53,7 +53,7 @@
 
 func newReportState() reportState {
 	return reportState{
-		demand:   map[fleet.CustomerName]int{},
+		demand:   map[fleet.CustomerName]fleet.CustomerDemand{},
 		suspects: map[fleet.ContentHash]int{}, known: map[fleet.ContentHash]int{},
 	}
 }
@@ -70,11 +70,27 @@
 
 func (s *reportState) demanded(k *call) {
 	if k.Customer != "" && k.Prompt.Tokens > 0 {
-		s.demand[k.Customer] += shareTokens(&k.Call)
+		s.addDemand(k.Customer, shareTokens(&k.Call), 0)
 		s.asked += tokensOf(&k.Call)
 	}
 }
 
+// sent notes that a call goes to an engine.
+func (s *reportState) sent(k *call) {
+	if k.Prompt.Tokens == 0 {
+		return
+	}
+	s.admitted += tokensOf(&k.Call)
+	if k.Customer != "" {
+		s.addDemand(k.Customer, 0, shareTokens(&k.Call))
+	}
+}
+
+func (s *reportState) addDemand(c fleet.CustomerName, asked, sent int) {
+	d := s.demand[c]
+	s.demand[c] = fleet.CustomerDemand{Customer: c, Tokens: d.Tokens + asked, Sent: d.Sent + sent}
+}
+
 // crashed notes that a target broke off while it ran a call.
 func (s *reportState) crashed(k *call) {
 	if k.Content != "" {
@@ -99,15 +115,15 @@
 		}
 	}
 	slices.SortFunc(out.Targets, func(a, b fleet.TargetLoad) int { return cmp.Compare(a.Target, b.Target) })
-	for c, tokens := range s.demand {
-		out.Demand = append(out.Demand, fleet.CustomerDemand{Customer: c, Tokens: tokens})
+	for _, d := range s.demand {
+		out.Demand = append(out.Demand, d)
 	}
 	slices.SortFunc(out.Demand, func(a, b fleet.CustomerDemand) int { return cmp.Compare(a.Customer, b.Customer) })
 	for c, n := range s.suspects {
 		out.Suspects = append(out.Suspects, fleet.SuspectCount{Content: c, Crashes: n})
 	}
 	slices.SortFunc(out.Suspects, func(a, b fleet.SuspectCount) int { return cmp.Compare(a.Content, b.Content) })
-	s.demand = map[fleet.CustomerName]int{}
+	s.demand = map[fleet.CustomerName]fleet.CustomerDemand{}
 	s.suspects = map[fleet.ContentHash]int{}
 	return out
 }
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -227,9 +227,7 @@
 	k.expected = reason.Expected
 	r.calls[k.ID] = k
 	t.take(k)
-	if k.Prompt.Tokens > 0 {
-		r.report.admitted += tokensOf(&k.Call)
-	}
+	r.report.sent(k)
 	if r.isCold(t) {
 		t.coldSends = append(t.coldSends, r.now)
 	}
