A crowd at one router: spread by the directory, refused by a ready answer

Callers of such a customer stay whatever the directory says.

Below that, a router that uses more than 70 % of its processor share or connections is left out of the directory's answers for a part of the callers, always the same ones (fleet/shedding; TestCrowdAtOneRouter: 200 callers at one of ten routers that bear 60 each end with at most 60 at any).

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -254,7 +254,7 @@
 		if err := fleet.Decode(params, &r); err != nil {
 			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
 		}
-		c.hub.heard(peer, r.Stopping)
+		c.hub.heard(peer, &r)
 		c.loads.take(c.cfg.Clock.Now(), r)
 		return nil, nil
 	case fleet.MethodTargets:
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -167,7 +167,7 @@
 		convey.So(g.cores[1].SetOut(context.Background(), "b", true), convey.ShouldBeNil)
 		convey.So(eventually(func() bool { return f.isOut("b") }, time.Second), convey.ShouldBeTrue)
 		convey.Convey("and a host that is asked names the router to callers", func() {
-			convey.So(eventually(func() bool { return len(g.cores[1].Routers("a")) == 1 }, 2*time.Second), convey.ShouldBeTrue)
+			convey.So(eventually(func() bool { return len(g.cores[1].Routers("a", "caller")) == 1 }, 2*time.Second), convey.ShouldBeTrue)
 		})
 	})
 }
@@ -220,7 +220,7 @@
 		}
 		follow(g.addrs[0], "router-1")
 		convey.So(eventually(func() bool { return g.cores[0].Beliefs().Notice.Routers != nil }, time.Second), convey.ShouldBeTrue)
-		convey.So(g.cores[0].Routers("a"), convey.ShouldBeEmpty)
-		convey.So(eventually(func() bool { return len(g.cores[0].Routers("a")) == 1 }, 3*time.Second), convey.ShouldBeTrue)
+		convey.So(g.cores[0].Routers("a", "caller"), convey.ShouldBeEmpty)
+		convey.So(eventually(func() bool { return len(g.cores[0].Routers("a", "caller")) == 1 }, 3*time.Second), convey.ShouldBeTrue)
 	})
 }
--- a/control/core/hub.go
+++ b/control/core/hub.go
@@ -10,6 +10,7 @@
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
+	"github.com/fuchsiashed/fuchsiashed/fleet/shedding"
 	"github.com/fuchsiashed/fuchsiashed/fleet/targets"
 )
 
@@ -43,6 +44,8 @@
 
 // follower is one process that follows the feed, with what it has not been told yet.
 type follower struct {
+	// away is the part of a router's callers that should use other routers.
+	away float64
 	fleet.JoinRequest
 	peer  fleet.Caller
 	heard time.Time
@@ -117,11 +120,11 @@
 }
 
 // heard notes that a router reported.
-func (h *hub) heard(peer fleet.Caller, stopping bool) {
+func (h *hub) heard(peer fleet.Caller, r *fleet.RouterLoad) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if f := h.followers[peer]; f != nil {
-		f.heard, f.Stopping = h.core.cfg.Clock.Now(), stopping
+		f.heard, f.Stopping, f.away = h.core.cfg.Clock.Now(), r.Stopping, r.Away
 	}
 }
 
@@ -276,26 +279,27 @@
 	return h.countRouters(), h.most
 }
 
-// Routers returns the routers that callers may use, those of a data centre first.
+// Routers returns the routers that a caller may use, those of a data centre first. Routers
+// with a crowd are left out for a part of the callers, always the same ones.
 //
 // A host that has just started, or is cut off from most of them, knows a few routers
 // only, which all of its callers would fall upon. It names none, and its callers go on
 // with what they know.
-func (c *Core) Routers(near fleet.DataCentreName) []RouterAddress {
+func (c *Core) Routers(near fleet.DataCentreName, caller string) []RouterAddress {
 	now := c.cfg.Clock.Now()
 	if now.Sub(c.started) < joinTime || !c.reachesRouters() {
 		return nil
 	}
-	return c.listed(near)
+	return c.listed(near, caller)
 }
 
 // listed returns the routers that take callers, as far as this host can tell.
-func (c *Core) listed(near fleet.DataCentreName) []RouterAddress {
+func (c *Core) listed(near fleet.DataCentreName, caller string) []RouterAddress {
 	now := c.cfg.Clock.Now()
 	c.hub.mu.Lock()
 	defer c.hub.mu.Unlock()
 	var all, heard []RouterAddress
-	seen := map[netip.AddrPort]bool{}
+	seen, spared := map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
 	for _, f := range c.hub.followers {
 		if f.Role != fleet.RoleRouter || f.Stopping || seen[f.Address] {
 			continue
@@ -303,6 +307,9 @@
 		seen[f.Address] = true
 		a := RouterAddress{Address: f.Address, DataCentre: f.DataCentre}
 		all = append(all, a)
+		if shedding.Spares(f.away, f.Address.String(), caller) {
+			spared[f.Address] = true
+		}
 		if now.Sub(f.heard) <= routerSilentAfter {
 			heard = append(heard, a)
 		}
@@ -313,6 +320,9 @@
 		// and the first that it hears must not get all callers.
 		out = all
 	}
+	if 2*len(spared) <= len(out) {
+		out = slices.DeleteFunc(out, func(a RouterAddress) bool { return spared[a.Address] })
+	}
 	slices.SortFunc(out, func(a, b RouterAddress) int {
 		if an, bn := a.DataCentre == near, b.DataCentre == near; an != bn {
 			if an {
--- a/control/core/hub_test.go
+++ b/control/core/hub_test.go
@@ -39,15 +39,15 @@
 		for i := range 10 {
 			followers = append(followers, add(i))
 		}
-		convey.So(len(c.listed("a")), convey.ShouldEqual, 10)
+		convey.So(len(c.listed("a", "caller")), convey.ShouldEqual, 10)
 		clock.now = clock.now.Add(4 * time.Second)
 		followers[3].heard = clock.now
-		convey.So(len(c.listed("a")), convey.ShouldEqual, 10)
+		convey.So(len(c.listed("a", "caller")), convey.ShouldEqual, 10)
 		convey.Convey("but leaves out the few that fell silent", func() {
 			for _, f := range followers[1:] {
 				f.heard = clock.now
 			}
-			convey.So(len(c.listed("a")), convey.ShouldEqual, 9)
+			convey.So(len(c.listed("a", "caller")), convey.ShouldEqual, 9)
 		})
 	})
 }
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -147,10 +147,17 @@
 	Suspects []SuspectCount `json:",omitempty"`
 	// Stopping says that the router takes no new callers.
 	Stopping bool `json:",omitempty"`
+	// Away is the part of the router's callers that should use other routers, 0 to 1.
+	Away float64 `json:",omitempty"`
 }
 
 // Check implements Checker.
-func (r *RouterLoad) Check() error { return CheckName("Host", string(r.Host)) }
+func (r *RouterLoad) Check() error {
+	if r.Away < 0 || r.Away > 1 {
+		return errors.Errorf("Away is %g; a part from 0 to 1 is wanted", r.Away)
+	}
+	return CheckName("Host", string(r.Host))
+}
 
 // CustomerShare is the part of a customer's demand that fits its fair share.
 type CustomerShare struct {
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -37,6 +37,8 @@
 	ControlLost       Event = "ControlLost"
 	JoinFailed        Event = "JoinFailed"
 	FollowerJoined    Event = "FollowerJoined"
+	CallersSpread     Event = "CallersSpread"
+	LoadUnknown       Event = "LoadUnknown"
 	FollowerLeft      Event = "FollowerLeft"
 	NotifyFailed      Event = "NotifyFailed"
 	ReportFailed      Event = "ReportFailed"
--- /dev/null
+++ b/fleet/shedding/shedding.go
@@ -0,0 +1,59 @@
+// Package shedding spreads the callers of a router that gets more of them than it bears.
+// The router finds which part of its callers has to go elsewhere, and those who name
+// routers to callers leave it out for that part, the same callers each time.
+package shedding
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Config configures a Shedder.
+type Config struct {
+	// Full is the load, as a part of what the router bears, above which it sends callers
+	// away, and below which it takes them back.
+	Full float64
+	// Rate is by how much the part sent away grows in a second, for a load that exceeds
+	// Full by what the router bears; Release by how much it shrinks. Callers follow within
+	// seconds, so both have to be slow, and Release slower: those who come back leave
+	// routers that bear them.
+	Rate, Release float64
+	// Most bounds the part that is sent away.
+	Most float64
+}
+
+// Shedder follows the load of one router.
+type Shedder struct {
+	cfg  Config
+	away float64
+	at   time.Time
+}
+
+// New makes a Shedder that sends nobody away.
+func New(cfg Config) *Shedder { return &Shedder{cfg: cfg} }
+
+// Update takes the load of the time since the last Update, and returns the part of the
+// callers that should use other routers, from 0 to Most.
+func (s *Shedder) Update(now time.Time, load float64) float64 {
+	if !s.at.IsZero() {
+		rate := s.cfg.Rate
+		if load < s.cfg.Full {
+			rate = s.cfg.Release
+		}
+		s.away += (load - s.cfg.Full) * rate * now.Sub(s.at).Seconds()
+		s.away = min(max(s.away, 0), s.cfg.Most)
+	}
+	s.at = now
+	return s.away
+}
+
+// Spares says whether a router that sends a part of its callers away is to be left out of
+// the answer to one caller. Both are named by any text that stays the same.
+func Spares(away float64, router, caller string) bool {
+	if away <= 0 {
+		return false
+	}
+	const steps = 1 << 16
+	return float64(xxhash.Sum64String(router+" "+caller)%steps) < away*steps
+}
--- /dev/null
+++ b/fleet/shedding/shedding_test.go
@@ -0,0 +1,63 @@
+package shedding_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet/shedding"
+)
+
+// TestCrowdAtOneRouter has two hundred callers of one customer come to one of ten routers,
+// each of which bears 60. A caller whose answer lacks its router goes to the next one in
+// the customer's order, two seconds later.
+func TestCrowdAtOneRouter(t *testing.T) {
+	convey.Convey("A crowd is spread over routers until none has more than it bears, and comes back when it shrinks", t, func() {
+		const routers, bears, delay = 10, 60, 20
+		cfg := shedding.Config{Full: 0.7, Rate: 0.3, Release: 0.05, Most: 0.9}
+		var shedders [routers]*shedding.Shedder
+		for i := range shedders {
+			shedders[i] = shedding.New(cfg)
+		}
+		now := time.Unix(1_700_000_000, 0)
+		var history [][routers]float64
+		load := [routers]float64{}
+		crowd := 200
+		run := func(steps int) {
+			for range steps {
+				now = now.Add(100 * time.Millisecond)
+				away := [routers]float64{}
+				for i, s := range shedders {
+					away[i] = s.Update(now, min(load[i]/bears, 1))
+				}
+				history = append(history, away)
+				known := history[max(0, len(history)-delay)]
+				load = [routers]float64{}
+				for c := range crowd {
+					for i := range routers {
+						if i == routers-1 || !shedding.Spares(known[i], fmt.Sprint("router-", i), fmt.Sprint("caller-", c)) {
+							load[i]++
+							break
+						}
+					}
+				}
+			}
+		}
+		run(1)
+		convey.So(load[0], convey.ShouldEqual, 200)
+		run(300)
+		worst := 0.0
+		for range 100 {
+			run(1)
+			for _, l := range load {
+				worst = max(worst, l)
+			}
+		}
+		convey.So(worst, convey.ShouldBeLessThanOrEqualTo, bears)
+		crowd = 20
+		run(600)
+		convey.So(load[0], convey.ShouldEqual, 20)
+	})
+}
--- /dev/null
+++ b/router/crowd/crowd.go
@@ -0,0 +1,120 @@
+// Package crowd watches whether a router gets more callers than it bears.
+package crowd
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
+	"github.com/fuchsiashed/fuchsiashed/fleet/shedding"
+)
+
+// interval is the time between two looks. Callers follow within a second or more.
+const interval = 500 * time.Millisecond
+
+// spreading sends callers away from 70 % of what a router bears: from there on requests
+// wait for processor time. A router at its limit sends 9 % more of them away each second.
+var spreading = shedding.Config{Full: 0.7, Rate: 0.3, Release: 0.05, Most: 0.9}
+
+// Config configures a Watch.
+type Config struct {
+	// Share is the part of a processor that the process may use; 0 when it is not known.
+	Share float64
+	// MaxConnections is how many connections of callers the process bears; 0 for any number.
+	MaxConnections int64
+	// Connections returns how many there are.
+	Connections func() int64
+	// Used returns the processor time that the process has used; ProcessorTime if nil.
+	Used func() (time.Duration, error)
+	// Tell takes the part of the callers that should use other routers.
+	Tell  func(away float64)
+	Clock fleet.Clock
+	Log   *slog.Logger
+}
+
+// Watch looks at the load of its process.
+type Watch struct {
+	cfg    Config
+	spread *shedding.Shedder
+	at     time.Time
+	used   time.Duration
+	away   float64
+
+	stop chan struct{}
+	wg   sync.WaitGroup
+}
+
+// New makes a Watch; Start runs it.
+func New(cfg Config) *Watch {
+	if cfg.Used == nil {
+		cfg.Used = ProcessorTime
+	}
+	return &Watch{cfg: cfg, spread: shedding.New(spreading), stop: make(chan struct{})}
+}
+
+// Start begins to look.
+func (w *Watch) Start() {
+	w.wg.Go(func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-w.stop:
+				return
+			case <-ticker.C:
+				w.Look()
+			}
+		}
+	})
+}
+
+// Stop ends it.
+func (w *Watch) Stop() {
+	close(w.stop)
+	w.wg.Wait()
+}
+
+// Look measures the load since the last call and tells what follows from it.
+func (w *Watch) Look() {
+	now := w.cfg.Clock.Now()
+	load := w.load(now)
+	away := w.spread.Update(now, load)
+	if (away > 0) != (w.away > 0) {
+		w.cfg.Log.Info(logevent.CallersSpread, "away", away, "load", load, "connections", w.cfg.Connections())
+	}
+	w.away = away
+	w.cfg.Tell(away)
+}
+
+// load returns the larger part that is used of the processor time and the connections.
+func (w *Watch) load(now time.Time) float64 {
+	load := 0.0
+	if w.cfg.MaxConnections > 0 {
+		load = float64(w.cfg.Connections()) / float64(w.cfg.MaxConnections)
+	}
+	used, err := w.cfg.Used()
+	if err != nil {
+		w.cfg.Log.Warn(logevent.LoadUnknown, logevent.FieldError, err)
+		return load
+	}
+	passed := now.Sub(w.at)
+	if w.cfg.Share > 0 && !w.at.IsZero() && passed > 0 {
+		load = max(load, (used-w.used).Seconds()/passed.Seconds()/w.cfg.Share)
+	}
+	w.at, w.used = now, used
+	return load
+}
+
+// ProcessorTime returns the processor time that this process has used.
+func ProcessorTime() (time.Duration, error) {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		return 0, errors.Wrap(err, "processor time")
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
--- /dev/null
+++ b/router/crowd/listener.go
@@ -0,0 +1,120 @@
+package crowd
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"time"
+)
+
+const (
+	// turnedAwayAtOnce bounds the connections that are being refused; more are reset.
+	turnedAwayAtOnce = 128
+	// turnAwayLimit bounds the time that refusing one connection takes.
+	turnAwayLimit = time.Second
+	// turnAwayBuffer is how much of a request is read at once, in bytes.
+	turnAwayBuffer = 16 << 10
+	// maxTurnedAway bounds what is read of a request that is refused, in bytes: a caller
+	// that is still sending when its connection is closed may lose the answer.
+	maxTurnedAway = 256 << 10
+)
+
+// Listener accepts connections as long as there are not too many, and refuses the
+// requests on the others by a ready answer, for a fraction of what serving them costs.
+type Listener struct {
+	net.Listener
+	// Full says whether a connection is to be refused.
+	Full func() bool
+	// Answer returns the refusal of a request, with what was read of it.
+	Answer func(request []byte) []byte
+	// Refused is told of each refusal.
+	Refused func()
+
+	slots chan struct{}
+}
+
+// NewListener puts a Listener before another one.
+func NewListener(ln net.Listener, full func() bool, answer func([]byte) []byte, refused func()) *Listener {
+	return &Listener{Listener: ln, Full: full, Answer: answer, Refused: refused, slots: make(chan struct{}, turnedAwayAtOnce)}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil || !l.Full() {
+			return c, err
+		}
+		l.Refused()
+		select {
+		case l.slots <- struct{}{}:
+			go func() {
+				l.turnAway(c)
+				<-l.slots
+			}()
+		default:
+			reset(c)
+		}
+	}
+}
+
+// reset ends a connection at once.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// Without it the close takes longer, and that is all.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// turnAway answers the first request of a connection, reads what is left of it, and closes.
+func (l *Listener) turnAway(c net.Conn) {
+	defer c.Close()
+	if c.SetDeadline(time.Now().Add(turnAwayLimit)) != nil {
+		return
+	}
+	buf := make([]byte, turnAwayBuffer)
+	n := 0
+	for !bytes.Contains(buf[:n], []byte("\r\n\r\n")) {
+		if n == len(buf) {
+			return
+		}
+		m, err := c.Read(buf[n:])
+		if err != nil {
+			return
+		}
+		n += m
+	}
+	if _, err := c.Write(l.Answer(buf[:n])); err != nil {
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok && tcp.CloseWrite() != nil {
+		return
+	}
+	for read := n; read < maxTurnedAway; read += n {
+		var err error
+		if n, err = c.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
+// HeaderOf returns the value of a header of a request; nil when it has none.
+func HeaderOf(request []byte, name string) []byte {
+	for line := range bytes.SplitSeq(request, []byte("\r\n")) {
+		if len(line) == 0 {
+			return nil
+		}
+		key, value, ok := bytes.Cut(line, []byte(":"))
+		if ok && bytes.EqualFold(key, []byte(name)) {
+			return bytes.TrimSpace(value)
+		}
+	}
+	return nil
+}
+
+// Unavailable returns the answer that a request has not run, with a time to come back.
+func Unavailable(after time.Duration, header string, value []byte, body string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.3f\r\n%s: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		after.Seconds(), header, value, len(body), body)
+}
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -66,6 +66,8 @@
 	config   *deployment.Configuration
 	configAt time.Time
 	fetching bool
+	// away is the part of the callers that should use other routers.
+	away     float64
 	stopping bool
 	routers  []fleet.HostID
 }
@@ -120,6 +122,14 @@
 	f.connect()
 }
 
+// SetAway sets the part of the callers that should use other routers; control hears of it
+// with the next sign of life.
+func (f *Follower) SetAway(away float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = away
+}
+
 // SetStopping tells all control hosts that the router takes no new callers.
 func (f *Follower) SetStopping() {
 	f.mu.Lock()
--- a/router/feed/report.go
+++ b/router/feed/report.go
@@ -57,7 +57,7 @@
 		return
 	}
 	f.mu.Lock()
-	load.Stopping = f.stopping
+	load.Stopping, load.Away = f.stopping, f.away
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
