--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := fleet router dispatcher control cli standin bench platform e2e
+MODULES := fleet router dispatcher control cli standin bench platform soak e2e
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 BIN := bin
 
--- a/router/crowd/listener_test.go
+++ b/router/crowd/listener_test.go
@@ -33,7 +33,7 @@
 					open.Add(1)
 				}
 			},
-			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				// The test sees a body that was not read by its answer.
 				_, _ = io.Copy(io.Discard, r.Body)
 				<-release
