A SIGHUP during a planned stop ended the process

The watch of the settings is stopped first, and with it the signal's handler: the next SIGHUP has its default effect. The log of such a router breaks off 3 s after "Stopping", without "Stopped". The same holds before the watch begins.

Ruled out: the limit of the stop (7 s), the loss of the control hosts.

The soak's plans follow a planned stop with a reload.

--- a/soak/internal/plan/plan.go
+++ b/soak/internal/plan/plan.go
@@ -216,5 +216,9 @@
 		s.For = time.Second
 	}
 	d.add(s)
+	if s.Kind == Stop {
+		// New settings may come while a process stops.
+		d.add(Step{At: at + time.Second, Kind: Reload, Subject: s.Subject})
+	}
 	return at + watch
 }
