Idle connections make room for new callers

Cause: read in the change: connections were bounded without a look at those that are idle, so that callers who keep theirs would have kept new ones out of a router that has nothing to do.

--- a/router/crowd/listener.go
+++ b/router/crowd/listener.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"fmt"
 	"net"
+	"net/http"
+	"sync"
 	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
 )
 
 const (
@@ -33,6 +37,69 @@
 	slots chan struct{}
 }
 
+// minIdle is how long a connection has been idle when it may be closed for a new one.
+// Callers in a crowd use theirs again within a second.
+const minIdle = 5 * time.Second
+
+// Connections follows the connections of a server and bounds their number. Those that
+// have been idle for long make room for new ones.
+type Connections struct {
+	// Most is the number from which new ones are refused; 0 means any number.
+	Most  int
+	Clock fleet.Clock
+
+	mu sync.Mutex
+	// idleSince holds when a connection became idle; the zero time for those in use.
+	idleSince map[net.Conn]time.Time
+}
+
+// Follow takes a change of a connection, as the server's ConnState tells it.
+func (n *Connections) Follow(c net.Conn, s http.ConnState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.idleSince == nil {
+		n.idleSince = map[net.Conn]time.Time{}
+	}
+	switch s {
+	case http.StateNew, http.StateActive:
+		n.idleSince[c] = time.Time{}
+	case http.StateIdle:
+		n.idleSince[c] = n.Clock.Now()
+	case http.StateClosed, http.StateHijacked:
+		delete(n.idleSince, c)
+	}
+}
+
+// Count returns how many there are.
+func (n *Connections) Count() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return int64(len(n.idleSince))
+}
+
+// Full says whether a new connection is to be refused. When there are too many, it closes
+// the one that has been idle longest, if that is long enough.
+func (n *Connections) Full() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.Most == 0 || len(n.idleSince) < n.Most {
+		return false
+	}
+	var oldest net.Conn
+	for c, since := range n.idleSince {
+		if !since.IsZero() && (oldest == nil || since.Before(n.idleSince[oldest])) {
+			oldest = c
+		}
+	}
+	if oldest == nil || n.Clock.Now().Sub(n.idleSince[oldest]) < minIdle {
+		return true
+	}
+	delete(n.idleSince, oldest)
+	// Its caller opens another one; a request that is on its way has not run.
+	_ = oldest.Close()
+	return false
+}
+
 // NewListener puts a Listener before another one.
 func NewListener(ln net.Listener, full func() bool, answer func([]byte) []byte, refused func()) *Listener {
 	return &Listener{Listener: ln, Full: full, Answer: answer, Refused: refused, slots: make(chan struct{}, turnedAwayAtOnce)}
--- a/router/crowd/listener_test.go
+++ b/router/crowd/listener_test.go
@@ -19,7 +19,8 @@
 func TestCrowdOfConnections(t *testing.T) {
 	convey.Convey("Connections above the limit get a whole refusal, the others are served", t, func() {
 		const limit, callers = 4, 40
-		var open, refused atomic.Int64
+		open := &crowd.Connections{Most: limit, Clock: &clock{now: time.Now()}}
+		var refused atomic.Int64
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		convey.So(err, convey.ShouldBeNil)
 		answer := func(request []byte) []byte {
@@ -28,19 +29,14 @@
 		release := make(chan struct{})
 		server := &http.Server{
 			ReadHeaderTimeout: time.Second,
-			ConnState: func(_ net.Conn, s http.ConnState) {
-				if s == http.StateNew {
-					open.Add(1)
-				}
-			},
+			ConnState:         open.Follow,
 			Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				// The test sees a body that was not read by its answer.
 				_, _ = io.Copy(io.Discard, r.Body)
 				<-release
 			}),
 		}
-		full := func() bool { return open.Load() >= limit }
-		go func() { _ = server.Serve(crowd.NewListener(ln, full, answer, func() { refused.Add(1) })) }()
+		go func() { _ = server.Serve(crowd.NewListener(ln, open.Full, answer, func() { refused.Add(1) })) }()
 		defer server.Close()
 		results := make(chan string, callers)
 		ask := func() {
@@ -70,7 +66,7 @@
 		for range limit {
 			go ask()
 		}
-		for end := time.Now().Add(5 * time.Second); open.Load() < limit && time.Now().Before(end); {
+		for end := time.Now().Add(5 * time.Second); open.Count() < limit && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
 		}
 		for range callers - limit {
@@ -90,3 +86,29 @@
 		convey.So(refused.Load(), convey.ShouldEqual, callers-limit)
 	})
 }
+
+// TestIdleConnectionsMakeRoom has callers that keep their connections for later.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	convey.Convey("Connections that have been idle for long make room, others do not", t, func() {
+		clk := &clock{now: time.Unix(1_700_000_000, 0)}
+		open := &crowd.Connections{Most: 2, Clock: clk}
+		first, far := net.Pipe()
+		second, _ := net.Pipe()
+		defer far.Close()
+		for _, c := range []net.Conn{first, second} {
+			convey.So(open.Full(), convey.ShouldBeFalse)
+			open.Follow(c, http.StateNew)
+			open.Follow(c, http.StateActive)
+		}
+		clk.now = clk.now.Add(time.Minute)
+		convey.So(open.Full(), convey.ShouldBeTrue)
+		open.Follow(first, http.StateIdle)
+		clk.now = clk.now.Add(time.Second)
+		convey.So(open.Full(), convey.ShouldBeTrue)
+		clk.now = clk.now.Add(5 * time.Second)
+		convey.So(open.Full(), convey.ShouldBeFalse)
+		convey.So(open.Count(), convey.ShouldEqual, 1)
+		_, err := far.Read(make([]byte, 1))
+		convey.So(err, convey.ShouldEqual, io.EOF)
+	})
+}
