--- a/control/core/hub.go
+++ b/control/core/hub.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"expvar"
 	"net/netip"
 	"slices"
 	"sync"
@@ -25,6 +26,9 @@
 	notifyTimeout = 3 * time.Second
 )
 
+// diversions counts, by router, the lists for callers that omit it because it sheds them.
+var diversions = expvar.NewMap("RouterDiversions")
+
 // RouterAddress is the address at which callers reach a router.
 type RouterAddress struct {
 	Address    netip.AddrPort
@@ -333,6 +337,9 @@
 		out = all
 	}
 	if 2*len(diverted) <= len(out) {
+		for a := range diverted {
+			diversions.Add(a.String(), 1)
+		}
 		out = slices.DeleteFunc(out, func(a RouterAddress) bool { return diverted[a.Address] })
 	}
 	slices.SortFunc(out, func(a, b RouterAddress) int {
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -97,6 +97,8 @@
 	FieldRoute = "route"
 	// FieldCustomer is the customer whose API key the request carries.
 	FieldCustomer = "customer"
+	// FieldCaller is the address of the caller's connection.
+	FieldCaller = "caller"
 	// FieldAttempt is the number of the attempt at this router, from 1.
 	FieldAttempt = "attempt"
 	// FieldTarget is the name of the target.
@@ -121,6 +123,9 @@
 	FieldExpectedFirstByte = "expectedMs"
 	// FieldQueueDelay is the part of FieldExpectedFirstByte that is due to other requests, in ms.
 	FieldQueueDelay = "waitMs"
+	// FieldSlowness is the time to the first byte that the router has learnt to expect from the
+	// target, as a multiple of the time by its configured capacity.
+	FieldSlowness = "slowness"
 	// FieldRank is the target's position in the rendezvous order of the prompt's shared part,
 	// from 0, or its position among the candidates if the request has no prompt.
 	FieldRank = "rank"
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -144,6 +144,7 @@
 	basis := r.basis(t, slices.Index(order, t), len(usable))
 	basis.PrefillTokens = k.prefillTokens
 	basis.QueueDelay = r.queueDelay(t, rate)
+	basis.Slowness = t.slowness * r.slownessOf(k.service)
 	basis.ExpectedFirstByte = basis.QueueDelay + seconds(float64(k.prefillTokens)/rate*t.slowness)
 	return t, basis
 }
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -207,6 +207,9 @@
 	PrefillTokens int
 	// Running is the number of requests at the target.
 	Running int
+	// Slowness is the learnt time to the first byte as a multiple of the rated one; 0 if it was
+	// not used.
+	Slowness float64
 	// DigestAge is the age of the load that the other routers reported.
 	DigestAge time.Duration
 }
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -58,6 +58,8 @@
 	// URI is the path and query as the caller sent them.
 	URI  string
 	Host string
+	// Caller is the remote address of the caller's connection, for the log.
+	Caller string
 	// Header holds the end-to-end headers. Of those in HeaderNames it has only
 	// LastEventID.
 	Header http.Header
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -26,9 +26,9 @@
 // logSent logs the chosen target and what the choice was based on.
 func (f *Forwarder) logSent(req *Request, s placement.Send) {
 	f.cfg.Log.Info(logevent.RequestSent, logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
-		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldAttempt, s.Attempt, logevent.FieldTarget, string(s.Target),
+		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldCaller, req.Caller, logevent.FieldAttempt, s.Attempt, logevent.FieldTarget, string(s.Target),
 		logevent.FieldIncarnation, uint64(s.Incarnation), logevent.FieldRank, s.Basis.Rank, logevent.FieldCandidates, s.Basis.Candidates,
-		logevent.FieldQueuedTokens, s.Basis.QueuedTokens, logevent.FieldPrefillTokens, s.Basis.PrefillTokens, logevent.FieldRunning, s.Basis.Running,
+		logevent.FieldQueuedTokens, s.Basis.QueuedTokens, logevent.FieldPrefillTokens, s.Basis.PrefillTokens, logevent.FieldRunning, s.Basis.Running, logevent.FieldSlowness, s.Basis.Slowness,
 		logevent.FieldExpectedFirstByte, s.Basis.ExpectedFirstByte.Milliseconds(), logevent.FieldDigestAge, s.Basis.DigestAge.Milliseconds())
 }
 
@@ -38,9 +38,9 @@
 	// A warning, because a refused request has no other line and warnings are dropped
 	// last.
 	f.cfg.Log.Warn(logevent.RequestRefused, logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
-		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldReason, string(e.Reason), logevent.FieldRetryAfter, e.RetryAfter.Milliseconds(),
+		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldCaller, req.Caller, logevent.FieldReason, string(e.Reason), logevent.FieldRetryAfter, e.RetryAfter.Milliseconds(),
 		logevent.FieldExpectedFirstByte, e.Basis.ExpectedFirstByte.Milliseconds(), logevent.FieldQueueDelay, e.Basis.QueueDelay.Milliseconds(), logevent.FieldCandidates, e.Basis.Candidates,
-		logevent.FieldQueuedTokens, e.Basis.QueuedTokens, logevent.FieldAdmittedShare, e.Share, logevent.FieldDigestAge, e.Basis.DigestAge.Milliseconds())
+		logevent.FieldQueuedTokens, e.Basis.QueuedTokens, logevent.FieldSlowness, e.Basis.Slowness, logevent.FieldAdmittedShare, e.Share, logevent.FieldDigestAge, e.Basis.DigestAge.Milliseconds())
 }
 
 // logEnded counts and logs the outcome of an attempt.
--- a/router/overload/listener.go
+++ b/router/overload/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -25,6 +26,9 @@
 	maxRejectedRead = 256 << 10
 )
 
+// rejections counts the connections above the limit: Answered got a response, Reset did not.
+var rejections = expvar.NewMap("CallerConnections")
+
 // Listener accepts connections while ShouldReject returns false. Other connections get a
 // prepared response to their first request, which takes a fraction of the CPU time of
 // serving it.
@@ -124,11 +128,13 @@
 		l.OnReject()
 		select {
 		case l.slots <- struct{}{}:
+			rejections.Add("Answered", 1)
 			go func() {
 				l.reject(c)
 				<-l.slots
 			}()
 		default:
+			rejections.Add("Reset", 1)
 			reset(c)
 		}
 	}
--- a/router/overload/monitor.go
+++ b/router/overload/monitor.go
@@ -53,10 +53,24 @@
 	cpuTime       time.Duration
 	redirectShare float64
 
+	mu     sync.Mutex
+	status Status
+
 	stop chan struct{}
 	wg   sync.WaitGroup
 }
 
+// Status is the result of a sample.
+type Status struct {
+	// Utilisation is the used fraction of the CPU time or of the connections, whichever is
+	// larger.
+	Utilisation float64
+	// RedirectShare is the share of callers, from 0 to 1, that should use other routers.
+	RedirectShare float64
+	// Connections is the number of open connections of callers.
+	Connections int64
+}
+
 // New returns a Monitor; Start runs it.
 func New(cfg Config) *Monitor {
 	if cfg.CPUTime == nil {
@@ -97,9 +111,19 @@
 		m.cfg.Log.Info(logevent.CallersSpread, "away", redirectShare, "load", utilisation, "connections", m.cfg.Connections())
 	}
 	m.redirectShare = redirectShare
+	m.mu.Lock()
+	m.status = Status{Utilisation: utilisation, RedirectShare: redirectShare, Connections: m.cfg.Connections()}
+	m.mu.Unlock()
 	m.cfg.Report(redirectShare)
 }
 
+// Status returns the result of the last sample.
+func (m *Monitor) Status() Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.status
+}
+
 // utilisation returns the used fraction of the CPU time or of the connections, whichever
 // is larger. The CPU time counts from the second call on.
 func (m *Monitor) utilisation(now time.Time) float64 {
