--- a/router/overload/monitor.go
+++ b/router/overload/monitor.go
@@ -19,6 +19,9 @@
 // second or more.
 const sampleInterval = 500 * time.Millisecond
 
+// saturatedCPULoad is the used fraction of the CPU time from which on goroutines wait for long.
+const saturatedCPULoad = 0.9
+
 // redirectConfig redirects callers from a utilisation of 70 % on, where requests begin
 // to wait for CPU time. A router at its limit redirects another 9 % of its callers each
 // second.
@@ -37,9 +40,8 @@
 	// CPUTime returns the CPU time that the process has used so far; nil means
 	// ProcessCPUTime.
 	CPUTime func() (time.Duration, error)
-	// Report is called after each sample with the share of callers, from 0 to 1, that
-	// should use other routers.
-	Report func(redirectShare float64)
+	// Report is called after each sample.
+	Report func(Status)
 	Clock  fleet.Clock
 	Log    *slog.Logger
 }
@@ -52,6 +54,8 @@
 	sampledAt     time.Time
 	cpuTime       time.Duration
 	redirectShare float64
+	// cpuLoad is the fraction of the CPU time that was used in the last sample.
+	cpuLoad float64
 
 	mu     sync.Mutex
 	status Status
@@ -69,6 +73,9 @@
 	RedirectShare float64
 	// Connections is the number of open connections of callers.
 	Connections int64
+	// Saturated is true if the process used nearly all of its CPU time, so that its
+	// goroutines wait for more.
+	Saturated bool
 }
 
 // New returns a Monitor; Start runs it.
@@ -111,10 +118,11 @@
 		m.cfg.Log.Info(logevent.CallersSpread, "away", redirectShare, "load", utilisation, "connections", m.cfg.Connections())
 	}
 	m.redirectShare = redirectShare
+	status := Status{Utilisation: utilisation, RedirectShare: redirectShare, Connections: m.cfg.Connections(), Saturated: m.cpuLoad >= saturatedCPULoad}
 	m.mu.Lock()
-	m.status = Status{Utilisation: utilisation, RedirectShare: redirectShare, Connections: m.cfg.Connections()}
+	m.status = status
 	m.mu.Unlock()
-	m.cfg.Report(redirectShare)
+	m.cfg.Report(status)
 }
 
 // Status returns the result of the last sample.
@@ -138,7 +146,8 @@
 	}
 	elapsed := now.Sub(m.sampledAt)
 	if m.cfg.CPUShare > 0 && !m.sampledAt.IsZero() && elapsed > 0 {
-		load = max(load, (used-m.cpuTime).Seconds()/elapsed.Seconds()/m.cfg.CPUShare)
+		m.cpuLoad = (used - m.cpuTime).Seconds() / elapsed.Seconds() / m.cfg.CPUShare
+		load = max(load, m.cpuLoad)
 	}
 	m.sampledAt, m.cpuTime = now, used
 	return load
--- a/router/overload/monitor_test.go
+++ b/router/overload/monitor_test.go
@@ -31,7 +31,7 @@
 			w := overload.New(overload.Config{
 				CPUShare: 0.2, MaxConnections: 1000, Connections: func() int64 { return c.connections },
 				CPUTime: func() (time.Duration, error) { return used, nil },
-				Report:  func(a float64) { away = a }, Clock: clk, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+				Report:  func(s overload.Status) { away = s.RedirectShare }, Clock: clk, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			})
 			for range 4 {
 				clk.now = clk.now.Add(500 * time.Millisecond)
