router/overload: answer a crowd of rejected connections instead of resetting it

Of the connections above a router's limit only 128 at a time were answered with a 503; the others were reset, so their callers came back at once without a Retry-After, and each rejected body was read at the cost of most of the CPU time that rejecting takes.

Up to 2048 connections are now answered at a time, from pooled buffers. Bodies that fit into the socket buffers stay unread; the connection is closed 300 ms after the response. Looking for an idle connection to evict no longer walks over all of them for each rejection.

TestCrowdAboveLimit failed before: 128 of 400 callers answered, 266 reset while writing and 6 while connecting.

--- /dev/null
+++ b/router/overload/limiter.go
@@ -0,0 +1,88 @@
+package overload
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// minEvictIdle is how long a connection must have been idle to be closed for a new one.
+// Under overload callers reuse their connections within a second.
+const minEvictIdle = 5 * time.Second
+
+// ConnectionLimiter tracks the connections of an http.Server and bounds their number.
+// Connections that have been idle for minEvictIdle are closed to make room for new
+// ones.
+type ConnectionLimiter struct {
+	// Max is the number of connections from which new ones are rejected; 0 means no
+	// limit.
+	Max   int
+	Clock fleet.Clock
+
+	mu sync.Mutex
+	// open has the open connections, with their elements of idle; nil for those in use.
+	open map[net.Conn]*list.Element
+	// idle has an idleConn for each connection that is not in use, longest idle first.
+	idle list.List
+}
+
+// idleConn is a connection that waits for its next request.
+type idleConn struct {
+	net.Conn
+	since time.Time
+}
+
+// Track records the new state of a connection. Set it as the server's ConnState.
+func (n *ConnectionLimiter) Track(c net.Conn, s http.ConnState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.open == nil {
+		n.open = map[net.Conn]*list.Element{}
+	}
+	if e := n.open[c]; e != nil {
+		n.idle.Remove(e)
+	}
+	switch s {
+	case http.StateNew, http.StateActive:
+		n.open[c] = nil
+	case http.StateIdle:
+		n.open[c] = n.idle.PushBack(idleConn{Conn: c, since: n.Clock.Now()})
+	case http.StateClosed, http.StateHijacked:
+		delete(n.open, c)
+	}
+}
+
+// Count returns the number of open connections.
+func (n *ConnectionLimiter) Count() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return int64(len(n.open))
+}
+
+// ShouldReject reports whether a new connection is to be rejected. At the limit it
+// closes the connection that has been idle longest and reports false, if that one has
+// been idle for minEvictIdle.
+func (n *ConnectionLimiter) ShouldReject() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.Max == 0 || len(n.open) < n.Max {
+		return false
+	}
+	e := n.idle.Front()
+	if e == nil {
+		return true
+	}
+	oldest := e.Value.(idleConn)
+	if n.Clock.Now().Sub(oldest.since) < minEvictIdle {
+		return true
+	}
+	n.idle.Remove(e)
+	delete(n.open, oldest.Conn)
+	// The caller opens another one. A request in transit on this one has not run.
+	_ = oldest.Close()
+	return false
+}
--- a/router/overload/listener.go
+++ b/router/overload/listener.go
@@ -5,28 +5,41 @@
 	"expvar"
 	"fmt"
 	"net"
-	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
-	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/pkg/errors"
 )
 
 const (
-	// maxConcurrentRejections bounds the connections that are answered with a rejection
-	// at the same time; further ones are reset.
-	maxConcurrentRejections = 128
-	// rejectTimeout bounds the time that rejecting one connection takes.
+	// maxConcurrentRejections bounds the connections that are being rejected at the same
+	// time; further ones are reset. Callers that are reset come back at once, so it is above
+	// what a saturated router accepts within rejectTimeout.
+	maxConcurrentRejections = 2048
+	// rejectTimeout bounds the wait for the header of a rejected request, and for the
+	// response to be sent.
 	rejectTimeout = time.Second
+	// rejectLinger is the time from the response to the close of the connection. It lets the
+	// response arrive: closing a connection with unread data resets it.
+	rejectLinger = 300 * time.Millisecond
 	// rejectBufferSize is the read buffer for a rejected request in bytes. It must hold
 	// the request's header, or the connection is closed without a response.
 	rejectBufferSize = 16 << 10
+	// maxUnreadBody is the largest body of a rejected request, in bytes, that is not read.
+	// It fits into the socket buffers, so that the caller can send it all and then read the
+	// response.
+	maxUnreadBody = 32 << 10
 	// maxRejectedRead bounds the bytes read of a rejected request: a caller that is
 	// still sending when its connection is closed may lose the response.
 	maxRejectedRead = 256 << 10
 )
 
-// rejections counts the connections above the limit: Answered got a response, Reset did not.
+// rejectBuffers holds buffers of rejectBufferSize.
+var rejectBuffers = sync.Pool{New: func() any { return new([rejectBufferSize]byte) }}
+
+// rejections counts the connections above the limit: Answered got a response, Reset none,
+// and Broken ended before it was sent.
 var rejections = expvar.NewMap("CallerConnections")
 
 // Listener accepts connections while ShouldReject returns false. Other connections get a
@@ -45,73 +58,6 @@
 	slots chan struct{}
 }
 
-// minEvictIdle is how long a connection must have been idle to be closed for a new one.
-// Under overload callers reuse their connections within a second.
-const minEvictIdle = 5 * time.Second
-
-// ConnectionLimiter tracks the connections of an http.Server and bounds their number.
-// Connections that have been idle for minEvictIdle are closed to make room for new
-// ones.
-type ConnectionLimiter struct {
-	// Max is the number of connections from which new ones are rejected; 0 means no
-	// limit.
-	Max   int
-	Clock fleet.Clock
-
-	mu sync.Mutex
-	// idleSince holds when each open connection became idle; the zero time if it is in
-	// use.
-	idleSince map[net.Conn]time.Time
-}
-
-// Track records the new state of a connection. Set it as the server's ConnState.
-func (n *ConnectionLimiter) Track(c net.Conn, s http.ConnState) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.idleSince == nil {
-		n.idleSince = map[net.Conn]time.Time{}
-	}
-	switch s {
-	case http.StateNew, http.StateActive:
-		n.idleSince[c] = time.Time{}
-	case http.StateIdle:
-		n.idleSince[c] = n.Clock.Now()
-	case http.StateClosed, http.StateHijacked:
-		delete(n.idleSince, c)
-	}
-}
-
-// Count returns the number of open connections.
-func (n *ConnectionLimiter) Count() int64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return int64(len(n.idleSince))
-}
-
-// ShouldReject reports whether a new connection is to be rejected. At the limit it
-// closes the connection that has been idle longest and reports false, if that one has
-// been idle for minEvictIdle.
-func (n *ConnectionLimiter) ShouldReject() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.Max == 0 || len(n.idleSince) < n.Max {
-		return false
-	}
-	var oldest net.Conn
-	for c, since := range n.idleSince {
-		if !since.IsZero() && (oldest == nil || since.Before(n.idleSince[oldest])) {
-			oldest = c
-		}
-	}
-	if oldest == nil || n.Clock.Now().Sub(n.idleSince[oldest]) < minEvictIdle {
-		return true
-	}
-	delete(n.idleSince, oldest)
-	// The caller opens another one. A request in transit on this one has not run.
-	_ = oldest.Close()
-	return false
-}
-
 // NewListener returns a Listener that accepts from ln. Its fields describe the other
 // arguments.
 func NewListener(ln net.Listener, shouldReject func() bool, response func([]byte) []byte, onReject func()) *Listener {
@@ -128,11 +74,7 @@
 		l.OnReject()
 		select {
 		case l.slots <- struct{}{}:
-			rejections.Add("Answered", 1)
-			go func() {
-				l.reject(c)
-				<-l.slots
-			}()
+			go l.reject(c)
 		default:
 			rejections.Add("Reset", 1)
 			reset(c)
@@ -149,37 +91,61 @@
 	_ = c.Close()
 }
 
-// reject responds to the first request of a connection, discards the rest of it and
-// closes.
+// reject responds to the first request of a connection and closes the connection a while
+// later. Most bodies are not read, since reading them takes most of the CPU time of a
+// rejection.
 func (l *Listener) reject(c net.Conn) {
-	defer c.Close()
-	if c.SetDeadline(time.Now().Add(rejectTimeout)) != nil {
-		return
+	linger, err := l.respond(c)
+	outcome := "Answered"
+	if err != nil {
+		outcome = "Broken"
 	}
-	buf := make([]byte, rejectBufferSize)
-	n := 0
-	for !bytes.Contains(buf[:n], []byte("\r\n\r\n")) {
+	rejections.Add(outcome, 1)
+	time.AfterFunc(linger, func() {
+		_ = c.Close()
+		<-l.slots
+	})
+}
+
+// respond reads the header of the first request of a connection and sends the response. It
+// returns how long the connection is to be kept open.
+func (l *Listener) respond(c net.Conn) (linger time.Duration, err error) {
+	buf := rejectBuffers.Get().(*[rejectBufferSize]byte)
+	defer rejectBuffers.Put(buf)
+	if err := c.SetDeadline(time.Now().Add(rejectTimeout)); err != nil {
+		return 0, err
+	}
+	n, headerEnd := 0, -1
+	for headerEnd < 0 {
 		if n == len(buf) {
-			return
+			return 0, errors.Errorf("the header has more than %d bytes", rejectBufferSize)
 		}
 		read, err := c.Read(buf[n:])
 		if err != nil {
-			return
+			return 0, err
 		}
 		n += read
+		headerEnd = bytes.Index(buf[:n], []byte("\r\n\r\n"))
 	}
 	if _, err := c.Write(l.Response(buf[:n])); err != nil {
-		return
+		return 0, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		if err := tcp.CloseWrite(); err != nil {
+			return 0, err
+		}
 	}
-	if tcp, ok := c.(*net.TCPConn); ok && tcp.CloseWrite() != nil {
-		return
+	length, err := strconv.Atoi(string(HeaderValue(buf[:n], "Content-Length")))
+	if err == nil && length <= maxUnreadBody {
+		return rejectLinger, nil
 	}
 	for read := n; read < maxRejectedRead; read += n {
-		var err error
-		if n, err = c.Read(buf); err != nil {
-			return
+		if n, err = c.Read(buf[:]); err != nil {
+			// The caller has closed the connection, or sends too slowly.
+			return 0, nil
 		}
 	}
+	return 0, nil
 }
 
 // HeaderValue returns the value of a header of a raw HTTP/1.1 request, or nil if it has
--- a/router/overload/listener_test.go
+++ b/router/overload/listener_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -90,6 +91,55 @@
 	})
 }
 
+// TestCrowdAboveLimit guards against callers that are reset instead of answered: they come
+// back at once, and take the CPU time that the router needs to serve others (inc1, FAIR).
+func TestCrowdAboveLimit(t *testing.T) {
+	convey.Convey("All of a crowd that connects before it sends anything gets a response", t, func() {
+		const callers = 400
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		response := func([]byte) []byte { return overload.UnavailableResponse(time.Second, "Id", nil, "full") }
+		rejecting := overload.NewListener(ln, func() bool { return true }, response, func() {})
+		defer ln.Close()
+		go func() {
+			// Accept returns no connection until the listener is closed.
+			_, _ = rejecting.Accept()
+		}()
+		var connected sync.WaitGroup
+		connected.Add(callers)
+		results := make(chan string, callers)
+		request := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 17000\r\n\r\n" + strings.Repeat("x", 17000)
+		for range callers {
+			go func() {
+				c, err := net.Dial("tcp", ln.Addr().String())
+				connected.Done()
+				if err != nil {
+					results <- err.Error()
+					return
+				}
+				defer c.Close()
+				connected.Wait()
+				if _, err := io.WriteString(c, request); err != nil {
+					results <- "write: reset"
+					return
+				}
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					results <- "read: reset"
+					return
+				}
+				_ = resp.Body.Close()
+				results <- resp.Status
+			}()
+		}
+		count := map[string]int{}
+		for range callers {
+			count[<-results]++
+		}
+		convey.So(count, convey.ShouldResemble, map[string]int{"503 Service Unavailable": callers})
+	})
+}
+
 // TestIdleConnectionsAreEvicted covers callers that keep idle connections open: they
 // must not lock out new callers.
 func TestIdleConnectionsAreEvicted(t *testing.T) {
