router/forward: a stream that ends inside an event is broken off

A stream may end with its connection. One that ended in the middle of an event was passed on with the half event and without an error, so that the caller took it for complete; a resumable one was not resumed.

The rest after the last whole event, unless it is blank, now counts as a stream that broke off. The new case of TestStreams failed before: no error, and the half event in the body.

--- a/router/forward/events.go
+++ b/router/forward/events.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
 )
 
 // eventEnd separates the events of a stream.
@@ -33,11 +36,15 @@
 	return events
 }
 
-// flush returns the bytes after the last whole event, at the end of a stream.
-func (s *eventScanner) flush() []byte {
-	out := s.partial
+// end returns what follows the last whole event at the end of a stream. It fails if that is
+// a part of another event.
+func (s *eventScanner) end() ([]byte, error) {
+	rest := s.partial
 	s.partial = nil
-	return out
+	if len(bytes.TrimSpace(rest)) > 0 {
+		return nil, errors.Wrap(io.ErrUnexpectedEOF, "inside an event")
+	}
+	return rest, nil
 }
 
 // recordLastID stores the last id found in whole events.
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -350,6 +350,17 @@
 		convey.So(err, convey.ShouldNotBeNil)
 		convey.So(body, convey.ShouldNotContainSubstring, "id: 3")
 	})
+	convey.Convey("A stream that ends with its connection is passed on if it ends after an event, and is broken off otherwise", t, func() {
+		unframed := "Stamp: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+		whole := newFixture(deployment.KindStream, 1, false, newFakeTarget(thenClose(respond("200 OK", unframed, "id: 1\ndata: a\n\n"))))
+		_, body, err := whole.post("id-1", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(body, convey.ShouldEqual, "id: 1\ndata: a\n\n")
+		broken := newFixture(deployment.KindStream, 1, false, newFakeTarget(thenClose(respond("200 OK", unframed, "id: 1\ndata: a\n\nid: 2\nda"))))
+		_, body, err = broken.post("id-2", "")
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(body, convey.ShouldNotContainSubstring, "id: 2")
+	})
 	convey.Convey("A resumable stream is resumed on another target after the last whole event", t, func() {
 		broken := thenClose(respond("200 OK", eventStreamHeaders, two+chunk("id: 3\nda")))
 		rest := func(c net.Conn, r *http.Request) {
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -114,11 +114,7 @@
 	x.events.reset()
 	begun := false
 	for {
-		n, err := resp.Body.Read(*bp)
-		events := x.events.add((*bp)[:n])
-		if errors.Is(err, io.EOF) {
-			events = append(events, x.events.flush()...)
-		}
+		events, err := x.readEvents(resp.Body, *bp)
 		if len(events) > 0 {
 			if !begun {
 				begun = true
@@ -141,6 +137,21 @@
 	}
 }
 
+// readEvents reads the next part of a stream and returns the events that it completes. The
+// error is io.EOF at the end of the stream.
+func (x *exchange) readEvents(body io.Reader, buf []byte) ([]byte, error) {
+	n, err := body.Read(buf)
+	events := x.events.add(buf[:n])
+	if errors.Is(err, io.EOF) {
+		rest, endErr := x.events.end()
+		if endErr != nil {
+			return events, endErr
+		}
+		events = append(events, rest...)
+	}
+	return events, err
+}
+
 // interruptedOutcome returns the outcome of a stream that broke off: Broken if another
 // attempt may start or resume it, Truncated otherwise.
 func (x *exchange) interruptedOutcome() placement.Outcome {
