router/forward: bound an event of a stream

A target in trouble may send bytes without end. Heads were bounded, and plain bodies pass through a fixed buffer, but a stream without the end of an event was collected until the request's deadline: up to 12 s of whatever the link gives, over the memory of the process.

An event over 256 KB now ends the attempt. Looking for the end of an event no longer starts at its beginning for each part read. TestBytesWithoutEnd failed before for an event and for a line without end: 504 at the deadline of 2 s instead of 502; its cases for heads and for a plain body held.

--- a/router/forward/events.go
+++ b/router/forward/events.go
@@ -7,6 +7,10 @@
 	"github.com/pkg/errors"
 )
 
+// maxEventBytes bounds an event of a stream. The bytes of an event are collected until it is
+// whole.
+const maxEventBytes = 256 << 10
+
 // eventEnd separates the events of a stream.
 var eventEnd = []byte("\n\n")
 
@@ -22,18 +26,25 @@
 // reset prepares for the stream of another attempt. It keeps lastID.
 func (s *eventScanner) reset() { s.partial = nil }
 
-// add takes the next part of a stream and returns the events that it completes.
-func (s *eventScanner) add(p []byte) []byte {
+// add takes the next part of a stream and returns the events that it completes. It fails if
+// an event exceeds maxEventBytes.
+func (s *eventScanner) add(p []byte) ([]byte, error) {
+	// The end of an event may begin in the part before.
+	searched := max(0, len(s.partial)-len(eventEnd)+1)
 	s.partial = append(s.partial, p...)
-	end := bytes.LastIndex(s.partial, eventEnd)
+	end := bytes.LastIndex(s.partial[searched:], eventEnd)
 	if end < 0 {
-		return nil
+		if len(s.partial) > maxEventBytes {
+			return nil, errors.Errorf("event of the stream has more than %d bytes", maxEventBytes)
+		}
+		return nil, nil
 	}
+	end += searched
 	end += len(eventEnd)
 	events := bytes.Clone(s.partial[:end])
 	s.partial = append(s.partial[:0], s.partial[end:]...)
 	s.recordLastID(events)
-	return events
+	return events, nil
 }
 
 // end returns what follows the last whole event at the end of a stream. It fails if that is
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -464,3 +464,55 @@
 		convey.So(target.count(), convey.ShouldEqual, 0)
 	})
 }
+
+// withoutEnd writes a response's header and then repeats bytes until the router closes the
+// connection. It sends the number of bytes written to sent.
+func withoutEnd(head, repeated string, sent chan<- int) func(net.Conn, *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nStamp: s\r\n%s", r.Header.Get("Request-Id"), head)
+		block, n := strings.Repeat(repeated, 4096), 0
+		for {
+			k, err := io.WriteString(c, block)
+			n += k
+			if err != nil {
+				sent <- n
+				return
+			}
+		}
+	}
+}
+
+// TestBytesWithoutEnd guards against a target whose response never ends: a router that
+// collects its bytes runs out of memory (issue 23).
+func TestBytesWithoutEnd(t *testing.T) {
+	// maxSent allows for what the socket buffers of both ends hold.
+	const maxSent = 16 << 20
+	for name, script := range map[string]struct{ head, repeated string }{
+		"a header line":        {"X-Endless: ", "x"},
+		"header lines":         {"", "X-Endless: x\r\n"},
+		"an event of a stream": {"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n", "data: x\n"},
+		"a line of a stream":   {"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n", "x"},
+	} {
+		convey.Convey("The router ends the attempt at a target that sends "+name+" without end", t, func() {
+			sent := make(chan int, 1)
+			f := newFixture(deployment.KindAtMostOnce, 1, false, newFakeTarget(withoutEnd(script.head, script.repeated, sent)))
+			status, _, err := f.post("id-1", "")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(status, convey.ShouldEqual, http.StatusBadGateway)
+			convey.So(<-sent, convey.ShouldBeLessThan, maxSent)
+		})
+	}
+	convey.Convey("A body without end is passed on until the caller leaves, and the target's connection is closed", t, func() {
+		sent := make(chan int, 1)
+		f := newFixture(deployment.KindAtMostOnce, 1, false, newFakeTarget(withoutEnd("Connection: close\r\n\r\n", "x", sent)))
+		req, err := http.NewRequest(http.MethodPost, f.server.URL, nil)
+		convey.So(err, convey.ShouldBeNil)
+		req.Header.Set("Request-Id", "id-1")
+		resp, err := http.DefaultClient.Do(req)
+		convey.So(err, convey.ShouldBeNil)
+		_, err = io.CopyN(io.Discard, resp.Body, 1<<20)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.Body.Close(), convey.ShouldBeNil)
+		convey.So(<-sent, convey.ShouldBeLessThan, maxSent)
+	})
+}
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -141,7 +141,10 @@
 // error is io.EOF at the end of the stream.
 func (x *exchange) readEvents(body io.Reader, buf []byte) ([]byte, error) {
 	n, err := body.Read(buf)
-	events := x.events.add(buf[:n])
+	events, scanErr := x.events.add(buf[:n])
+	if scanErr != nil {
+		return nil, scanErr
+	}
 	if errors.Is(err, io.EOF) {
 		rest, endErr := x.events.end()
 		if endErr != nil {
