Quarantine parts of prompts that crash targets

Crashes were counted by the hash of a whole request, which never came twice.

Routers now report which parts of prompts met a crash before the answer began; the last part, which belongs to the request alone, does not count. The leader tracks them (fleet/quarantine) and names suspects in the digest, of which routers report answers. Any answer clears a part, any answer of a target refutes its crash, crashes within 500 ms count once, and where crashes break many requests more of them are needed. A quarantine goes on under a new leader, and ends 5 minutes after the last crash.

Ruled out by TestSoundPartsAreNotQuarantined: three crashes of different targets alone.

TestPartThatCrashesTargets failed before: 12 to 310 requests sent too late in its present form, 3 are allowed.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -118,7 +118,7 @@
 		cfg: cfg, host: HostIDOf(cfg.Self), startTime: cfg.Clock.Now(), seeds: cfg.Seeds, targets: targets.New(), stop: make(chan struct{}),
 	}
 	c.hub = newHub(c)
-	c.loads = newLoadCollector(cfg.DemandWindow / demandWindowParts)
+	c.loads = newLoadCollector(cfg.DemandWindow/demandWindowParts, cfg.Log)
 	c.clientSet = rpc.NewClientSet(rpc.ClientSetConfig{
 		Uncompressed: true, OnConnect: c.followPeer,
 		Handler: func(netip.AddrPort) rpc.Handler { return rpc.HandlerFunc(c.handle) },
--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -2,12 +2,15 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/fairshare"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
+	"github.com/fuchsiashed/fuchsiashed/fleet/quarantine"
 )
 
 const (
@@ -21,6 +24,9 @@
 	// suspectRetention is how long a request is kept as a suspect after its last crash of a
 	// target.
 	suspectRetention = 60 * time.Second
+	// adoptionTime is how long a new leader adopts quarantines from reports. All routers
+	// report within it.
+	adoptionTime = 3 * time.Second
 	// maxSuspects is the maximum number of suspect requests.
 	maxSuspects = 4096
 )
@@ -45,6 +51,8 @@
 // loadCollector aggregates the load reports of the routers, which send them to the leader
 // only.
 type loadCollector struct {
+	log *slog.Logger
+
 	mu      sync.Mutex
 	reports map[fleet.HostID]report
 	// demand is the work that each customer requests, the basis of the shares.
@@ -59,6 +67,11 @@
 	// nominalRate is the Capacity of the newest report that has one, in tokens a second.
 	nominalRate float64
 	suspects    map[fleet.ContentHash]*suspect
+	// parts tracks the parts of prompts that crash targets.
+	parts *quarantine.Tracker
+	// collectingSince and lastReport are the times of the first and the newest report since
+	// this host became the leader.
+	collectingSince, lastReport time.Time
 }
 
 // report is the newest load report of a router.
@@ -73,11 +86,12 @@
 	lastCrash time.Time
 }
 
-func newLoadCollector(window time.Duration) *loadCollector {
+func newLoadCollector(window time.Duration, log *slog.Logger) *loadCollector {
 	return &loadCollector{
+		log:     log,
 		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window), totalDemand: fairshare.NewWindow(window), sentWork: fairshare.NewWindow(window),
 		governor: fairshare.NewGovernor(governorConfig),
-		suspects: map[fleet.ContentHash]*suspect{},
+		suspects: map[fleet.ContentHash]*suspect{}, parts: quarantine.New(),
 	}
 }
 
@@ -105,6 +119,31 @@
 	for _, c := range r.Suspects {
 		l.addCrashes(now, c)
 	}
+	l.addParts(now, &r)
+}
+
+// addParts adds what a router reports of parts of prompts. A new leader adopts the quarantines
+// that the former one began; later, a router may only not know yet that one has ended.
+func (l *loadCollector) addParts(now time.Time, r *fleet.RouterLoad) {
+	if now.Sub(l.lastReport) > reportMaxAge {
+		l.collectingSince = now
+	}
+	l.lastReport = now
+	l.parts.AddOutcomes(now, r.Begun, r.Broken)
+	for _, c := range r.PartCrashes {
+		l.parts.AddCrash(now, c)
+	}
+	if now.Sub(l.collectingSince) < adoptionTime {
+		for _, q := range r.Quarantined {
+			l.parts.Adopt(now, q)
+		}
+	}
+	for _, id := range r.AnsweredTargets {
+		l.parts.AddTargetAnswer(now, id)
+	}
+	for _, id := range r.AnsweredParts {
+		l.parts.AddAnswer(id)
+	}
 }
 
 // addCrashes adds the crashes of targets that a router attributes to a request.
@@ -143,8 +182,9 @@
 	shares := l.shares(now, total)
 	suspects := l.repeatedSuspects(now)
 	slowness := l.medianSlowness()
+	parts := l.updateParts(now)
 	return func(host fleet.HostID) *fleet.LoadDigest {
-		d := &fleet.LoadDigest{Shares: shares, Suspects: suspects, Slowness: slowness}
+		d := &fleet.LoadDigest{Shares: shares, Suspects: suspects, Slowness: slowness, SuspectParts: parts.Parts, SuspectTargets: parts.Targets, Quarantined: parts.Quarantined}
 		for id, sum := range total {
 			ownLoad := byRouter[host][id]
 			if sum.Waiting > ownLoad.Waiting || sum.Running > ownLoad.Running {
@@ -179,6 +219,18 @@
 	return fairshare.Balanced(rates, l.sentWork.Rates(now), total*admitted/load.Demand)
 }
 
+// updateParts updates the quarantines of parts and logs their changes.
+func (l *loadCollector) updateParts(now time.Time) quarantine.Suspects {
+	s := l.parts.Update(now)
+	for _, id := range s.Begun {
+		l.log.Warn(logevent.PartQuarantined, "part", uint64(id))
+	}
+	for _, id := range s.Ended {
+		l.log.Info(logevent.PartReleased, "part", uint64(id))
+	}
+	return s
+}
+
 // medianSlowness returns the median of the routers' measurements for each service, ordered by
 // service.
 func (l *loadCollector) medianSlowness() []fleet.ServiceSlowness {
--- a/control/core/loads_test.go
+++ b/control/core/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 func TestDigestHasMedianSlowness(t *testing.T) {
 	convey.Convey("A router with a delay of its own does not change the slowness in the digest", t, func() {
 		now := time.Unix(1_700_000_000, 0)
-		l := newLoadCollector(4 * time.Second)
+		l := newLoadCollector(4*time.Second, slog.New(slog.DiscardHandler))
 		for i, slowness := range []float64{1.1, 9.5, 1, 1.2, 0.9} {
 			l.addReport(now, fleet.RouterLoad{
 				Host: fleet.HostID(fmt.Sprint("router-", i)), Sequence: 1,
--- a/control/core/quarantine_test.go
+++ b/control/core/quarantine_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"net/netip"
@@ -102,7 +103,7 @@
 		t.Fatal(err)
 	}
 	s := &crashSim{
-		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), collector: newLoadCollector(4 * time.Second),
+		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), collector: newLoadCollector(4*time.Second, slog.New(slog.DiscardHandler)),
 		running: map[fleet.TargetID]map[*simRequest]bool{}, upAt: map[fleet.TargetID]time.Time{},
 	}
 	s.route, _ = cfg.Match("h", "/")
@@ -166,7 +167,9 @@
 }
 
 // replaceLeader lets another host collect the reports, one without earlier state.
-func (s *crashSim) replaceLeader() { s.collector = newLoadCollector(4 * time.Second) }
+func (s *crashSim) replaceLeader() {
+	s.collector = newLoadCollector(4*time.Second, slog.New(slog.DiscardHandler))
+}
 
 // arrive sends requests at random times, perSecond of them, of which a share has the prompt
 // that deadly returns.
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -134,6 +134,24 @@
 	Crashes int         `json:"N"`
 }
 
+// PartID identifies a part of a prompt. Equal parts have equal IDs in the whole fleet.
+type PartID uint64
+
+// PartCrash is a crash of a target before it began the answer to a request whose prompt has
+// the part.
+type PartCrash struct {
+	Part        PartID      `json:"P"`
+	Target      TargetID    `json:"T"`
+	Incarnation Incarnation `json:"I"`
+}
+
+// QuarantinedPart is a part of a prompt that crashes targets. Requests with it are refused.
+type QuarantinedPart struct {
+	Part PartID `json:"P"`
+	// Remaining is the time until the quarantine ends.
+	Remaining time.Duration `json:"R"`
+}
+
 // ServiceSlowness is the time to the first byte of a service's answers, as a multiple of the
 // time expected from its rated capacity.
 type ServiceSlowness struct {
@@ -158,6 +176,18 @@
 	// in Asked.
 	Capacity float64        `json:",omitempty"`
 	Suspects []SuspectCount `json:",omitempty"`
+	// Begun counts the requests to engines whose answers have begun since the last report,
+	// Broken those that broke before.
+	Begun  int `json:",omitempty"`
+	Broken int `json:",omitempty"`
+	// PartCrashes has the crashes since the last report, AnsweredParts the suspect or
+	// quarantined parts, and AnsweredTargets the suspect targets, of which an answer has begun
+	// since then.
+	PartCrashes     []PartCrash `json:",omitempty"`
+	AnsweredParts   []PartID    `json:",omitempty"`
+	AnsweredTargets []TargetID  `json:",omitempty"`
+	// Quarantined has the quarantines that the router enforces, for a new leader.
+	Quarantined []QuarantinedPart `json:",omitempty"`
 	// Slowness has the services whose answers the router measured in the last seconds.
 	Slowness []ServiceSlowness `json:",omitempty"`
 	// Stopping is true once the router accepts no new callers.
@@ -188,6 +218,11 @@
 	Shares []CustomerShare `json:",omitempty"`
 	// Suspects lists requests that crashed several targets.
 	Suspects []SuspectCount `json:",omitempty"`
+	// SuspectParts lists the parts of prompts, SuspectTargets the targets of which routers
+	// report answers.
+	SuspectParts   []PartID          `json:",omitempty"`
+	SuspectTargets []TargetID        `json:",omitempty"`
+	Quarantined    []QuarantinedPart `json:",omitempty"`
 	// Slowness is the median of all routers' measurements.
 	Slowness []ServiceSlowness `json:",omitempty"`
 }
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -51,6 +51,8 @@
 const (
 	TargetAnnounced     Event = "TargetAnnounced"
 	TargetEnded         Event = "TargetEnded"
+	PartQuarantined     Event = "PartQuarantined"     // requests with a part of a prompt that crashes targets are refused
+	PartReleased        Event = "PartReleased"        // a quarantine of a part ended, by time or by an answer
 	TargetForgotten     Event = "TargetForgotten"     // a target sent no announcement within the time-out
 	AnnouncementIgnored Event = "AnnouncementIgnored" // an announcement was out of date
 	AnnouncementRefused Event = "AnnouncementRefused" // an announcement was invalid, or control was unavailable
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -14,13 +14,13 @@
 // with the same shared part go to the same service, whose targets have the part cached.
 func serviceHash(c *Call) uint64 {
 	if key, ok := affinityKey(c); ok {
-		return xxhash.Sum64(key.bytes())
+		return xxhash.Sum64(partBytes(key))
 	}
 	return xxhash.Sum64String(string(c.Request))
 }
 
-// bytes returns the ID in little-endian order, for hashing.
-func (p PartID) bytes() []byte {
+// partBytes returns an ID in little-endian order, for hashing.
+func partBytes(p PartID) []byte {
 	b := make([]byte, 8)
 	for i := range b {
 		b[i] = byte(p >> (8 * i))
@@ -57,7 +57,7 @@
 	var d xxhash.Digest
 	d.Reset()
 	// Writes to a hash never fail.
-	_, _ = d.Write(key.bytes())
+	_, _ = d.Write(partBytes(key))
 	_, _ = d.WriteString(string(id))
 	return d.Sum64()
 }
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -18,8 +18,8 @@
 // CallID identifies a request within this router.
 type CallID uint64
 
-// PartID identifies a part of a prompt. Equal parts have equal IDs in the whole fleet.
-type PartID uint64
+// PartID identifies a part of a prompt.
+type PartID = fleet.PartID
 
 // PromptPart is a part of a prompt that targets may hold in their prefix caches.
 type PromptPart struct {
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -112,6 +112,7 @@
 	out := fleet.RouterLoad{Host: r.cfg.Self, Sequence: s.sequence, Asked: s.askedTokens, Admitted: s.admittedTokens}
 	s.askedTokens, s.admittedTokens = 0, 0
 	out.Slowness = r.measuredSlowness()
+	r.parts.fillReport(r.now, &out)
 	if r.config != nil {
 		out.Capacity = r.config.TokensPerSecond
 	}
@@ -151,6 +152,7 @@
 	}
 	r.admission.setShares(d.Shares)
 	r.applyFleetSlowness(d.Slowness)
+	r.parts.applyDigest(r.now, d)
 }
 
 // digestAge returns the age of the newest digest, or digestValidity if there is none.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -43,6 +43,7 @@
 	digest          digestState
 	admission       admission
 	report          reportState
+	parts           partsState
 }
 
 // call is a request that has not ended.
@@ -71,7 +72,7 @@
 		dataCentresOut: map[fleet.DataCentreName]bool{}, returnedAt: map[fleet.DataCentreName]time.Time{},
 		targets: map[fleet.TargetID]*target{}, services: map[fleet.ServiceName][]*target{},
 		calls: map[CallID]*call{}, budgets: map[fleet.ServiceName]*retryBudget{},
-		serviceSlowness: map[fleet.ServiceName]*serviceSlowness{}, keys: keyRates{}, admission: newAdmission(), report: newReportState(),
+		serviceSlowness: map[fleet.ServiceName]*serviceSlowness{}, keys: keyRates{}, admission: newAdmission(), report: newReportState(), parts: newPartsState(),
 	}
 }
 
@@ -190,7 +191,7 @@
 	}
 	k := &call{Call: c, service: c.Route.PickService(serviceHash(&c))}
 	r.budget(k.service).addRequest(r.now)
-	if crashes := r.report.crashCount(c.Content); crashes >= maxCrashes {
+	if r.isQuarantined(&c) {
 		r.emit(Refuse{Call: c.ID, Reason: fleet.ReasonQuarantined, RetryAfter: quarantineRetryDelay})
 		return
 	}
@@ -202,6 +203,11 @@
 	r.place(k)
 }
 
+// isQuarantined reports whether a call, or others with a part of its prompt, crashed targets.
+func (r *Router) isQuarantined(c *Call) bool {
+	return r.report.crashCount(c.Content) >= maxCrashes || r.parts.isQuarantined(r.now, &c.Prompt)
+}
+
 // place sends a call to the best target. It refuses or fails the call if there is none or
 // the answer would be late.
 func (r *Router) place(k *call) {
@@ -259,6 +265,7 @@
 		return
 	}
 	k.answerBegun = true
+	r.parts.addAnswer(k)
 	k.current.begin(k, r.now)
 	r.updateSlowness(k)
 }
@@ -296,6 +303,9 @@
 	if k.sends >= maxSends || k.Deadline.Sub(r.now) < minRetryTime {
 		return failureReason(o)
 	}
+	if r.isQuarantined(&k.Call) {
+		return fleet.ReasonQuarantined
+	}
 	// An attempt that reached no target does not count towards the retry limit.
 	if o != Unreached && !r.budget(k.service).tryRetry(r.now, r.retryShare()) {
 		return fleet.ReasonRetryBudget
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -129,6 +129,7 @@
 		failed = 1
 		r.report.addCrash(k)
 		if !k.answerBegun {
+			r.parts.addCrash(k, t)
 			t.maybeRestarted = true
 		}
 	case FailedAnswer, Expired:
