--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -62,12 +62,29 @@
 	return d.Sum64()
 }
 
+// rendezvousOrder returns the targets ordered for a part, highest weight first.
+func rendezvousOrder(key PartID, targets []*target) []*target {
+	type weighted struct {
+		weight uint64
+		target *target
+	}
+	order := make([]weighted, len(targets))
+	for i, t := range targets {
+		order[i] = weighted{rendezvousWeight(key, t.id), t}
+	}
+	slices.SortFunc(order, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
+	out := make([]*target, len(order))
+	for i := range order {
+		out[i] = order[i].target
+	}
+	return out
+}
+
 // choose returns the best target for a call, or nil if none is available.
 func (r *Router) choose(k *call) (*target, Basis) {
 	present := r.eligible(k)
 	if key, ok := affinityKey(&k.Call); ok {
-		slices.SortFunc(present, func(a, b *target) int { return cmp.Compare(rendezvousWeight(key, b.id), rendezvousWeight(key, a.id)) })
-		return r.chooseOwner(k, key, present)
+		return r.chooseOwner(k, key, rendezvousOrder(key, present))
 	}
 	usable := r.healthy(present)
 	if len(usable) == 0 {
--- a/fleet/placement/fixture_test.go
+++ b/fleet/placement/fixture_test.go
@@ -28,7 +28,7 @@
 	lastCall placement.CallID
 }
 
-func testConfig(t *testing.T) *deployment.Configuration {
+func testConfig(t testing.TB) *deployment.Configuration {
 	c, err := deployment.New(deployment.Configuration{
 		Number: 1, TokensPerSecond: 90_000,
 		Services: []deployment.Service{
@@ -58,7 +58,7 @@
 
 // newFixture returns the router self, one of the given number of routers, with the given
 // targets announced.
-func newFixture(t *testing.T, self fleet.HostID, routers int, targets ...fleet.AgedAnnouncement) *fixture {
+func newFixture(t testing.TB, self fleet.HostID, routers int, targets ...fleet.AgedAnnouncement) *fixture {
 	f := &fixture{now: start, config: testConfig(t), Router: placement.New(placement.Config{
 		Self: self, DataCentre: "a", SilentAfter: 6 * time.Second, Policy: placement.DefaultPolicy,
 		Retries: placement.RetryLimits{Ratio: 0.2, Extra: 40, Window: 10 * time.Second},
