soak: TestProxy checks the echo of the byte it sent

A refusing host may reset a new connection before connect returns, so that the test's Dial failed, which is a refusal as well. And the echo of the byte that was held back by Block came late and was taken for that of the next one, so that the round trip through a black hole seemed to succeed.

Bytes are numbered now, and a round trip needs the echo of its own. A refusal is a reset before or after connect returns; any other error of Dial fails the test, which it did not name before. The checks are otherwise as they were.

--- a/soak/internal/proxy/proxy_test.go
+++ b/soak/internal/proxy/proxy_test.go
@@ -4,9 +4,11 @@
 	"io"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/fuchsiashed/fuchsiashed/soak/internal/proxy"
@@ -39,51 +41,77 @@
 	return p, netip.AddrPortFrom(netip.MustParseAddr(public), port).String()
 }
 
-// roundTrip sends a byte and reports whether a byte comes back within the timeout.
-func roundTrip(c net.Conn, timeout time.Duration) bool {
-	if _, err := c.Write([]byte{1}); err != nil {
+// client is a connection whose bytes are numbered, so that the late echo of an earlier one is
+// not taken for that of the last.
+type client struct {
+	net.Conn
+	sent byte
+}
+
+// roundTrip sends a byte and reports whether it comes back within the timeout.
+func (c *client) roundTrip(timeout time.Duration) bool {
+	c.sent++
+	if _, err := c.Write([]byte{c.sent}); err != nil {
 		return false
 	}
 	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return false
 	}
-	_, err := c.Read(make([]byte, 1))
-	return err == nil
+	echo := make([]byte, 1)
+	for {
+		if _, err := c.Read(echo); err != nil {
+			return false
+		}
+		if echo[0] == c.sent {
+			return true
+		}
+	}
+}
+
+// isRefused reports whether a new connection is refused: it is reset, either before the dial
+// returns or later.
+func isRefused(addr string, timeout time.Duration) bool {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ECONNREFUSED)
+	}
+	defer c.Close()
+	return !(&client{Conn: c}).roundTrip(timeout)
 }
 
 func TestProxy(t *testing.T) {
 	convey.Convey("A proxy forwards, delays, blocks, blackholes, resets and refuses", t, func() {
 		p, addr := startEchoServer(t, "127.0.77.2", "127.0.77.1")
-		dial := func() net.Conn {
+		dial := func() *client {
 			c, err := net.Dial("tcp", addr)
 			convey.So(err, convey.ShouldBeNil)
-			return c
+			return &client{Conn: c}
 		}
 		const shortTimeout, longTimeout = 200 * time.Millisecond, 5 * time.Second
 		oldConn := dial()
-		convey.So(roundTrip(oldConn, longTimeout), convey.ShouldBeTrue)
+		convey.So(oldConn.roundTrip(longTimeout), convey.ShouldBeTrue)
 
 		p.Delay(50 * time.Millisecond)
 		startedAt := time.Now()
-		convey.So(roundTrip(oldConn, longTimeout), convey.ShouldBeTrue)
+		convey.So(oldConn.roundTrip(longTimeout), convey.ShouldBeTrue)
 		convey.So(time.Since(startedAt), convey.ShouldBeGreaterThan, 100*time.Millisecond)
 		p.Delay(0)
 
 		p.Block(proxy.FromSubject, true)
-		convey.So(roundTrip(oldConn, shortTimeout), convey.ShouldBeFalse)
+		convey.So(oldConn.roundTrip(shortTimeout), convey.ShouldBeFalse)
 		p.Block(proxy.FromSubject, false)
-		convey.So(roundTrip(oldConn, longTimeout), convey.ShouldBeTrue)
+		convey.So(oldConn.roundTrip(longTimeout), convey.ShouldBeTrue)
 
 		p.Blackhole()
-		convey.So(roundTrip(oldConn, shortTimeout), convey.ShouldBeFalse)
+		convey.So(oldConn.roundTrip(shortTimeout), convey.ShouldBeFalse)
 		newConn := dial()
-		convey.So(roundTrip(newConn, longTimeout), convey.ShouldBeTrue)
+		convey.So(newConn.roundTrip(longTimeout), convey.ShouldBeTrue)
 
 		p.Reset()
-		convey.So(roundTrip(newConn, longTimeout), convey.ShouldBeFalse)
+		convey.So(newConn.roundTrip(longTimeout), convey.ShouldBeFalse)
 		p.Refuse(true)
-		convey.So(roundTrip(dial(), longTimeout), convey.ShouldBeFalse)
+		convey.So(isRefused(addr, longTimeout), convey.ShouldBeTrue)
 		p.Refuse(false)
-		convey.So(roundTrip(dial(), longTimeout), convey.ShouldBeTrue)
+		convey.So(dial().roundTrip(longTimeout), convey.ShouldBeTrue)
 	})
 }
