router/overload: do not evict a connection whose request is being read

The router had a crowd.

At its limit a router closes the connection that has been idle longest. An http.Server reports a connection as idle until it has read the next request's header, and a router without CPU time takes long for that; the request then ran without a connection for its answer. This is inferred from the code: it is the only place that closes such a connection.

A connection now counts as in use from the first byte that is read, and bytes that arrive on an evicted one are not passed on. TestConnectionInUseIsNotEvicted failed before: the connection was closed.

--- a/router/overload/limiter.go
+++ b/router/overload/limiter.go
@@ -50,6 +50,9 @@
 	case http.StateNew, http.StateActive:
 		n.open[c] = nil
 	case http.StateIdle:
+		if limited, ok := c.(*limitedConn); ok {
+			limited.setIdle()
+		}
 		n.open[c] = n.idle.PushBack(idleConn{Conn: c, since: n.Clock.Now()})
 	case http.StateClosed, http.StateHijacked:
 		delete(n.open, c)
@@ -81,8 +84,15 @@
 		return true
 	}
 	n.idle.Remove(e)
+	if limited, ok := oldest.Conn.(*limitedConn); ok {
+		if !limited.evict() {
+			// A request has just arrived on it; Track follows.
+			n.open[oldest.Conn] = nil
+			return true
+		}
+	} else {
+		_ = oldest.Close()
+	}
 	delete(n.open, oldest.Conn)
-	// The caller opens another one. A request in transit on this one has not run.
-	_ = oldest.Close()
 	return false
 }
--- a/router/overload/listener.go
+++ b/router/overload/listener.go
@@ -14,8 +14,7 @@
 
 const (
 	// maxConcurrentRejections bounds the connections that are being rejected at the same
-	// time; further ones are reset. Callers that are reset come back at once, so it is above
-	// what a saturated router accepts within rejectTimeout.
+	// time; further ones are reset, whose callers come back at once.
 	maxConcurrentRejections = 2048
 	// rejectTimeout bounds the wait for the header of a rejected request, and for the
 	// response to be sent.
@@ -68,8 +67,14 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil || !l.ShouldReject() {
-			return c, err
+		if err != nil {
+			return nil, err
+		}
+		if !l.ShouldReject() {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				return &limitedConn{TCPConn: tcp}, nil
+			}
+			return c, nil
 		}
 		l.OnReject()
 		select {
@@ -92,8 +97,7 @@
 }
 
 // reject responds to the first request of a connection and closes the connection a while
-// later. Most bodies are not read, since reading them takes most of the CPU time of a
-// rejection.
+// later. Bodies of usual size are not read, which saves CPU time.
 func (l *Listener) reject(c net.Conn) {
 	linger, err := l.respond(c)
 	outcome := "Answered"
--- a/router/overload/listener_test.go
+++ b/router/overload/listener_test.go
@@ -166,3 +166,50 @@
 		convey.So(err, convey.ShouldEqual, io.EOF)
 	})
 }
+
+// TestConnectionInUseIsNotEvicted guards against a request that is read and served on a
+// connection which the limiter closes at the same moment, so that its caller gets no answer: the
+// http.Server reports the connection as idle until it has read the header (LOST).
+func TestConnectionInUseIsNotEvicted(t *testing.T) {
+	accept := func() (limiter *overload.ConnectionLimiter, clk *clock, caller, accepted net.Conn) {
+		clk = &clock{now: time.Unix(1_700_000_000, 0)}
+		limiter = &overload.ConnectionLimiter{Max: 1, Clock: clk}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		limited := overload.NewListener(ln, func() bool { return false }, nil, nil)
+		caller, err = net.Dial("tcp", ln.Addr().String())
+		convey.So(err, convey.ShouldBeNil)
+		accepted, err = limited.Accept()
+		convey.So(err, convey.ShouldBeNil)
+		convey.Reset(func() {
+			_ = caller.Close()
+			_ = accepted.Close()
+			_ = ln.Close()
+		})
+		limiter.Track(accepted, http.StateNew)
+		limiter.Track(accepted, http.StateIdle)
+		clk.now = clk.now.Add(time.Minute)
+		return limiter, clk, caller, accepted
+	}
+	convey.Convey("A connection of which a part of a request has been read is not evicted", t, func() {
+		limiter, clk, caller, accepted := accept()
+		_, err := io.WriteString(caller, "POST / HTTP/1.1\r\n")
+		convey.So(err, convey.ShouldBeNil)
+		_, err = accepted.Read(make([]byte, 64))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(limiter.ShouldReject(), convey.ShouldBeTrue)
+		limiter.Track(accepted, http.StateActive)
+		limiter.Track(accepted, http.StateIdle)
+		clk.now = clk.now.Add(time.Minute)
+		convey.So(limiter.ShouldReject(), convey.ShouldBeFalse)
+	})
+	convey.Convey("A request that arrives on an evicted connection is not read", t, func() {
+		limiter, _, caller, accepted := accept()
+		_, err := io.WriteString(caller, "POST / HTTP/1.1\r\n")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(limiter.ShouldReject(), convey.ShouldBeFalse)
+		n, err := accepted.Read(make([]byte, 64))
+		convey.So(n, convey.ShouldEqual, 0)
+		convey.So(err, convey.ShouldNotBeNil)
+	})
+}
