--- a/fleet/placement/quarantine.go
+++ b/fleet/placement/quarantine.go
@@ -8,12 +8,12 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 )
 
-// partsState is what a router knows of parts of prompts that may crash targets, and what it
-// reports of them.
+// partsState holds the parts of prompts that may crash targets, according to the newest digest,
+// and what is to be reported of them.
 type partsState struct {
-	// suspects are the parts of which the leader wants to know answers.
+	// suspects are the parts of which answers are to be reported.
 	suspects map[PartID]bool
-	// suspectTargets are the targets of which the leader wants to know answers.
+	// suspectTargets are the targets of which answers are to be reported.
 	suspectTargets map[fleet.TargetID]bool
 	// quarantined holds the ends of the quarantines.
 	quarantined map[PartID]time.Time
@@ -72,7 +72,7 @@
 	return false
 }
 
-// applyDigest replaces what the leader knows of all routers.
+// applyDigest replaces suspects and quarantines by those of a digest.
 func (s *partsState) applyDigest(now time.Time, d *fleet.LoadDigest) {
 	s.suspects = map[PartID]bool{}
 	for _, id := range d.SuspectParts {
