router/forward: a stream without framing that ends before an event is broken off

Cause: looks for half an event at the end of a stream. A target that fails before the first byte of an event leaves none.

Change: a stream with neither a length nor chunks is complete only if the attempt brought an event. A stream with framing may be empty.

What stays undecidable: a stream without framing that breaks off exactly between two events and whose connection ends without a reset.

--- a/router/forward/events.go
+++ b/router/forward/events.go
@@ -18,13 +18,15 @@
 // last event id.
 type eventScanner struct {
 	partial []byte
+	// begun reports whether the current attempt has completed an event.
+	begun bool
 	// lastID is the last event id among the events returned so far; empty if there was
 	// none.
 	lastID string
 }
 
 // reset prepares for the stream of another attempt. It keeps lastID.
-func (s *eventScanner) reset() { s.partial = nil }
+func (s *eventScanner) reset() { s.partial, s.begun = nil, false }
 
 // add takes the next part of a stream and returns the events that it completes. It fails if
 // an event exceeds maxEventBytes.
@@ -43,18 +45,23 @@
 	end += len(eventEnd)
 	events := bytes.Clone(s.partial[:end])
 	s.partial = append(s.partial[:0], s.partial[end:]...)
+	s.begun = true
 	s.recordLastID(events)
 	return events, nil
 }
 
 // end returns what follows the last whole event at the end of a stream. It fails if that is
-// a part of another event.
-func (s *eventScanner) end() ([]byte, error) {
+// a part of another event, or if the stream was not framed and had no event: such a stream ends
+// like one whose target failed before the first event.
+func (s *eventScanner) end(framed bool) ([]byte, error) {
 	rest := s.partial
 	s.partial = nil
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return nil, errors.Wrap(io.ErrUnexpectedEOF, "inside an event")
 	}
+	if !framed && !s.begun {
+		return nil, errors.Wrap(io.ErrUnexpectedEOF, "before an event")
+	}
 	return rest, nil
 }
 
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -114,7 +114,7 @@
 	x.events.reset()
 	begun := false
 	for {
-		events, err := x.readEvents(resp.Body, *bp)
+		events, err := x.readEvents(resp, *bp)
 		if len(events) > 0 {
 			if !begun {
 				begun = true
@@ -139,14 +139,14 @@
 
 // readEvents reads the next part of a stream and returns the events that it completes. The
 // error is io.EOF at the end of the stream.
-func (x *exchange) readEvents(body io.Reader, buf []byte) ([]byte, error) {
-	n, err := body.Read(buf)
+func (x *exchange) readEvents(resp *http.Response, buf []byte) ([]byte, error) {
+	n, err := resp.Body.Read(buf)
 	events, scanErr := x.events.add(buf[:n])
 	if scanErr != nil {
 		return nil, scanErr
 	}
 	if errors.Is(err, io.EOF) {
-		rest, endErr := x.events.end()
+		rest, endErr := x.events.end(isFramed(resp))
 		if endErr != nil {
 			return events, endErr
 		}
