router/forward: reset the connection of an HTTP/1.0 caller whose response breaks off

Cause: the router ends a broken response by closing the connection. With chunks the missing last one tells; HTTP/1.0 has none, and there a close is the end.

Change: such a connection is closed with a reset.

--- a/router/forward/connection.go
+++ b/router/forward/connection.go
@@ -41,3 +41,11 @@
 	})
 	return err == nil && disconnected
 }
+
+// resetOnClose makes the server reset the caller's connection when it closes it.
+func resetOnClose(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*net.TCPConn); ok {
+		// The call fails only if the connection has ended already.
+		_ = c.SetLinger(0)
+	}
+}
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -64,6 +64,9 @@
 	// LastEventID.
 	Header http.Header
 	Body   []byte
+	// NoChunks is true for a caller of HTTP/1.0. A response without a length then ends with
+	// the caller's connection, so that only a reset tells that it broke off.
+	NoChunks bool
 }
 
 // Forwarder forwards requests to targets. It is safe for concurrent use.
@@ -139,7 +142,7 @@
 	req.Call.ID = f.nextCallID()
 	ctx, cancel := context.WithDeadline(ctx, req.Call.Deadline)
 	defer cancel()
-	x := &exchange{forwarder: f, req: &req, ctx: ctx, out: &responseWriter{w: w}}
+	x := &exchange{forwarder: f, req: &req, ctx: ctx, out: &responseWriter{w: w, ctx: ctx, resetOnAbort: req.NoChunks}}
 	effects := f.Reduce(placement.CallArrived{Call: req.Call})
 	for len(effects) > 0 {
 		switch e := effects[0].(type) {
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -198,7 +198,7 @@
 		Call: placement.Call{
 			Request: fleet.RequestID(r.Header.Get("Request-Id")), Route: f.route, Content: "c", ArrivedAt: now, Deadline: now.Add(f.timeout),
 		},
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: targetconn.EndToEnd(r.Header), Body: body,
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: targetconn.EndToEnd(r.Header), Body: body, NoChunks: !r.ProtoAtLeast(1, 1),
 	})
 }
 
--- a/router/forward/writer.go
+++ b/router/forward/writer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -14,6 +15,10 @@
 // responseWriter writes the response to one caller.
 type responseWriter struct {
 	w http.ResponseWriter
+	// ctx holds the caller's connection, see ConnContext.
+	ctx context.Context
+	// resetOnAbort reports whether abort resets the connection.
+	resetOnAbort bool
 	// begun reports whether the header has been written.
 	begun bool
 }
@@ -51,7 +56,12 @@
 
 // abort panics with http.ErrAbortHandler: the server closes the caller's connection, so
 // that a partial response does not look complete.
-func (rw *responseWriter) abort() { panic(http.ErrAbortHandler) }
+func (rw *responseWriter) abort() {
+	if rw.resetOnAbort {
+		resetOnClose(rw.ctx)
+	}
+	panic(http.ErrAbortHandler)
+}
 
 // failure is the JSON body of a response that the router generates.
 type failure struct {
