--- a/control/core/announce.go
+++ b/control/core/announce.go
@@ -30,7 +30,7 @@
 	case targets.Changed:
 		c.cfg.Log.Info(logevent.TargetAnnounced, "target", string(a.Target), "service", string(a.Service), "address", a.Address.String(),
 			"datacentre", string(a.DataCentre), "state", string(a.State), "incarnation", uint64(a.Incarnation),
-			"sequence", uint64(a.Sequence), "coldFor", a.ColdFor.String())
+			"sequence", uint64(a.Sequence), logevent.FieldSoftwareVersion, string(a.SoftwareVersion), "coldFor", a.ColdFor.String())
 		c.hub.queueAnnouncement(a.Target)
 	case targets.Refreshed:
 		c.hub.collectAlive(a.Target)
--- a/fleet/ids.go
+++ b/fleet/ids.go
@@ -31,6 +31,9 @@
 	ContentHash string
 )
 
+// SoftwareVersion names the version of the software that a target runs. Versions have no order.
+type SoftwareVersion string
+
 // Ordinal numbers.
 type (
 	// Incarnation numbers the starts of a process or target; each start has a higher one.
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -107,6 +107,11 @@
 	FieldTarget = "target"
 	// FieldIncarnation is the incarnation that the target announced.
 	FieldIncarnation = "incarnation"
+	// FieldSoftwareVersion is the version of the software that the target announced.
+	FieldSoftwareVersion = "softwareVersion"
+	// FieldResumes is the id of the request that received the first event of the stream that
+	// the request resumes.
+	FieldResumes = "resumes"
 	// FieldReason is why a request was refused.
 	FieldReason = "reason"
 	// FieldRetryAfter is the time after which the caller may retry, in ms.
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -48,8 +48,11 @@
 	Route    *deployment.Route
 	Customer fleet.CustomerName
 	// Content is equal for requests that differ only in their IDs.
-	Content   fleet.ContentHash
-	Prompt    Prompt
+	Content fleet.ContentHash
+	Prompt  Prompt
+	// Resumes is the request that received the first event of the stream that the call
+	// resumes; empty for other calls.
+	Resumes   fleet.RequestID
 	ArrivedAt time.Time
 	// Deadline is when the time-out of the caller or the route ends.
 	Deadline time.Time
@@ -176,7 +179,9 @@
 	Attempt     int
 	Target      fleet.TargetID
 	Incarnation fleet.Incarnation
-	Address     netip.AddrPort
+	// SoftwareVersion is that which the target announced.
+	SoftwareVersion fleet.SoftwareVersion
+	Address         netip.AddrPort
 	// MaxIdle is the maximum number of idle connections to keep to the target.
 	MaxIdle int
 	// Basis is logged.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -244,7 +244,7 @@
 	}
 	r.emit(Send{
 		Call: k.ID, Attempt: k.sends, Target: t.id, Incarnation: t.incarnation,
-		Address: t.entry.Address, MaxIdle: r.idleConnections(k.service), Basis: basis,
+		SoftwareVersion: t.entry.SoftwareVersion, Address: t.entry.Address, MaxIdle: r.idleConnections(k.service), Basis: basis,
 	})
 }
 
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -38,6 +38,9 @@
 	// Service is the service that the target offers.
 	Service    ServiceName
 	DataCentre DataCentreName
+	// SoftwareVersion is the version of the target's software; empty if unknown. Only targets
+	// with the same one continue each other's streams.
+	SoftwareVersion SoftwareVersion `json:",omitempty"`
 	// Address is the address at which the target accepts requests.
 	Address netip.AddrPort
 	// Slots is the number of requests that the target runs concurrently when warm.
@@ -56,6 +59,9 @@
 // MaxAnnouncedPrefixes is the maximum number of prefixes in one announcement.
 const MaxAnnouncedPrefixes = 1024
 
+// MaxSoftwareVersionBytes is the maximum length of a SoftwareVersion.
+const MaxSoftwareVersionBytes = 128
+
 // Check implements Checker.
 func (a *Announcement) Check() error {
 	if err := checkAll(
@@ -68,6 +74,9 @@
 	if !a.Address.IsValid() {
 		return errors.New("Address is missing; give an IP address and a port")
 	}
+	if len(a.SoftwareVersion) > MaxSoftwareVersionBytes {
+		return errors.Errorf("SoftwareVersion has %d bytes; at most %d are allowed", len(a.SoftwareVersion), MaxSoftwareVersionBytes)
+	}
 	if a.Slots < 1 || a.Slots > MaxSlots {
 		return errors.Errorf("Slots is %d; 1 to %d are allowed", a.Slots, MaxSlots)
 	}
--- a/fleet/targets/targets.go
+++ b/fleet/targets/targets.go
@@ -101,7 +101,7 @@
 // of a cold target may have become shorter.
 func sameState(a, b *fleet.Announcement) bool {
 	return a.Incarnation == b.Incarnation && a.State == b.State && a.Address == b.Address &&
-		a.Service == b.Service && a.DataCentre == b.DataCentre && a.Slots == b.Slots &&
+		a.Service == b.Service && a.SoftwareVersion == b.SoftwareVersion && a.DataCentre == b.DataCentre && a.Slots == b.Slots &&
 		a.ColdFor >= b.ColdFor && (a.ColdFor > 0) == (b.ColdFor > 0)
 }
 
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -27,7 +27,7 @@
 func (f *Forwarder) logSent(req *Request, s placement.Send) {
 	f.cfg.Log.Info(logevent.RequestSent, logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
 		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldCaller, req.Caller, logevent.FieldAttempt, s.Attempt, logevent.FieldTarget, string(s.Target),
-		logevent.FieldIncarnation, uint64(s.Incarnation), logevent.FieldRank, s.Basis.Rank, logevent.FieldCandidates, s.Basis.Candidates,
+		logevent.FieldIncarnation, uint64(s.Incarnation), logevent.FieldSoftwareVersion, string(s.SoftwareVersion), logevent.FieldResumes, string(req.Call.Resumes), logevent.FieldRank, s.Basis.Rank, logevent.FieldCandidates, s.Basis.Candidates,
 		logevent.FieldQueuedTokens, s.Basis.QueuedTokens, logevent.FieldPrefillTokens, s.Basis.PrefillTokens, logevent.FieldRunning, s.Basis.Running, logevent.FieldSlowness, s.Basis.Slowness,
 		logevent.FieldExpectedFirstByte, s.Basis.ExpectedFirstByte.Milliseconds(), logevent.FieldDigestAge, s.Basis.DigestAge.Milliseconds())
 }
