fleet/placement: a router resumes a stream at the software version that began it

Ruled out: targets that change their version under one id (38 targets, none with two versions).

Change: the first event of a resumable stream fixes the version; only targets that announce it get the rest. Where there is none, the stream ends. A failure response fixes nothing.

--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -96,12 +96,12 @@
 	return r.chooseLeastLoaded(k, usable)
 }
 
-// eligible returns the serving targets of a call's service that are not in a data centre that
-// is out and were not tried for this call.
+// eligible returns the serving targets of a call's service that fit the call, are not in a data
+// centre that is out and were not tried for this call.
 func (r *Router) eligible(k *call) []*target {
 	var out []*target
 	for _, t := range r.services[k.service] {
-		if t.entry.State == fleet.TargetServing && !r.dataCentresOut[t.entry.DataCentre] && !k.isTried(t.id) {
+		if t.entry.State == fleet.TargetServing && !r.dataCentresOut[t.entry.DataCentre] && !k.isTried(t.id) && k.fits(t) {
 			out = append(out, t)
 		}
 	}
--- a/fleet/placement/fixture_test.go
+++ b/fleet/placement/fixture_test.go
@@ -40,6 +40,10 @@
 				Name: "plan", Host: "h", Prefix: "/plan/", Kind: deployment.KindStream, Affinity: true,
 				Split: []deployment.WeightedService{{Service: drafterService, Weight: 1}}, Timeout: 6 * time.Second, Goal: 800 * time.Millisecond, Attempts: 1,
 			},
+			{
+				Name: "summary", Host: "h", Prefix: "/summary/", Kind: deployment.KindStream, Affinity: true, Resumable: true,
+				Split: []deployment.WeightedService{{Service: drafterService, Weight: 1}}, Timeout: 6 * time.Second, Goal: 800 * time.Millisecond, Attempts: 3,
+			},
 			{
 				Name: "file", Host: "h", Prefix: "/file/", Kind: deployment.KindAtMostOnce,
 				Split: []deployment.WeightedService{{Service: deskService, Weight: 1}}, Timeout: time.Second, Goal: 100 * time.Millisecond, Attempts: 1,
@@ -86,6 +90,19 @@
 	}}
 }
 
+// mixedVersions returns announcements of n targets, the first old of which run version v1 and
+// the others version v2.
+func mixedVersions(n, old int) []fleet.AgedAnnouncement {
+	out := announcements(drafterService, n)
+	for i := range out {
+		out[i].SoftwareVersion = "v1"
+		if i >= old {
+			out[i].SoftwareVersion = "v2"
+		}
+	}
+	return out
+}
+
 func announcements(service fleet.ServiceName, n int) []fleet.AgedAnnouncement {
 	out := make([]fleet.AgedAnnouncement, n)
 	for i := range out {
@@ -123,6 +140,11 @@
 	return f.apply(placement.CallArrived{Call: f.call(path, p)})
 }
 
+// begin reports the first event of the stream that answers a Send and returns the first effect.
+func (f *fixture) begin(s placement.Send) fleet.Effect {
+	return f.apply(placement.AnswerBegun{Call: s.Call, Attempt: s.Attempt, Stream: true})
+}
+
 // end reports the outcome of a Send and returns the first effect.
 func (f *fixture) end(s placement.Send, o placement.Outcome) fleet.Effect {
 	return f.apply(placement.AttemptEnded{Call: s.Call, Attempt: s.Attempt, Outcome: o})
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -125,6 +125,8 @@
 	Call CallID
 	// Attempt is as in Send.
 	Attempt int
+	// Stream is true if the answer is a stream whose first event has arrived.
+	Stream bool
 }
 
 // EventName implements fleet.Event.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -56,8 +56,12 @@
 	sends        int
 	triedTargets []fleet.TargetID
 	current      *target
-	answerBegun  bool
-	sentAt       time.Time
+	// currentVersion is the software version that current had when the call was sent.
+	currentVersion fleet.SoftwareVersion
+	// origin is set once the call belongs to a stream that has begun.
+	origin      *fleet.StreamOrigin
+	answerBegun bool
+	sentAt      time.Time
 	// prefillTokens is the number of prompt tokens that the current target has to process.
 	prefillTokens     int
 	expectedFirstByte time.Duration
@@ -232,7 +236,7 @@
 func (r *Router) send(k *call, t *target, basis Basis) {
 	k.sends++
 	k.attempts++
-	k.current, k.answerBegun, k.sentAt = t, false, r.now
+	k.current, k.currentVersion, k.answerBegun, k.sentAt = t, t.entry.SoftwareVersion, false, r.now
 	k.triedTargets = append(k.triedTargets, t.id)
 	k.expectedFirstByte = basis.ExpectedFirstByte
 	k.trust = r.slownessState(k.service).trust
@@ -244,7 +248,7 @@
 	}
 	r.emit(Send{
 		Call: k.ID, Attempt: k.sends, Target: t.id, Incarnation: t.incarnation,
-		SoftwareVersion: t.entry.SoftwareVersion, Address: t.entry.Address, MaxIdle: r.idleConnections(k.service), Basis: basis,
+		SoftwareVersion: k.currentVersion, Address: t.entry.Address, MaxIdle: r.idleConnections(k.service), Basis: basis,
 	})
 }
 
@@ -265,11 +269,21 @@
 		return
 	}
 	k.answerBegun = true
+	if ev.Stream {
+		k.beginStream()
+	}
 	r.parts.addAnswer(k)
 	k.current.begin(k, r.now)
 	r.updateSlowness(k)
 }
 
+// beginStream records the origin of a stream that can be resumed.
+func (k *call) beginStream() {
+	if k.origin == nil && k.Route.Kind == deployment.KindStream && k.Route.Resumable {
+		k.origin = &fleet.StreamOrigin{Stream: k.Request, Service: k.service, Version: k.currentVersion}
+	}
+}
+
 // attemptEnded records the end of an attempt, and sends the call again if that is permitted.
 func (r *Router) attemptEnded(ev AttemptEnded) {
 	k := r.calls[ev.Call]
@@ -341,5 +355,11 @@
 	return b
 }
 
+// fits reports whether a target can answer a call: it continues a stream only if it has the
+// software version that began it.
+func (k *call) fits(t *target) bool {
+	return k.origin == nil || k.origin.Version == t.entry.SoftwareVersion
+}
+
 // isTried reports whether a call was sent to a target before.
 func (k *call) isTried(id fleet.TargetID) bool { return slices.Contains(k.triedTargets, id) }
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -59,7 +59,7 @@
 		x.err = errors.Wrapf(err, "response ended after %d bytes", n)
 		return placement.Broken, false
 	}
-	x.responseBegun()
+	x.responseBegun(false)
 	if n > maxBuffered {
 		return x.forwardUnbuffered(resp, &body)
 	}
@@ -101,9 +101,10 @@
 }
 
 // responseBegun reports to the placement that the response of the current attempt has begun.
-func (x *exchange) responseBegun() {
+// stream is true at the first event of a stream.
+func (x *exchange) responseBegun(stream bool) {
 	x.firstByte = x.forwarder.cfg.Clock.Now()
-	x.forwarder.Reduce(placement.AnswerBegun{Call: x.req.Call.ID, Attempt: x.send.Attempt})
+	x.forwarder.Reduce(placement.AnswerBegun{Call: x.req.Call.ID, Attempt: x.send.Attempt, Stream: stream})
 }
 
 // forwardStream passes the events of a stream on as they arrive. Until the stream ends,
@@ -118,7 +119,7 @@
 		if len(events) > 0 {
 			if !begun {
 				begun = true
-				x.responseBegun()
+				x.responseBegun(true)
 			}
 			x.out.writeHeader(resp.StatusCode, resp.Header, -1)
 			if writeErr := x.out.writeAndFlush(events); writeErr != nil {
