Streams that callers take up go on at the software version that began them

Cause: a router keeps nothing of a request that has ended, and other routers never knew of it. The caller names the request that brought the first event (Resumes); nobody could say which version that was. Class: state of one request that outlives its router, kept by nobody.

Weighed: - a version derived from the request's id (rendezvous over versions): needs no messages, but a stream that began before a version appeared or left, or while its share changed, derives another version afterwards.

Change: at the first event of a resumable stream the router sends its origin (service and version) to three control hosts, before the event goes to the caller, and again to each control host to which it connects anew. A router that gets a stream with Resumes asks them; it sends the request only to that version, and refuses it at once, as not run (StreamUnknown), if nobody knows. Callers that do not name the stream are served while the service has one version.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -92,6 +92,7 @@
 	stop      chan struct{}
 	wg        sync.WaitGroup
 	startTime time.Time
+	origins   *originStore
 
 	mu      sync.Mutex
 	seeds   []netip.AddrPort
@@ -118,6 +119,7 @@
 		cfg: cfg, host: HostIDOf(cfg.Self), startTime: cfg.Clock.Now(), seeds: cfg.Seeds, targets: targets.New(), stop: make(chan struct{}),
 	}
 	c.hub = newHub(c)
+	c.origins = newOriginStore(cfg.Clock)
 	c.loads = newLoadCollector(cfg.DemandWindow/demandWindowParts, cfg.Log)
 	c.clientSet = rpc.NewClientSet(rpc.ClientSetConfig{
 		Uncompressed: true, OnConnect: c.followPeer,
@@ -275,6 +277,19 @@
 		}
 		c.mergeNotice(n)
 		return nil, nil
+	case fleet.MethodStreamsBegun:
+		var b fleet.StreamsBegun
+		if err := fleet.Decode(params, &b); err != nil {
+			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
+		}
+		c.origins.add(&b)
+		return nil, nil
+	case fleet.MethodStreamOrigin:
+		var r fleet.StreamOriginRequest
+		if err := fleet.Decode(params, &r); err != nil {
+			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
+		}
+		return c.origins.find(&r), nil
 	case fleet.MethodConfig:
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/fleet/deployment/deployment.go
+++ b/fleet/deployment/deployment.go
@@ -4,6 +4,7 @@
 package deployment
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -75,6 +76,15 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
 }
 
+// ResumesStreams reports whether the route's requests are streams that another target can
+// continue.
+func (r *Route) ResumesStreams() bool { return r.Kind == KindStream && r.Resumable }
+
+// LeadsTo reports whether the route sends requests to a service.
+func (r *Route) LeadsTo(service fleet.ServiceName) bool {
+	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // PickService selects a service according to the weights. The argument is a random number
 // or a hash; equal arguments select the same service.
 func (r *Route) PickService(random uint64) fleet.ServiceName {
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -50,9 +50,13 @@
 	// Content is equal for requests that differ only in their IDs.
 	Content fleet.ContentHash
 	Prompt  Prompt
+	// Resuming is true if the call asks for the rest of a stream that has begun before.
+	Resuming bool
 	// Resumes is the request that received the first event of the stream that the call
-	// resumes; empty for other calls.
-	Resumes   fleet.RequestID
+	// resumes; empty for other calls, and if the caller does not say.
+	Resumes fleet.RequestID
+	// Origin is that of the stream which the call resumes; nil if it is unknown.
+	Origin    *fleet.StreamOrigin
 	ArrivedAt time.Time
 	// Deadline is when the time-out of the caller or the route ends.
 	Deadline time.Time
@@ -250,6 +254,14 @@
 // EffectName implements fleet.Effect.
 func (GiveUp) EffectName() string { return "GiveUp" }
 
+// StreamBegun is the effect of making the origin of a stream known to all routers.
+type StreamBegun struct {
+	fleet.StreamOrigin
+}
+
+// EffectName implements fleet.Effect.
+func (StreamBegun) EffectName() string { return "StreamBegun" }
+
 // Report is the effect of sending a load report to the control host that collects loads.
 type Report struct {
 	fleet.RouterLoad
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -194,6 +194,10 @@
 		return
 	}
 	k := &call{Call: c, service: c.Route.PickService(serviceHash(&c))}
+	if c.Resuming && c.Route.ResumesStreams() && !r.resumeStream(k) {
+		r.emit(Refuse{Call: c.ID, Reason: fleet.ReasonStreamUnknown, RetryAfter: minRetryDelay})
+		return
+	}
 	r.budget(k.service).addRequest(r.now)
 	if r.isQuarantined(&c) {
 		r.emit(Refuse{Call: c.ID, Reason: fleet.ReasonQuarantined, RetryAfter: quarantineRetryDelay})
@@ -270,20 +274,13 @@
 	}
 	k.answerBegun = true
 	if ev.Stream {
-		k.beginStream()
+		r.beginStream(k)
 	}
 	r.parts.addAnswer(k)
 	k.current.begin(k, r.now)
 	r.updateSlowness(k)
 }
 
-// beginStream records the origin of a stream that can be resumed.
-func (k *call) beginStream() {
-	if k.origin == nil && k.Route.Kind == deployment.KindStream && k.Route.Resumable {
-		k.origin = &fleet.StreamOrigin{Stream: k.Request, Service: k.service, Version: k.currentVersion}
-	}
-}
-
 // attemptEnded records the end of an attempt, and sends the call again if that is permitted.
 func (r *Router) attemptEnded(ev AttemptEnded) {
 	k := r.calls[ev.Call]
@@ -355,11 +352,5 @@
 	return b
 }
 
-// fits reports whether a target can answer a call: it continues a stream only if it has the
-// software version that began it.
-func (k *call) fits(t *target) bool {
-	return k.origin == nil || k.origin.Version == t.entry.SoftwareVersion
-}
-
 // isTried reports whether a call was sent to a target before.
 func (k *call) isTried(id fleet.TargetID) bool { return slices.Contains(k.triedTargets, id) }
--- a/fleet/placement/stream_test.go
+++ b/fleet/placement/stream_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -46,3 +47,62 @@
 		convey.So(giveUp.Reason, convey.ShouldEqual, fleet.ReasonNoTarget)
 	})
 }
+
+// resume returns a call for the rest of a stream with the given origin, which may be nil.
+func (f *fixture) resume(key placement.PartID, origin *fleet.StreamOrigin) placement.Call {
+	c := f.call("/summary/1", prompt(key, 500))
+	c.Resuming, c.Resumes, c.Origin = true, "r-0", origin
+	return c
+}
+
+// TestResumedStreamGoesToItsOrigin guards against a stream that a caller takes up and that goes on
+// at another software version or service (issue 26).
+func TestResumedStreamGoesToItsOrigin(t *testing.T) {
+	origin := func(service fleet.ServiceName, version fleet.SoftwareVersion) *fleet.StreamOrigin {
+		return &fleet.StreamOrigin{Stream: "r-0", Service: service, Version: version}
+	}
+	convey.Convey("Every attempt goes to a target of the version that began the stream", t, func() {
+		for key := placement.PartID(1); key <= 50; key++ {
+			f := newFixture(t, "router-0", 1, mixedVersions(6, 3)...)
+			s := sendOf(f.apply(placement.CallArrived{Call: f.resume(key, origin(drafterService, "v1"))}))
+			convey.So(s.SoftwareVersion, convey.ShouldEqual, fleet.SoftwareVersion("v1"))
+			convey.So(sendOf(f.end(s, placement.Broken)).SoftwareVersion, convey.ShouldEqual, fleet.SoftwareVersion("v1"))
+		}
+	})
+	convey.Convey("A stream is refused at once", t, func() {
+		f := newFixture(t, "router-0", 1, mixedVersions(6, 3)...)
+		for name, c := range map[string]struct {
+			origin *fleet.StreamOrigin
+			reason fleet.Reason
+		}{
+			"if its origin is unknown":                 {nil, fleet.ReasonStreamUnknown},
+			"if its route leads to another service":    {origin(deskService, "v1"), fleet.ReasonStreamUnknown},
+			"if no target runs the version that it is": {origin(drafterService, "v0"), fleet.ReasonNoTarget},
+		} {
+			convey.Convey(name, func() {
+				refuse, ok := f.apply(placement.CallArrived{Call: f.resume(1, c.origin)}).(placement.Refuse)
+				convey.So(ok, convey.ShouldBeTrue)
+				convey.So(refuse.Reason, convey.ShouldEqual, c.reason)
+				convey.So(refuse.RetryAfter, convey.ShouldBeGreaterThan, 0)
+			})
+		}
+	})
+	convey.Convey("A stream that its caller does not name is served only while there is one version", t, func() {
+		for old, want := range map[int]string{6: "placement.Send", 3: "placement.Refuse"} {
+			f := newFixture(t, "router-0", 1, mixedVersions(6, old)...)
+			c := f.resume(1, nil)
+			c.Resumes = ""
+			convey.So(fmt.Sprintf("%T", f.apply(placement.CallArrived{Call: c})), convey.ShouldEqual, want)
+		}
+	})
+	convey.Convey("The origin of a stream is shared once, at its first event", t, func() {
+		f := newFixture(t, "router-0", 1, mixedVersions(6, 3)...)
+		s := sendOf(f.ask("/summary/1", prompt(1, 500)))
+		begun, ok := f.begin(s).(placement.StreamBegun)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(begun.StreamOrigin, convey.ShouldResemble, fleet.StreamOrigin{Stream: "r-1", Service: drafterService, Version: s.SoftwareVersion})
+		convey.So(f.begin(sendOf(f.end(s, placement.Broken))), convey.ShouldBeNil)
+		resumed := sendOf(f.apply(placement.CallArrived{Call: f.resume(1, origin(drafterService, "v1"))}))
+		convey.So(f.begin(resumed), convey.ShouldBeNil)
+	})
+}
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -44,4 +44,5 @@
 	ReasonControlUnavailable Reason = "ControlUnavailable"
 	ReasonCustomerShare      Reason = "CustomerShare"
 	ReasonExpectedLate       Reason = "ExpectedLate"
+	ReasonStreamUnknown      Reason = "StreamUnknown"
 )
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -51,8 +51,10 @@
 	Decode func(text []byte) (*deployment.Configuration, error)
 	// Reduce passes an event of the feed to the placement and returns its effects.
 	Reduce func(fleet.Event) []fleet.Effect
-	Clock  fleet.Clock
-	Log    *slog.Logger
+	// Origins shares the origins of streams over the connections of the feed.
+	Origins *Origins
+	Clock   fleet.Clock
+	Log     *slog.Logger
 }
 
 // Follower follows the feed of all control hosts. It never returns to an older
@@ -100,6 +102,7 @@
 			f.mu.Unlock()
 		},
 	})
+	cfg.Origins.clients = f.clients
 	return f
 }
 
@@ -108,6 +111,7 @@
 	f.updateConnections()
 	f.wg.Go(f.reportLoads)
 	f.wg.Go(f.runHeartbeats)
+	f.wg.Go(func() { f.cfg.Origins.run(f.stop) })
 }
 
 // Stop closes all connections and waits for the background work to end.
@@ -187,6 +191,7 @@
 		return
 	}
 	f.cfg.Log.Info(logevent.ControlJoined, "control", addr.String())
+	f.cfg.Origins.sendAll(addr, peer)
 }
 
 // handleNotification handles a notification from a control host.
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -46,8 +46,11 @@
 type Config struct {
 	Headers   HeaderNames
 	Placement placement.Config
-	Clock     fleet.Clock
-	Log       *slog.Logger
+	// Origins knows which software began the streams that callers resume; nil means that all
+	// are unknown.
+	Origins fleet.StreamOrigins
+	Clock   fleet.Clock
+	Log     *slog.Logger
 }
 
 // Request is a request to be forwarded.
@@ -143,6 +146,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Call.Deadline)
 	defer cancel()
 	x := &exchange{forwarder: f, req: &req, ctx: ctx, out: &responseWriter{w: w, ctx: ctx, resetOnAbort: req.NoChunks}}
+	f.findOrigin(ctx, &req.Call)
 	effects := f.Reduce(placement.CallArrived{Call: req.Call})
 	for len(effects) > 0 {
 		switch e := effects[0].(type) {
@@ -161,6 +165,25 @@
 	}
 }
 
+// findOrigin sets the origin of the stream that a call resumes, if it is known.
+func (f *Forwarder) findOrigin(ctx context.Context, c *placement.Call) {
+	if f.cfg.Origins == nil || !c.Resuming || c.Resumes == "" || !c.Route.ResumesStreams() {
+		return
+	}
+	if o, ok := f.cfg.Origins.Find(ctx, c.Resumes); ok {
+		c.Origin = &o
+	}
+}
+
+// shareOrigins performs the StreamBegun effects.
+func (f *Forwarder) shareOrigins(effects []fleet.Effect) {
+	for _, e := range effects {
+		if begun, ok := e.(placement.StreamBegun); ok && f.cfg.Origins != nil {
+			f.cfg.Origins.Share(begun.StreamOrigin)
+		}
+	}
+}
+
 // formatRetryAfter formats a duration for the Retry-After header, in seconds.
 func formatRetryAfter(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -38,7 +38,7 @@
 	// A warning, because a refused request has no other line and warnings are dropped
 	// last.
 	f.cfg.Log.Warn(logevent.RequestRefused, logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
-		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldCaller, req.Caller, logevent.FieldReason, string(e.Reason), logevent.FieldRetryAfter, e.RetryAfter.Milliseconds(),
+		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldCaller, req.Caller, logevent.FieldResumes, string(req.Call.Resumes), logevent.FieldReason, string(e.Reason), logevent.FieldRetryAfter, e.RetryAfter.Milliseconds(),
 		logevent.FieldExpectedFirstByte, e.Basis.ExpectedFirstByte.Milliseconds(), logevent.FieldQueueDelay, e.Basis.QueueDelay.Milliseconds(), logevent.FieldCandidates, e.Basis.Candidates,
 		logevent.FieldQueuedTokens, e.Basis.QueuedTokens, logevent.FieldSlowness, e.Basis.Slowness, logevent.FieldAdmittedShare, e.Share, logevent.FieldDigestAge, e.Basis.DigestAge.Milliseconds())
 }
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -104,7 +104,7 @@
 // stream is true at the first event of a stream.
 func (x *exchange) responseBegun(stream bool) {
 	x.firstByte = x.forwarder.cfg.Clock.Now()
-	x.forwarder.Reduce(placement.AnswerBegun{Call: x.req.Call.ID, Attempt: x.send.Attempt, Stream: stream})
+	x.forwarder.shareOrigins(x.forwarder.Reduce(placement.AnswerBegun{Call: x.req.Call.ID, Attempt: x.send.Attempt, Stream: stream}))
 }
 
 // forwardStream passes the events of a stream on as they arrive. Until the stream ends,
