router/forward: refuse a customer over its share with status 429

Sound requests of the customer whose requests hold the deadly part begin less than half as often from second 20 on.

Cause, traced with logs: the customer sends 60 in 100 of all requests, the fleet serves 140 to 160 a second instead of 185 while targets are cold and prompts are read anew after the hot key, and its max-min share is 0.15 to 0.47 of its requests. 125 of 130 and 160 of 161 refusals are CustomerShare.

So the refusals are right, and their status was wrong: 503 says that the service is not available. 429 is what the product's own interface answers to a customer over its limit; both promise that the request has not run.

--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -112,7 +112,7 @@
 		// The write fails only if the caller has disconnected.
 		_, _ = x.out.w.Write(x.failed.body)
 	case e.NotRun:
-		x.out.fail(http.StatusServiceUnavailable, x.forwarder.cfg.Headers, id, e.Reason, e.RetryAfter)
+		x.out.refuse(x.forwarder.cfg.Headers, id, e.Reason, e.RetryAfter)
 	default:
 		x.out.fail(http.StatusBadGateway, x.forwarder.cfg.Headers, id, e.Reason, 0)
 	}
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -154,7 +154,7 @@
 			effects = x.attempt(e)
 		case placement.Refuse:
 			f.logRefused(&req, e)
-			x.out.fail(http.StatusServiceUnavailable, f.cfg.Headers, req.Call.Request, e.Reason, e.RetryAfter)
+			x.out.refuse(f.cfg.Headers, req.Call.Request, e.Reason, e.RetryAfter)
 			return
 		case placement.GiveUp:
 			x.giveUp(e)
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -142,6 +142,8 @@
 	server    *httptest.Server
 	route     *deployment.Route
 	timeout   time.Duration
+	customer  fleet.CustomerName
+	prompt    placement.Prompt
 	// busyHost delays each request by busyDelay before it is forwarded, as a host does
 	// that is short of CPU time.
 	busyHost bool
@@ -196,7 +198,7 @@
 	}
 	f.forwarder.Serve(ctx, rw, forward.Request{
 		Call: placement.Call{
-			Request: fleet.RequestID(r.Header.Get("Request-Id")), Route: f.route, Content: "c", ArrivedAt: now, Deadline: now.Add(f.timeout),
+			Request: fleet.RequestID(r.Header.Get("Request-Id")), Route: f.route, Customer: f.customer, Prompt: f.prompt, Content: "c", ArrivedAt: now, Deadline: now.Add(f.timeout),
 		},
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: targetconn.EndToEnd(r.Header), Body: body, NoChunks: !r.ProtoAtLeast(1, 1),
 	})
@@ -338,6 +340,31 @@
 	})
 }
 
+// TestRefusalOfACustomerOverItsShare guards against a refusal that blames the service for what
+// its customer asks beyond its share: callers can't tell it from an outage (issue 23).
+func TestRefusalOfACustomerOverItsShare(t *testing.T) {
+	convey.Convey("A customer over its share is refused with 429 and Retry-After, others are served", t, func() {
+		target := newFakeTarget(respondOK("x"))
+		f := newFixture(deployment.KindAtMostOnce, 1, false, target)
+		f.prompt = placement.Prompt{Tokens: 100}
+		f.forwarder.Reduce(placement.DigestReceived{LoadDigest: fleet.LoadDigest{Shares: []fleet.CustomerShare{{Customer: "large", Admitted: 0}}}})
+		f.customer = "large"
+		resp, err := http.Post(f.server.URL, "", nil)
+		convey.So(err, convey.ShouldBeNil)
+		defer resp.Body.Close()
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusTooManyRequests)
+		convey.So(resp.Header.Get("Retry-After"), convey.ShouldNotBeEmpty)
+		body, err := io.ReadAll(resp.Body)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(body), convey.ShouldEqual, `{"Reason":"CustomerShare","Verdict":"NotRun"}`)
+		convey.So(target.count(), convey.ShouldEqual, 0)
+		f.customer = "small"
+		status, _, err := f.post("id-2", "")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(status, convey.ShouldEqual, http.StatusOK)
+	})
+}
+
 func TestStreams(t *testing.T) {
 	two := chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: b\n\n")
 	convey.Convey("A stream is passed on completely", t, func() {
--- a/router/forward/writer.go
+++ b/router/forward/writer.go
@@ -69,6 +69,15 @@
 	Verdict fleet.Verdict
 }
 
+// refuse responds that the request has not run, or aborts if a response has begun.
+func (rw *responseWriter) refuse(names HeaderNames, id fleet.RequestID, reason fleet.Reason, retryAfter time.Duration) {
+	status := http.StatusServiceUnavailable
+	if reason == fleet.ReasonCustomerShare {
+		status = http.StatusTooManyRequests
+	}
+	rw.fail(status, names, id, reason, retryAfter)
+}
+
 // fail responds with a failure that the router generates, or aborts if a response has
 // begun. Callers take only status 503 or 429 as a guarantee that the request has not run.
 func (rw *responseWriter) fail(status int, names HeaderNames, id fleet.RequestID, reason fleet.Reason, retryAfter time.Duration) {
@@ -77,7 +86,7 @@
 	}
 	verdict := fleet.MayHaveRun
 	h := rw.w.Header()
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		verdict = fleet.NotRun
 		h.Set("Retry-After", formatRetryAfter(retryAfter))
 	}
