fleet/routing: a deadline between two attempts fails with the last one's failure

What callers saw (KNOWN-RED, TestUnreachableTarget): reason Deadline, without a time to come back, where the target could not be reached: 1 of 87 and 2 of 87 runs beside other work.

Cause: a request that waits for its next attempt, in back-off or in the queue, ended by its deadline as if nothing had been tried. The timer of the back-off is bounded by the deadline, the wait for the next grant is not.

Change: the failure of the last attempt is kept until the next one begins, and is the reason at the deadline. A request that was never sent still ends with Deadline.

Evidence: TestDeadlineAfterAFailedAttempt failed (Deadline) and passes.

--- a/fleet/routing/request.go
+++ b/fleet/routing/request.go
@@ -84,6 +84,16 @@
 	retries       int
 	retryReason   fleet.Reason
 	retryAfter    time.Duration
+	// lastFailure is that of the last attempt at a target, while the request waits for another.
+	lastFailure attemptFailure
+}
+
+// attemptFailure is the failure of an attempt that is retried; its reason is empty if there is
+// none.
+type attemptFailure struct {
+	reason     fleet.Reason
+	detail     string
+	retryAfter time.Duration
 }
 
 // attempt is one use of a grant: a request sent to a target.
--- a/fleet/routing/retry.go
+++ b/fleet/routing/retry.go
@@ -101,6 +101,9 @@
 		return
 	}
 	q.retries++
+	if reason != fleet.ReasonSuspectWithdrawn {
+		q.lastFailure = attemptFailure{reason, ev.Detail, after}
+	}
 	q.queueUntil = at.Add(q.queueTimeout)
 	r.recordDecision(now, q, EventRetried, reason, ev.Detail)
 	r.setState(q, stateBackingOff, at)
--- a/fleet/routing/retry_test.go
+++ b/fleet/routing/retry_test.go
@@ -97,3 +97,31 @@
 		convey.So(string(rep.Report.Tickets[0].ID), convey.ShouldEqual, "r.2")
 	})
 }
+
+// TestDeadlineAfterAFailedAttempt guards against a failure response that names the deadline
+// where a target failed and the request was waiting for another attempt (KNOWN-RED,
+// TestUnreachableTarget).
+func TestDeadlineAfterAFailedAttempt(t *testing.T) {
+	convey.Convey("A deadline that passes before the next attempt fails the request with the failure of the last one", t, func() {
+		b := newFixture()
+		b.reduce(RequestAccepted{Request: "r", Customer: "x", Service: "model", Idempotent: true, Content: "c", Deadline: b.now.Add(500 * time.Millisecond)})
+		b.advance(ReportInterval)
+		b.sendGrants("r.1")
+		b.reduce(AttemptEnded{Request: "r", Attempt: 1, Cause: CauseConnectFailed, Detail: "refused"})
+		b.advance(600 * time.Millisecond)
+		f, ok := findEffect[AnswerFailure](b)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(f.Failure.Reason, convey.ShouldEqual, fleet.ReasonTargetConnect)
+		convey.So(f.Failure.Verdict, convey.ShouldEqual, fleet.NotRun)
+		convey.So(f.Failure.RetryAfter, convey.ShouldEqual, retryAfterTarget)
+		convey.So(f.Failure.Detail, convey.ShouldContainSubstring, "refused")
+	})
+	convey.Convey("A deadline that passes before the first attempt is named", t, func() {
+		b := newFixture()
+		b.reduce(RequestAccepted{Request: "r", Customer: "x", Service: "model", Idempotent: true, Content: "c", Deadline: b.now.Add(500 * time.Millisecond)})
+		b.advance(600 * time.Millisecond)
+		f, ok := findEffect[AnswerFailure](b)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(f.Failure.Reason, convey.ShouldEqual, fleet.ReasonDeadline)
+	})
+}
--- a/fleet/routing/timers.go
+++ b/fleet/routing/timers.go
@@ -98,8 +98,13 @@
 	}
 }
 
-// deadlineReached ends a request whose deadline has passed.
+// deadlineReached ends a request whose deadline has passed. If it waits for another attempt, the
+// failure of the last one is the reason.
 func (r *Router) deadlineReached(now time.Time, q *request) {
+	if last := q.lastFailure; q.attempt == nil && last.reason != "" {
+		r.fail(now, q, last.reason, last.retryAfter, "the target failed and no other was free before the deadline: %s", last.detail)
+		return
+	}
 	if q.attempt != nil {
 		q.mayHaveRun = true
 		r.release(q, fleet.OutcomeUnknown)
