fleet/routing: an attempt may report its end shortly after the deadline

Cause: at the deadline a running attempt was given up at once, also one that was still connecting; 1 ms later it would have reported that it had not run. The executor ends its attempts at the same deadline, so the two raced.

Change: the timer of a running attempt is 20 ms later than the deadline. The report of the attempt decides; without one the request may have run, as before.

The address of the test's unreachable target is now bound and not listened on, so that no other process can take its port.

Evidence: TestDeadlineWhileConnecting failed on the code before and passes.

--- a/fleet/routing/grants.go
+++ b/fleet/routing/grants.go
@@ -127,7 +127,7 @@
 	}
 	a.number, a.request, a.ticket = q.attempts, q.Request, q.ticket
 	q.attempt = a
-	r.setState(q, stateSending, q.deadline)
+	r.setState(q, stateSending, q.deadline.Add(attemptEndGrace))
 	r.recordDecision(now, q, EventSent, "", string(a.target))
 	r.emit(StartSend{
 		Request: q.Request, Attempt: a.number, Grant: a.grant, Target: a.target, Address: a.address,
--- a/fleet/routing/retry_test.go
+++ b/fleet/routing/retry_test.go
@@ -125,3 +125,35 @@
 		convey.So(f.Failure.Reason, convey.ShouldEqual, fleet.ReasonDeadline)
 	})
 }
+
+// TestDeadlineWhileConnecting guards against the verdict MayHaveRun for a request whose last
+// attempt fails to connect at the deadline (KNOWN-RED, TestUnreachableTarget).
+func TestDeadlineWhileConnecting(t *testing.T) {
+	send := func() *fixture {
+		b := newFixture()
+		b.reduce(RequestAccepted{Request: "r", Customer: "x", Service: "model", Idempotent: true, Content: "c", Deadline: b.now.Add(500 * time.Millisecond)})
+		b.advance(ReportInterval)
+		b.sendGrants("r.1")
+		b.advance(500*time.Millisecond - ReportInterval)
+		return b
+	}
+	convey.Convey("An attempt that fails to connect just after the deadline has not run", t, func() {
+		b := send()
+		_, failed := findEffect[AnswerFailure](b)
+		convey.So(failed, convey.ShouldBeFalse)
+		b.now = b.now.Add(5 * time.Millisecond)
+		b.reduce(AttemptEnded{Request: "r", Attempt: 1, Cause: CauseConnectFailed})
+		f, ok := findEffect[AnswerFailure](b)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(f.Failure.Reason, convey.ShouldEqual, fleet.ReasonTargetConnect)
+		convey.So(f.Failure.Verdict, convey.ShouldEqual, fleet.NotRun)
+	})
+	convey.Convey("An attempt that does not end at the deadline may have run", t, func() {
+		b := send()
+		b.advance(attemptEndGrace)
+		f, ok := findEffect[AnswerFailure](b)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(f.Failure.Reason, convey.ShouldEqual, fleet.ReasonDeadline)
+		convey.So(f.Failure.Verdict, convey.ShouldEqual, fleet.MayHaveRun)
+	})
+}
--- a/fleet/routing/timers.go
+++ b/fleet/routing/timers.go
@@ -7,6 +7,10 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 )
 
+// attemptEndGrace is how long a running attempt may take to report its end after the deadline. The
+// report says whether the request may have run.
+const attemptEndGrace = 20 * time.Millisecond
+
 // timer is the time at which a request has to be handled by timerDue.
 type timer struct {
 	at      time.Time
--- a/router/internal/routercmd/faults_test.go
+++ b/router/internal/routercmd/faults_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 )
@@ -148,10 +149,29 @@
 	f.targets[s] = addrs
 }
 
+// unreachableAddr returns an address that refuses connections until the test ends. Its port is
+// bound, so that no other process can listen on it meanwhile.
+func unreachableAddr(t *testing.T) netip.AddrPort {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(bound.(*unix.SockaddrInet4).Port))
+}
+
 func TestUnreachableTarget(t *testing.T) {
 	f := startFixture(t)
 	defer f.stop(t)
-	f.dispatcher.setTargets("desk", freeAddr(t))
+	f.dispatcher.setTargets("desk", unreachableAddr(t))
 	convey.Convey("A request that reached no target is NotRun, and its key can be used again", t, func() {
 		a := f.call("POST", "/services/desk/filings", "form", "Idempotency-Key", "k", "Fuchsiashed-Deadline", "500ms")
 		convey.So(a.verdict(), convey.ShouldEqual, "NotRun")
