soak: two software versions, and callers that take up broken streams

Neighbouring targets announce different versions and name theirs in each event. Callers take a stream that breaks off up once, at a random router, with Resumes and Last-Event-Id. New rule OneVersion, and a mutation of the same name, which lets a stream go on at any version. An event counts once its blank line has come.

--- a/soak/internal/check/record.go
+++ b/soak/internal/check/record.go
@@ -40,6 +40,9 @@
 	// Own is set if the body is the expected one for this request, for a stream with all events
 	// in order.
 	Own bool
+	// Versions lists the software versions of the targets that wrote the events of a stream, over
+	// all requests for it, in the order in which they appeared.
+	Versions []string `json:",omitempty"`
 	// Err is the error of sending the request or reading its response; empty if there was none.
 	Err string `json:",omitempty"`
 }
--- a/soak/internal/check/verify.go
+++ b/soak/internal/check/verify.go
@@ -83,6 +83,9 @@
 	if req.Verdict == fleet.NotRun && len(executions) > 0 {
 		v.report("NotRunIsTrue", req.Sent, "%s was answered %d, not run, and ran at %s", req.ID, req.Status, executions[0].Target)
 	}
+	if len(req.Versions) > 1 {
+		v.report("OneVersion", req.Sent, "%s has events of software versions %v", req.ID, req.Versions)
+	}
 	if req.Whole && req.Status == 200 && !req.Own {
 		v.report("WholeOwnAnswer", req.Sent, "%s (%s) got a whole answer that is not its own: %s", req.ID, req.Kind, req.Err)
 	}
--- a/soak/internal/check/verify_test.go
+++ b/soak/internal/check/verify_test.go
@@ -41,6 +41,7 @@
 		"NotRunIsTrue": func(r *check.Record) {
 			r.Executions = append(r.Executions, check.Execution{ID: "b", Target: "target-2", At: second})
 		},
+		"OneVersion":     func(r *check.Record) { r.Requests[0].Versions = []string{"v1", "v2"} },
 		"WholeOwnAnswer": func(r *check.Record) { r.Requests[0].Own = false },
 		"NeverBack": func(r *check.Record) {
 			r.Reads = append(r.Reads, check.ConfigRead{Number: 2, Same: true, Sent: 4 * second, At: 5 * second})
--- a/soak/internal/harness/callers.go
+++ b/soak/internal/harness/callers.go
@@ -8,9 +8,13 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 
 	"github.com/fuchsiashed/fuchsiashed/platform/client"
@@ -97,8 +101,23 @@
 	return result.Status == http.StatusOK && result.Own
 }
 
-// send sends one request and reads its response.
+// send sends one request and reads its response. A stream that breaks off is taken up once, at a
+// random router.
 func (c *caller) send(ctx context.Context, router netip.AddrPort, kind check.RequestKind) check.Request {
+	events := &eventReader{}
+	result := c.sendOnce(ctx, router, kind, events)
+	if events.count == 0 || result.Whole || len(c.routers) == 0 {
+		return result
+	}
+	rest := c.sendOnce(ctx, c.routers[rand.IntN(len(c.routers))], kind, events)
+	if ctx.Err() == nil {
+		c.harness.recorder.Update(func(r *check.Record) { r.Requests = append(r.Requests, rest) })
+	}
+	return result
+}
+
+// sendOnce sends one request, which resumes the stream of events if that has begun.
+func (c *caller) sendOnce(ctx context.Context, router netip.AddrPort, kind check.RequestKind, events *eventReader) check.Request {
 	c.sent++
 	result := check.Request{
 		ID:   fleet.RequestID(fmt.Sprintf("%d-%d-%d-%s", c.number, c.sent, rand.Uint32(), kind)),
@@ -112,6 +131,11 @@
 	}
 	req.Host = hostName
 	client.SetRequestID(req, result.ID)
+	if events.count > 0 {
+		client.SetResumption(req, events.stream, strconv.Itoa(events.count))
+	} else {
+		events.stream = result.ID
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		result.Err, result.Ended = err.Error(), c.harness.now()
@@ -120,7 +144,8 @@
 	defer resp.Body.Close()
 	result.Status, result.Verdict = resp.StatusCode, client.Verdict(resp)
 	if kind == check.Stream && result.Status == http.StatusOK {
-		result.Own, err = readEvents(resp.Body, result.ID)
+		result.Own, err = events.read(resp.Body)
+		result.Versions = slices.Clone(events.versions)
 	} else {
 		var body []byte
 		body, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
@@ -133,18 +158,45 @@
 	return result
 }
 
-// readEvents reads an event stream to its end, and reports whether it has all events in order.
-func readEvents(r io.Reader, id fleet.RequestID) (bool, error) {
-	n := 0
-	matches := true
-	s := bufio.NewScanner(io.LimitReader(r, maxResponseBytes))
-	for s.Scan() {
-		data, ok := strings.CutPrefix(s.Text(), "data: ")
-		if !ok {
-			continue
+// eventReader reads the events of one stream from one or more responses.
+type eventReader struct {
+	// stream is the request that received the first event.
+	stream fleet.RequestID
+	// count is the number of events received.
+	count int
+	// versions lists the software versions that wrote them.
+	versions []string
+	// wrong is set if an event was not the next one.
+	wrong bool
+}
+
+// read reads an event stream to its end, and reports whether it has the rest of the events in
+// order. An event counts once its blank line has been read.
+func (e *eventReader) read(r io.Reader) (bool, error) {
+	br := bufio.NewReader(io.LimitReader(r, maxResponseBytes))
+	data := ""
+	for {
+		line, err := br.ReadString('\n')
+		switch {
+		case errors.Is(err, io.EOF):
+			return !e.wrong && e.count == eventCount(e.stream), nil
+		case err != nil:
+			return false, err
+		case line == "\n" && data != "":
+			e.add(data)
+			data = ""
+		case strings.HasPrefix(line, "data: "):
+			data = strings.TrimSuffix(strings.TrimPrefix(line, "data: "), "\n")
 		}
-		n++
-		matches = matches && data == fmt.Sprintf("%s %d", id, n)
 	}
-	return matches && n == eventCount(id), s.Err()
+}
+
+// add adds the data of the next event.
+func (e *eventReader) add(data string) {
+	e.count++
+	version, ok := strings.CutPrefix(data, fmt.Sprintf("%s %d ", e.stream, e.count))
+	e.wrong = e.wrong || !ok
+	if ok && !slices.Contains(e.versions, version) {
+		e.versions = append(e.versions, version)
+	}
 }
--- a/soak/internal/harness/targets.go
+++ b/soak/internal/harness/targets.go
@@ -113,7 +113,7 @@
 	t.sequence++
 	a := fleet.Announcement{
 		Target: fleet.TargetID(t.name), Incarnation: fleet.Incarnation(t.startedAt.UnixMilli()), Sequence: t.sequence,
-		Service: serviceName, DataCentre: fleet.DataCentreName(dataCentre(t.number)), Slots: slotsPerTarget, State: t.state,
+		SoftwareVersion: t.softwareVersion(), Service: serviceName, DataCentre: fleet.DataCentreName(dataCentre(t.number)), Slots: slotsPerTarget, State: t.state,
 		Address: netip.AddrPortFrom(t.harness.address(roleTarget, t.number, true), targetPort),
 		ColdFor: max(0, coldFor-time.Since(t.startedAt)),
 	}
@@ -127,6 +127,11 @@
 	return t.harness.client.Announce(ctx, t.harness.control(1+rand.IntN(t.harness.cfg.Plan.Controls)), a) == nil
 }
 
+// softwareVersion returns the version of the target's software. Neighbouring targets differ.
+func (t *target) softwareVersion() fleet.SoftwareVersion {
+	return fleet.SoftwareVersion(fmt.Sprint("v", 1+t.number%2))
+}
+
 // update changes the target's state under its lock.
 func (t *target) update(f func()) {
 	t.mu.Lock()
@@ -218,7 +223,7 @@
 	}
 	client.MarkRan(w, r, t.name)
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
-		t.stream(w, r, id, b)
+		t.stream(w, r, client.Stream(r), b)
 		return
 	}
 	sleep(r.Context(), time.Duration(hash(id)%uint64(maxServiceTime)))
@@ -229,7 +234,7 @@
 	_, _ = io.WriteString(w, responseBody(id))
 }
 
-// stream sends the events that follow the Last-Event-ID of the request.
+// stream sends the events of the stream id that follow the Last-Event-ID of the request.
 func (t *target) stream(w http.ResponseWriter, r *http.Request, id fleet.RequestID, b behaviour) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, err := strconv.Atoi(client.LastEventID(r))
@@ -243,7 +248,7 @@
 		if b == behaviourAbort && n > eventCount(id)/2 {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d %s\n\n", n, id, n, t.softwareVersion()); err != nil {
 			return
 		}
 		// A flush fails only if the caller has disconnected, and then the next write fails too.
--- a/soak/internal/mutant/mutant.go
+++ b/soak/internal/mutant/mutant.go
@@ -58,6 +58,11 @@
 		"t.entry.State == fleet.TargetServing && !r.dataCentresOut[t.entry.DataCentre] && !k.isTried(t.id)",
 		"t.entry.State == fleet.TargetServing && !k.isTried(t.id)",
 	},
+	"OneVersion": {
+		"fleet/placement/stream.go",
+		"return k.origin == nil || k.origin.Version == t.entry.SoftwareVersion",
+		"return true",
+	},
 	"StopCutsNothing": {
 		"platform/internal/platformcmd/router.go",
 		"sleep(ctx, drainTime)",
