--- a/fleet/placement/stream_test.go
+++ b/fleet/placement/stream_test.go
@@ -75,9 +75,9 @@
 			origin *fleet.StreamOrigin
 			reason fleet.Reason
 		}{
-			"if its origin is unknown":                 {nil, fleet.ReasonStreamUnknown},
-			"if its route leads to another service":    {origin(deskService, "v1"), fleet.ReasonStreamUnknown},
-			"if no target runs the version that it is": {origin(drafterService, "v0"), fleet.ReasonNoTarget},
+			"if its origin is unknown":                    {nil, fleet.ReasonStreamUnknown},
+			"if its route leads to another service":       {origin(deskService, "v1"), fleet.ReasonStreamUnknown},
+			"if no target runs the version that began it": {origin(drafterService, "v0"), fleet.ReasonNoTarget},
 		} {
 			convey.Convey(name, func() {
 				refuse, ok := f.apply(placement.CallArrived{Call: f.resume(1, c.origin)}).(placement.Refuse)
--- a/fleet/routing/timers.go
+++ b/fleet/routing/timers.go
@@ -105,7 +105,8 @@
 // deadlineReached ends a request whose deadline has passed. If it waits for another attempt, the
 // failure of the last one is the reason.
 func (r *Router) deadlineReached(now time.Time, q *request) {
-	if last := q.lastFailure; q.attempt == nil && last.reason != "" {
+	waiting := q.state == stateQueued || q.state == stateBackingOff
+	if last := q.lastFailure; waiting && last.reason != "" {
 		r.fail(now, q, last.reason, last.retryAfter, "the target failed and no other was free before the deadline: %s", last.detail)
 		return
 	}
