--- a/fleet/placement/stream_test.go
+++ b/fleet/placement/stream_test.go
@@ -10,7 +10,7 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
 )
 
-// TestStreamStaysAtItsVersion guards against a stream that breaks off and goes on at a target of
+// TestStreamStaysAtItsVersion guards against an interrupted stream that is resumed at a target of
 // another software version, whose events do not continue it (issue 26).
 func TestStreamStaysAtItsVersion(t *testing.T) {
 	convey.Convey("A stream that has begun is resumed at a target of the version that began it", t, func() {
@@ -55,8 +55,8 @@
 	return c
 }
 
-// TestResumedStreamGoesToItsOrigin guards against a stream that a caller takes up and that goes on
-// at another software version or service (issue 26).
+// TestResumedStreamGoesToItsOrigin guards against a stream that a caller resumes and that is
+// continued by another software version or service (issue 26).
 func TestResumedStreamGoesToItsOrigin(t *testing.T) {
 	origin := func(service fleet.ServiceName, version fleet.SoftwareVersion) *fleet.StreamOrigin {
 		return &fleet.StreamOrigin{Stream: "r-0", Service: service, Version: version}
--- a/fleet/stream.go
+++ b/fleet/stream.go
@@ -61,12 +61,12 @@
 // Check implements Checker.
 func (*StreamOriginReply) Check() error { return nil }
 
-// StreamOrigins knows which software began the streams of all routers.
+// StreamOrigins finds out which software began a stream, at any router.
 type StreamOrigins interface {
 	// Share makes the origin of a stream that this router has begun known to the other
 	// routers. It does not block.
 	Share(StreamOrigin)
 	// Find returns the origin of a stream. ok is false if no process that this router reaches
-	// knows it.
+	// has it.
 	Find(ctx context.Context, stream RequestID) (o StreamOrigin, ok bool)
 }
--- a/router/feed/origins.go
+++ b/router/feed/origins.go
@@ -44,8 +44,7 @@
 	clients *rpc.ClientSet
 }
 
-// NewOrigins returns an Origins that knows the streams of this router only, until it is passed
-// to a Follower.
+// NewOrigins returns an Origins, which must be passed to a Follower before use.
 func NewOrigins(clock fleet.Clock, log *slog.Logger) *Origins {
 	return &Origins{clock: clock, log: log, wake: make(chan struct{}, 1), begun: streams.New()}
 }
@@ -159,7 +158,7 @@
 	return fleet.StreamOrigin{}, false
 }
 
-// ask asks one control host. A host that does not reply knows nothing.
+// ask requests the origin from one control host. No reply counts as not found.
 func (s *Origins) ask(ctx context.Context, addr netip.AddrPort, stream fleet.RequestID) fleet.StreamOriginReply {
 	var reply fleet.StreamOriginReply
 	c := s.clients.Client(addr)
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -46,8 +46,8 @@
 type Config struct {
 	Headers   HeaderNames
 	Placement placement.Config
-	// Origins knows which software began the streams that callers resume; nil means that all
-	// are unknown.
+	// Origins finds out which software began the streams that callers resume; nil means that
+	// all are unknown.
 	Origins fleet.StreamOrigins
 	Clock   fleet.Clock
 	Log     *slog.Logger
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -340,8 +340,8 @@
 	})
 }
 
-// TestRefusalOfACustomerOverItsShare guards against a refusal that blames the service for what
-// its customer asks beyond its share: callers can't tell it from an outage (issue 23).
+// TestRefusalOfACustomerOverItsShare guards against a refusal of demand beyond a customer's share
+// that callers can't distinguish from an outage (issue 23).
 func TestRefusalOfACustomerOverItsShare(t *testing.T) {
 	convey.Convey("A customer over its share is refused with 429 and Retry-After, others are served", t, func() {
 		target := newFakeTarget(respondOK("x"))
--- a/soak/internal/harness/callers.go
+++ b/soak/internal/harness/callers.go
@@ -101,7 +101,7 @@
 	return result.Status == http.StatusOK && result.Own
 }
 
-// send sends one request and reads its response. A stream that breaks off is taken up once, at a
+// send sends one request and reads its response. An interrupted stream is resumed once, at a
 // random router.
 func (c *caller) send(ctx context.Context, router netip.AddrPort, kind check.RequestKind) check.Request {
 	events := &eventReader{}
