control/core: the hub takes its state from an interface; failing tests of 300 routers

TestManyRoutersJoin: each of 300 routers that join within a second gets 300 messages, since each join sends all routers the list of all. TestSteadyTrafficOfManyRouters: 68 KB/s a router while nothing changes, of 16.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -118,7 +118,7 @@
 	c := &Core{
 		cfg: cfg, host: HostIDOf(cfg.Self), startTime: cfg.Clock.Now(), seeds: cfg.Seeds, targets: targets.New(), stop: make(chan struct{}),
 	}
-	c.hub = newHub(c)
+	c.hub = newHub(c, cfg.Clock, cfg.Log)
 	c.origins = newOriginStore(cfg.Clock)
 	c.loads = newLoadCollector(cfg.DemandWindow/demandWindowParts, cfg.Log)
 	c.clientSet = rpc.NewClientSet(rpc.ClientSetConfig{
--- a/control/core/hub.go
+++ b/control/core/hub.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"expvar"
+	"log/slog"
 	"net/netip"
 	"slices"
 	"sync"
@@ -35,10 +36,22 @@
 	DataCentre fleet.DataCentreName
 }
 
+// feedSource is the view of the deployment that a hub sends to its followers.
+type feedSource interface {
+	// notice returns the view without the targets.
+	notice() fleet.Notice
+	// fullTargetsNotice returns the state of all targets.
+	fullTargetsNotice() fleet.TargetsNotice
+	// agedAnnouncement returns the newest announcement of a target, or false if there is none.
+	agedAnnouncement(id fleet.TargetID) (fleet.AgedAnnouncement, bool)
+}
+
 // hub is the feed of a control host: it sends changes of the deployment to the routers and
 // control hosts that follow it.
 type hub struct {
-	core *Core
+	source feedSource
+	clock  fleet.Clock
+	log    *slog.Logger
 
 	mu        sync.Mutex
 	followers map[fleet.Caller]*follower
@@ -69,11 +82,13 @@
 	digest    *fleet.LoadDigest
 }
 
-func newHub(c *Core) *hub { return &hub{core: c, followers: map[fleet.Caller]*follower{}} }
+func newHub(source feedSource, clock fleet.Clock, log *slog.Logger) *hub {
+	return &hub{source: source, clock: clock, log: log, followers: map[fleet.Caller]*follower{}}
+}
 
 // join adds a follower, or updates the join request of one that has joined.
 func (h *hub) join(peer fleet.Caller, r fleet.JoinRequest) {
-	now := h.core.cfg.Clock.Now()
+	now := h.clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if f := h.followers[peer]; f != nil {
@@ -88,7 +103,7 @@
 	if n := h.countRouters(); n > h.maxRouters {
 		h.maxRouters = n
 	}
-	h.core.cfg.Log.Info(logevent.FollowerJoined, "follower", string(r.Host), "role", string(r.Role))
+	h.log.Info(logevent.FollowerJoined, "follower", string(r.Host), "role", string(r.Role))
 	f.signal()
 	h.wg.Go(func() { h.runFollower(f) })
 	h.updateAll(func(f *follower) { f.sendNotice = true })
@@ -110,7 +125,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if f := h.followers[peer]; f != nil {
-		h.core.cfg.Log.Info(logevent.FollowerLeft, "follower", string(f.Host), "role", string(f.Role))
+		h.log.Info(logevent.FollowerLeft, "follower", string(f.Host), "role", string(f.Role))
 		close(f.quit)
 		delete(h.followers, peer)
 	}
@@ -132,7 +147,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if f := h.followers[peer]; f != nil {
-		f.lastReport, f.Stopping, f.shedShare = h.core.cfg.Clock.Now(), r.Stopping, r.Away
+		f.lastReport, f.Stopping, f.shedShare = h.clock.Now(), r.Stopping, r.Away
 	}
 }
 
@@ -219,15 +234,15 @@
 	h.mu.Unlock()
 
 	if notice {
-		n := h.core.notice()
+		n := h.source.notice()
 		h.notify(f, fleet.MethodNotice, &n)
 	}
 	n := fleet.TargetsNotice{Alive: sortedKeys(alive), Ended: ends}
 	if all {
-		n = h.core.fullTargetsNotice()
+		n = h.source.fullTargetsNotice()
 	}
 	for _, id := range sortedKeys(changed) {
-		if a, ok := h.core.agedAnnouncement(id); ok && !all {
+		if a, ok := h.source.agedAnnouncement(id); ok && !all {
 			n.Announced = append(n.Announced, a)
 		}
 	}
@@ -244,7 +259,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
 	if err := f.peer.Notify(ctx, method, params); err != nil {
-		h.core.cfg.Log.Debug(logevent.NotifyFailed, "follower", string(f.Host), "method", method, "error", err)
+		h.log.Debug(logevent.NotifyFailed, "follower", string(f.Host), "method", method, "error", err)
 	}
 }
 
@@ -262,7 +277,7 @@
 
 // liveRouters returns the routers that joined or sent a report within routerTimeout.
 func (h *hub) liveRouters() []fleet.HostID {
-	now := h.core.cfg.Clock.Now()
+	now := h.clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	hosts := map[fleet.HostID]bool{}
--- a/control/core/hub_test.go
+++ b/control/core/hub_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 	convey.Convey("A host that was suspended lists all routers when only one has reported again", t, func() {
 		clock := &manualClock{now: time.Unix(1_700_000_000, 0)}
 		c := &Core{cfg: Config{Clock: clock}, startTime: clock.now.Add(-time.Minute)}
-		c.hub = newHub(c)
+		c.hub = newHub(c, clock, slog.New(slog.DiscardHandler))
 		add := func(i int) *follower {
 			f := &follower{lastReport: clock.now, JoinRequest: fleet.JoinRequest{
 				Host: fleet.HostID(fmt.Sprint("router-", i)), Role: fleet.RoleRouter,
--- /dev/null
+++ b/control/core/publish_test.go
@@ -0,0 +1,121 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// countingPeer counts the notifications that it is sent.
+type countingPeer struct {
+	messages, bytes atomic.Int64
+}
+
+func (*countingPeer) Call(context.Context, string, any, any) error { return nil }
+
+func (p *countingPeer) Notify(_ context.Context, _ string, params any) error {
+	text, err := json.Marshal(params)
+	p.messages.Add(1)
+	p.bytes.Add(int64(len(text)))
+	return err
+}
+
+const (
+	// manyRouters is the number of routers of a large deployment.
+	manyRouters = 300
+	// manyControls is the number of its control hosts, which all send to each router.
+	manyControls = 6
+	// controlBytesPerSecond is the budget of a router for control traffic.
+	controlBytesPerSecond = 16_000
+)
+
+// joinMany lets manyRouters routers join a hub within a second.
+func joinMany(h *hub) []*countingPeer {
+	var peers []*countingPeer
+	for i := range manyRouters {
+		p := &countingPeer{}
+		peers = append(peers, p)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8366)
+		h.join(p, fleet.JoinRequest{Host: HostIDOf(address), Role: fleet.RoleRouter, Address: address, DataCentre: "a"})
+		time.Sleep(time.Second / manyRouters)
+	}
+	return peers
+}
+
+// steadySource is a deployment in which nothing changes but the routers that have joined.
+type steadySource struct{ hub *hub }
+
+func (s *steadySource) notice() fleet.Notice {
+	n := fleet.Notice{Revision: 7, Number: 7, Confirmed: true, Leader: "10.9.0.1:8366", Routers: s.hub.liveRouters()}
+	for i := range manyControls {
+		n.Controls = append(n.Controls, fleet.HostID(fmt.Sprintf("10.9.0.%d:8366", i)))
+	}
+	return n
+}
+
+func (*steadySource) fullTargetsNotice() fleet.TargetsNotice { return fleet.TargetsNotice{} }
+
+func (*steadySource) agedAnnouncement(fleet.TargetID) (fleet.AgedAnnouncement, bool) {
+	return fleet.AgedAnnouncement{}, false
+}
+
+func newTestHub() *hub {
+	s := &steadySource{}
+	s.hub = newHub(s, fleet.SystemClock{}, slog.New(slog.DiscardHandler))
+	return s.hub
+}
+
+// TestManyRoutersJoin guards against a control host that sends the list of all routers to
+// all routers for each one that joins: with 291 routers that used up its share of the
+// processor, and no router got a configuration.
+func TestManyRoutersJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("While 300 routers join within a second, each gets few messages", t, func() {
+			h := newTestHub()
+			defer h.close()
+			peers := joinMany(h)
+			time.Sleep(time.Second)
+			for _, p := range peers {
+				convey.So(p.messages.Load(), convey.ShouldBeBetweenOrEqual, 1, 20)
+			}
+		})
+	})
+}
+
+// TestSteadyTrafficOfManyRouters guards against control traffic that grows with the product of
+// two counts of hosts.
+func TestSteadyTrafficOfManyRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("While nothing changes, 300 routers stay within their budget for control traffic", t, func() {
+			h := newTestHub()
+			defer h.close()
+			peers := joinMany(h)
+			time.Sleep(2 * time.Second)
+			before := peers[0].bytes.Load()
+			const seconds = 10
+			for range seconds * int(time.Second/housekeepingInterval) {
+				// A sixth of 240 targets announce themselves to this host every 1.2 s.
+				for i := range 16 {
+					h.collectAlive(fleet.TargetID(fmt.Sprintf("i-%010d", i)))
+				}
+				for _, p := range peers {
+					h.recordReport(p, &fleet.RouterLoad{})
+				}
+				h.flushAlive()
+				time.Sleep(housekeepingInterval)
+			}
+			perSecond := (peers[0].bytes.Load() - before) / seconds
+			convey.So(perSecond*manyControls, convey.ShouldBeLessThan, controlBytesPerSecond)
+		})
+	})
+}
