control/core: changes of the feed are encoded once, and the list of routers is sent when it changes

Control hosts wrote the list of all routers (5 KB) to each follower twice a second and once more for each router that joined, each time encoded anew by five passes of encoding/json; routers that waited for it lost their heartbeats and joined again. Ruled out: cold quotas and retry shares below one request (they are not reached), the directory (it refuses since routers come and go). A digest is the same for all routers; each subtracts its own report (Feed.Included). Reports and digests come every 1 ms a router instead of 5, and a report is kept for three intervals: at 291 routers it was dropped after 1 s and came every 1.5 s.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -181,6 +181,7 @@
 		return err
 	}
 	c.shell.Start()
+	c.hub.start()
 	c.updateConnections()
 	c.wg.Go(c.runHousekeeping)
 	c.wg.Go(c.sendDigests)
@@ -260,7 +261,11 @@
 		if err := fleet.Decode(params, &r); err != nil {
 			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
 		}
-		c.hub.join(peer, r)
+		subscriber, ok := peer.(fleet.Subscriber)
+		if !ok {
+			return nil, rpc.NewError(fleet.CodeInvalid, "the connection can't carry a feed", nil)
+		}
+		c.hub.join(subscriber, r)
 		return &fleet.JoinReply{Host: c.host}, nil
 	case fleet.MethodLoad:
 		var r fleet.RouterLoad
--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,13 +15,12 @@
 )
 
 const (
-	// minDigestInterval is the minimum time between two digests to a router.
-	minDigestInterval = 100 * time.Millisecond
-	// digestIntervalPerRouter is added up over the connected routers to get the interval, if
-	// that is longer. It bounds the leader's CPU use: sending a digest takes about 0.1 ms.
-	digestIntervalPerRouter = 5 * time.Millisecond
-	// reportMaxAge is the age after which a router's report is dropped from the digests.
-	reportMaxAge = time.Second
+	// minReportMaxAge is the minimum age after which a router's report is dropped from the
+	// digests.
+	minReportMaxAge = time.Second
+	// missedReports is the number of reports that a router may miss before its last one is
+	// dropped.
+	missedReports = 3
 	// suspectRetention is how long a request is kept as a suspect after its last crash of a
 	// target.
 	suspectRetention = 60 * time.Second
@@ -106,7 +106,7 @@
 	if r.Capacity > 0 {
 		l.nominalRate = r.Capacity
 	}
-	if old, ok := l.reports[r.Host]; ok && r.Sequence <= old.Sequence && now.Sub(old.receivedAt) < reportMaxAge {
+	if old, ok := l.reports[r.Host]; ok && r.Sequence <= old.Sequence && now.Sub(old.receivedAt) < minReportMaxAge {
 		return
 	}
 	l.reports[r.Host] = report{RouterLoad: r, receivedAt: now}
@@ -125,7 +125,7 @@
 // addParts adds what a router reports of parts of prompts. A new leader adopts the quarantines
 // that the former one began; later, a router may only not know yet that one has ended.
 func (l *loadCollector) addParts(now time.Time, r *fleet.RouterLoad) {
-	if now.Sub(l.lastReport) > reportMaxAge {
+	if now.Sub(l.lastReport) > minReportMaxAge {
 		l.collectingSince = now
 	}
 	l.lastReport = now
@@ -160,39 +160,40 @@
 	s.lastCrash = now
 }
 
-// digestBuilder returns a function that builds the digest for one router: the loads that
-// all other routers reported, the shares of the customers and the suspects.
-func (l *loadCollector) digestBuilder(now time.Time) func(fleet.HostID) *fleet.LoadDigest {
+// digest is the sum of all reports, with the newest report of each router in it.
+type digest struct {
+	fleet.LoadDigest
+	included map[fleet.HostID]fleet.Sequence
+}
+
+// reportMaxAge returns the age after which a report is dropped, for the interval of reports.
+func reportMaxAge(interval time.Duration) time.Duration {
+	return max(minReportMaxAge, missedReports*interval)
+}
+
+// makeDigest returns the loads that all routers reported within maxAge, the shares of the
+// customers and the suspects. It drops older reports.
+func (l *loadCollector) makeDigest(now time.Time, maxAge time.Duration) digest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	total := map[fleet.TargetID]fleet.TargetLoad{}
-	byRouter := map[fleet.HostID]map[fleet.TargetID]fleet.TargetLoad{}
+	included := map[fleet.HostID]fleet.Sequence{}
 	for host, r := range l.reports {
-		if now.Sub(r.receivedAt) > reportMaxAge {
+		if now.Sub(r.receivedAt) > maxAge {
 			delete(l.reports, host)
 			continue
 		}
-		byRouter[host] = map[fleet.TargetID]fleet.TargetLoad{}
+		included[host] = r.Sequence
 		for _, t := range r.Targets {
-			byRouter[host][t.Target] = t
-			previous := total[t.Target]
-			total[t.Target] = fleet.TargetLoad{Target: t.Target, Waiting: previous.Waiting + t.Waiting, Running: previous.Running + t.Running}
+			sum := total[t.Target]
+			total[t.Target] = fleet.TargetLoad{Target: t.Target, Waiting: sum.Waiting + t.Waiting, Running: sum.Running + t.Running}
 		}
 	}
-	shares := l.shares(now, total)
-	suspects := l.repeatedSuspects(now)
-	slowness := l.medianSlowness()
 	parts := l.updateParts(now)
-	return func(host fleet.HostID) *fleet.LoadDigest {
-		d := &fleet.LoadDigest{Shares: shares, Suspects: suspects, Slowness: slowness, SuspectParts: parts.Parts, SuspectTargets: parts.Targets, Quarantined: parts.Quarantined}
-		for id, sum := range total {
-			ownLoad := byRouter[host][id]
-			if sum.Waiting > ownLoad.Waiting || sum.Running > ownLoad.Running {
-				d.Targets = append(d.Targets, fleet.TargetLoad{Target: id, Waiting: sum.Waiting - ownLoad.Waiting, Running: sum.Running - ownLoad.Running})
-			}
-		}
-		return d
-	}
+	return digest{included: included, LoadDigest: fleet.LoadDigest{
+		Targets: slices.Collect(maps.Values(total)), Shares: l.shares(now, total), Suspects: l.repeatedSuspects(now), Slowness: l.medianSlowness(),
+		SuspectParts: parts.Parts, SuspectTargets: parts.Targets, Quarantined: parts.Quarantined,
+	}}
 }
 
 // shares returns the customers whose demand exceeds their fair share, with the fraction
@@ -271,12 +272,11 @@
 	return out
 }
 
-// sendDigests periodically sends each router the loads of the others while this host is
-// the leader.
+// sendDigests periodically sends each router the loads of all while this host is the leader.
 func (c *Core) sendDigests() {
 	for {
 		routers, _ := c.hub.routerCounts()
-		interval := max(minDigestInterval, time.Duration(routers)*digestIntervalPerRouter)
+		interval := fleet.ReportInterval(routers)
 		timer := time.NewTimer(interval)
 		select {
 		case <-c.stop:
@@ -288,7 +288,7 @@
 		leads := c.leader == c.host
 		c.mu.Unlock()
 		if leads {
-			c.hub.queueDigests(c.loads.digestBuilder(c.cfg.Clock.Now()))
+			c.hub.queueDigest(c.loads.makeDigest(c.cfg.Clock.Now(), reportMaxAge(interval)))
 		}
 	}
 }
--- a/control/core/publish_test.go
+++ b/control/core/publish_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -23,11 +24,14 @@
 
 func (*countingPeer) Call(context.Context, string, any, any) error { return nil }
 
-func (p *countingPeer) Notify(_ context.Context, _ string, params any) error {
-	text, err := json.Marshal(params)
-	p.messages.Add(1)
-	p.bytes.Add(int64(len(text)))
-	return err
+func (*countingPeer) Notify(context.Context, string, any) error { return nil }
+
+func (p *countingPeer) NotifyEncoded(_ context.Context, messages ...fleet.EncodedNotification) error {
+	p.messages.Add(int64(len(messages)))
+	for _, m := range messages {
+		p.bytes.Add(int64(len(m)))
+	}
+	return nil
 }
 
 const (
@@ -72,6 +76,7 @@
 func newTestHub() *hub {
 	s := &steadySource{}
 	s.hub = newHub(s, fleet.SystemClock{}, slog.New(slog.DiscardHandler))
+	s.hub.start()
 	return s.hub
 }
 
@@ -119,3 +124,90 @@
 		})
 	})
 }
+
+// routerList is a source whose routers the test sets.
+type routerList struct {
+	mu      sync.Mutex
+	routers []fleet.HostID
+}
+
+func (s *routerList) set(routers ...fleet.HostID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routers = routers
+}
+
+func (s *routerList) notice() fleet.Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fleet.Notice{Routers: s.routers}
+}
+
+func (*routerList) fullTargetsNotice() fleet.TargetsNotice { return fleet.TargetsNotice{} }
+
+func (*routerList) agedAnnouncement(fleet.TargetID) (fleet.AgedAnnouncement, bool) {
+	return fleet.AgedAnnouncement{}, false
+}
+
+// listeningPeer keeps the list of routers as a follower does.
+type listeningPeer struct {
+	mu      sync.Mutex
+	routers []fleet.HostID
+}
+
+func (*listeningPeer) Call(context.Context, string, any, any) error { return nil }
+func (*listeningPeer) Notify(context.Context, string, any) error    { return nil }
+
+func (p *listeningPeer) NotifyEncoded(_ context.Context, messages ...fleet.EncodedNotification) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range messages {
+		var message struct {
+			Method string       `json:"method"`
+			Params fleet.Notice `json:"params"`
+		}
+		if err := json.Unmarshal(m, &message); err != nil {
+			return err
+		}
+		if message.Method == fleet.MethodNotice && !message.Params.SameRouters {
+			p.routers = message.Params.Routers
+		}
+	}
+	return nil
+}
+
+func (p *listeningPeer) list() []fleet.HostID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.routers
+}
+
+// TestRouterListsOfLateFollowers guards against a follower whose list of routers differs from
+// that of the others, because it joined between two publications.
+func TestRouterListsOfLateFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("A follower that joins while the list of routers changes has the same list as the others", t, func() {
+			source := &routerList{}
+			source.set("a", "b")
+			h := newHub(source, fleet.SystemClock{}, slog.New(slog.DiscardHandler))
+			h.start()
+			defer h.close()
+			first, late := &listeningPeer{}, &listeningPeer{}
+			h.join(first, fleet.JoinRequest{Host: "a", Role: fleet.RoleRouter})
+			synctest.Wait()
+			convey.So(first.list(), convey.ShouldResemble, []fleet.HostID{"a", "b"})
+			// The list changes for a moment in which only the late follower reads it.
+			source.set("a", "b", "c")
+			h.mu.Lock()
+			f := &follower{peer: late, resync: true, wake: make(chan struct{}, 1), quit: make(chan struct{})}
+			h.followers[late] = f
+			h.mu.Unlock()
+			h.send(f, h.takeMessages(f))
+			source.set("a", "b")
+			h.queueNotice()
+			time.Sleep(time.Second)
+			h.send(f, h.takeMessages(f))
+			convey.So(late.list(), convey.ShouldResemble, first.list())
+		})
+	})
+}
--- a/control/core/quarantine_test.go
+++ b/control/core/quarantine_test.go
@@ -159,9 +159,9 @@
 	for _, r := range s.routers {
 		s.collector.addReport(s.now, r.Reduce(s.now, placement.ReportDue{})[0].(placement.Report).RouterLoad)
 	}
-	build := s.collector.digestBuilder(s.now)
+	d := s.collector.makeDigest(s.now, minReportMaxAge)
 	for i, r := range s.routers {
-		r.Reduce(s.now, placement.DigestReceived{LoadDigest: *build(simHost(i))})
+		r.Reduce(s.now, placement.DigestReceived{LoadDigest: d.LoadDigest, Included: d.included[simHost(i)]})
 	}
 	s.at(digestDelay, s.exchange)
 }
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -19,12 +19,29 @@
 	MethodNotice = "Feed.Notice"
 	// MethodTargets is a notification with a TargetsNotice.
 	MethodTargets = "Feed.Targets"
+	// MethodIncluded is a notification with a ReportIncluded, sent before each LoadDigest.
+	MethodIncluded = "Feed.Included"
 	// MethodDigest is a notification with a LoadDigest.
 	MethodDigest = "Feed.Digest"
 	// MethodConfig takes a ConfigRequest and returns a ConfigReply.
 	MethodConfig = "Feed.Config"
 )
 
+const (
+	// minReportInterval is the minimum time between two load reports of a router, and between
+	// two digests.
+	minReportInterval = 100 * time.Millisecond
+	// reportIntervalPerRouter times the number of routers is the interval if that is longer.
+	// It bounds the processor time of the control host that collects the reports.
+	reportIntervalPerRouter = time.Millisecond
+)
+
+// ReportInterval returns the time between two load reports of a router, and between two
+// digests to it, in a deployment with the number of routers given.
+func ReportInterval(routers int) time.Duration {
+	return max(minReportInterval, time.Duration(routers)*reportIntervalPerRouter)
+}
+
 // JoinRequest subscribes a process to the feed.
 type JoinRequest struct {
 	Host HostID
@@ -69,6 +86,9 @@
 	Controls []HostID
 	// Routers lists the routers that the control host considers live.
 	Routers []HostID `json:",omitempty"`
+	// SameRouters is true if Routers is left out because it has not changed since the previous
+	// Notice on this connection.
+	SameRouters bool `json:",omitempty"`
 }
 
 // Check implements Checker.
@@ -211,8 +231,18 @@
 	Admitted float64 `json:"A"`
 }
 
-// LoadDigest sums up for one router what all other routers reported.
+// ReportIncluded tells a router which of its own reports is part of the next LoadDigest.
+type ReportIncluded struct {
+	// Sequence is that of the report; 0 means that none is part of it.
+	Sequence Sequence
+}
+
+// Check implements Checker.
+func (*ReportIncluded) Check() error { return nil }
+
+// LoadDigest sums up what all routers reported. It is the same for all of them.
 type LoadDigest struct {
+	// Targets has the load of each target from all routers, the receiver included.
 	Targets []TargetLoad `json:",omitempty"`
 	// Shares lists the customers whose demand exceeds their fair share.
 	Shares []CustomerShare `json:",omitempty"`
--- a/fleet/placement/admit_test.go
+++ b/fleet/placement/admit_test.go
@@ -37,3 +37,27 @@
 		}
 	})
 }
+
+// TestDigestIncludesOwnLoad guards against a router that takes its own load, which is part of
+// the digest that all routers get, for that of others.
+func TestDigestIncludesOwnLoad(t *testing.T) {
+	convey.Convey("A router subtracts the load of its own report from the digest", t, func() {
+		f := newFixture(t, "router-0", 2, announcements(drafterService, 1)...)
+		target := announcements(drafterService, 1)[0].Target
+		sendOf(f.ask("/plan/", prompt(1, 0)))
+		own := f.apply(placement.ReportDue{}).(placement.Report)
+		convey.So(own.Targets, convey.ShouldHaveLength, 1)
+		sendOf(f.ask("/plan/", prompt(1, 0)))
+		f.apply(placement.ReportDue{})
+		total := fleet.TargetLoad{Target: target, Waiting: own.Targets[0].Waiting + 500, Running: own.Targets[0].Running + 3}
+		digest := fleet.LoadDigest{Targets: []fleet.TargetLoad{total}}
+		convey.Convey("that is part of it, not of a newer one", func() {
+			f.apply(placement.DigestReceived{LoadDigest: digest, Included: own.Sequence})
+			convey.So(sendOf(f.ask("/plan/", prompt(1, 0))).Basis.Running, convey.ShouldEqual, 2+3)
+		})
+		convey.Convey("unless none is part of it", func() {
+			f.apply(placement.DigestReceived{LoadDigest: digest})
+			convey.So(sendOf(f.ask("/plan/", prompt(1, 0))).Basis.Running, convey.ShouldEqual, 2+4)
+		})
+	})
+}
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -96,9 +96,11 @@
 // EventName implements fleet.Event.
 func (PeersChanged) EventName() string { return "PeersChanged" }
 
-// DigestReceived passes on the load that the other routers reported.
+// DigestReceived passes on the load that all routers reported. Included is the report of this
+// router that is part of it; 0 means none.
 type DigestReceived struct {
 	fleet.LoadDigest
+	Included fleet.Sequence
 }
 
 // EventName implements fleet.Event.
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -11,6 +11,9 @@
 // digestValidity is the age from which on a digest is too old for decisions on admission.
 const digestValidity = 2 * time.Second
 
+// rememberedReports is the number of reports whose loads are kept until a digest includes them.
+const rememberedReports = 32
+
 // TargetCounts returns the number of targets in each state, according to this router. The
 // keys are Gone, Leaving, DataCentreOut, Paused, Failing, Cold and Serving.
 func (r *Router) TargetCounts(now time.Time) map[string]int {
@@ -49,6 +52,8 @@
 	askedTokens    int
 	admittedTokens int
 	suspects       map[fleet.ContentHash]int
+	// ownLoads has the loads of the last reports, by their sequence.
+	ownLoads map[fleet.Sequence][]fleet.TargetLoad
 	// fleetCrashes counts the crashes that the whole fleet reported for a content.
 	fleetCrashes map[fleet.ContentHash]int
 }
@@ -57,6 +62,7 @@
 	return reportState{
 		demand:   map[fleet.CustomerName]fleet.CustomerDemand{},
 		suspects: map[fleet.ContentHash]int{}, fleetCrashes: map[fleet.ContentHash]int{},
+		ownLoads: map[fleet.Sequence][]fleet.TargetLoad{},
 	}
 }
 
@@ -122,6 +128,8 @@
 		}
 	}
 	slices.SortFunc(out.Targets, func(a, b fleet.TargetLoad) int { return cmp.Compare(a.Target, b.Target) })
+	s.ownLoads[s.sequence] = out.Targets
+	delete(s.ownLoads, s.sequence-rememberedReports)
 	for _, d := range s.demand {
 		out.Demand = append(out.Demand, d)
 	}
@@ -135,8 +143,9 @@
 	return out
 }
 
-// applyDigest replaces the load, crashes and shares that the other routers reported.
-func (r *Router) applyDigest(d *fleet.LoadDigest) {
+// applyDigest replaces the load, crashes and shares that the routers reported. The load that
+// this router itself reported is subtracted.
+func (r *Router) applyDigest(d *fleet.LoadDigest, included fleet.Sequence) {
 	r.digest.at = r.now
 	for _, t := range r.targets {
 		t.othersLoad = fleet.TargetLoad{}
@@ -146,6 +155,12 @@
 			t.othersLoad = l
 		}
 	}
+	for _, own := range r.report.ownLoads[included] {
+		if t := r.targets[own.Target]; t != nil {
+			t.othersLoad.Waiting = max(0, t.othersLoad.Waiting-own.Waiting)
+			t.othersLoad.Running = max(0, t.othersLoad.Running-own.Running)
+		}
+	}
 	r.report.fleetCrashes = map[fleet.ContentHash]int{}
 	for _, s := range d.Suspects {
 		r.report.fleetCrashes[s.Content] = s.Crashes
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -93,7 +93,7 @@
 	case PeersChanged:
 		r.routers, r.listening = ev.Routers, ev.Listening
 	case DigestReceived:
-		r.applyDigest(&ev.LoadDigest)
+		r.applyDigest(&ev.LoadDigest, ev.Included)
 	case Tick:
 		r.tick()
 	case ReportDue:
@@ -138,7 +138,9 @@
 	for _, end := range n.Ended {
 		r.directory.End(r.now, end)
 	}
-	r.rebuildIndex()
+	if len(n.Announced)+len(n.Ended) > 0 {
+		r.rebuildIndex()
+	}
 }
 
 // resetRestarted resets the statistics of a target that has a new incarnation.
--- a/fleet/rpc/compress.go
+++ b/fleet/rpc/compress.go
@@ -4,6 +4,7 @@
 	"compress/flate"
 	"io"
 	"net"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -15,7 +16,9 @@
 // window spans messages, so names that occurred in earlier messages take only a few bits.
 type compressedConn struct {
 	net.Conn
-	in  io.ReadCloser
+	in io.ReadCloser
+	// mu serialises writes.
+	mu  sync.Mutex
 	out *flate.Writer
 }
 
@@ -40,6 +43,8 @@
 
 // Write implements net.Conn. It flushes, so that the peer can decompress all of b.
 func (c *compressedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	n, err := c.out.Write(b)
 	if err != nil {
 		return n, err
--- a/fleet/rpc/conn.go
+++ b/fleet/rpc/conn.go
@@ -35,12 +35,17 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It closes the connection if it fails, since a part of a message
+// may have been written.
 func (c *deadlineConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
 	c.traffic.written.Add(int64(n))
+	if err != nil {
+		// The error of Write is the one to report.
+		_ = c.Close()
+	}
 	return n, err
 }
--- a/fleet/rpc/rpc.go
+++ b/fleet/rpc/rpc.go
@@ -12,6 +12,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,8 @@
 // methodPing is the method of heartbeats.
 const methodPing = "Ping"
 
+const jsonRPCVersion = "2.0"
+
 // Handler handles the calls and notifications of a peer. The result of a notification is
 // discarded. An *Error is sent to the peer with its code; any other error is sent with the
 // code for internal errors.
@@ -84,6 +87,8 @@
 // peer is the other end of one open connection.
 type peer struct {
 	conn *jsonrpc2.Conn
+	// nc is the connection under conn. One call of Write writes one or more whole messages.
+	nc net.Conn
 }
 
 // newPeer starts JSON-RPC on an open connection.
@@ -92,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &peer{}
+	p := &peer{nc: cc}
 	// Requests can arrive before p.conn is set; handling waits until it is.
 	ready := make(chan struct{})
 	serve := func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
@@ -174,6 +179,22 @@
 	return errors.Wrapf(p.conn.Notify(ctx, method, params), "notify %s", method)
 }
 
+// EncodeNotification encodes a notification to be sent by fleet.Subscriber.NotifyEncoded.
+func EncodeNotification(method string, params any) (fleet.EncodedNotification, error) {
+	text, err := json.Marshal(struct {
+		Version string `json:"jsonrpc"`
+		Method  string `json:"method"`
+		Params  any    `json:"params"`
+	}{jsonRPCVersion, method, params})
+	return append(text, '\n'), errors.Wrapf(err, "encode %s", method)
+}
+
+// NotifyEncoded implements fleet.Subscriber.
+func (p *peer) NotifyEncoded(_ context.Context, messages ...fleet.EncodedNotification) error {
+	_, err := p.nc.Write(slices.Concat(messages...))
+	return errors.Wrap(err, "send encoded notifications")
+}
+
 // ping sends a heartbeat and returns an error unless it is answered in time.
 func (p *peer) ping(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, HeartbeatTimeout)
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -23,13 +23,6 @@
 )
 
 const (
-	// minReportInterval is the shortest time between two load reports to the control
-	// host that collects them.
-	minReportInterval = 100 * time.Millisecond
-	// reportIntervalPerRouter times the number of routers is the report interval if that
-	// is longer than minReportInterval. It bounds the number of reports per second that
-	// the collecting control host receives.
-	reportIntervalPerRouter = 5 * time.Millisecond
 	// heartbeatInterval is the time between two heartbeats to all control hosts.
 	heartbeatInterval = 500 * time.Millisecond
 	// callTimeout bounds a call to a control host.
@@ -65,9 +58,11 @@
 	stop    chan struct{}
 	wg      sync.WaitGroup
 
-	mu       sync.Mutex
-	seeds    []netip.AddrPort
-	notices  map[netip.AddrPort]receivedNotice
+	mu      sync.Mutex
+	seeds   []netip.AddrPort
+	notices map[netip.AddrPort]receivedNotice
+	// included has, for each control host, the own report that is part of its next digest.
+	included map[netip.AddrPort]fleet.Sequence
 	revision fleet.Revision
 	config   *deployment.Configuration
 	configAt time.Time
@@ -76,6 +71,10 @@
 	redirectShare float64
 	stopping      bool
 	routers       []fleet.HostID
+	// routersFrom are the control hosts whose lists routers unites, and routersChanged is true
+	// if one of these lists has changed since.
+	routersFrom    []netip.AddrPort
+	routersChanged bool
 }
 
 // receivedNotice is the last notice of a control host.
@@ -86,7 +85,7 @@
 
 // New returns a Follower; Start connects it.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, seeds: cfg.Seeds, notices: map[netip.AddrPort]receivedNotice{}, stop: make(chan struct{})}
+	f := &Follower{cfg: cfg, seeds: cfg.Seeds, notices: map[netip.AddrPort]receivedNotice{}, included: map[netip.AddrPort]fleet.Sequence{}, stop: make(chan struct{})}
 	f.clients = rpc.NewClientSet(rpc.ClientSetConfig{
 		Uncompressed: true,
 		Handler: func(addr netip.AddrPort) rpc.Handler {
@@ -99,6 +98,7 @@
 			cfg.Log.Warn(logevent.ControlLost, "control", addr.String())
 			f.mu.Lock()
 			delete(f.notices, addr)
+			delete(f.included, addr)
 			f.mu.Unlock()
 		},
 	})
@@ -209,12 +209,23 @@
 			return err
 		}
 		f.cfg.Reduce(placement.TargetsNoticeReceived{TargetsNotice: n})
+	case fleet.MethodIncluded:
+		var n fleet.ReportIncluded
+		if err := fleet.Decode(params, &n); err != nil {
+			return err
+		}
+		f.mu.Lock()
+		f.included[addr] = n.Sequence
+		f.mu.Unlock()
 	case fleet.MethodDigest:
 		var d fleet.LoadDigest
 		if err := fleet.Decode(params, &d); err != nil {
 			return err
 		}
-		f.cfg.Reduce(placement.DigestReceived{LoadDigest: d})
+		f.mu.Lock()
+		included := f.included[addr]
+		f.mu.Unlock()
+		f.cfg.Reduce(placement.DigestReceived{LoadDigest: d, Included: included})
 	default:
 		return errors.Errorf("method %q does not exist", method)
 	}
@@ -225,6 +236,11 @@
 // configuration if the notice names a newer one.
 func (f *Follower) handleNotice(addr netip.AddrPort, n fleet.Notice) {
 	f.mu.Lock()
+	if n.SameRouters {
+		n.Routers = f.notices[addr].Routers
+	} else {
+		f.routersChanged = true
+	}
 	f.notices[addr] = receivedNotice{Notice: n, receivedAt: f.cfg.Clock.Now()}
 	newer := n.Revision > f.revision
 	if newer {
@@ -250,16 +266,23 @@
 // refreshPeers updates the list of routers from all valid notices. The caller holds mu.
 func (f *Follower) refreshPeers() placement.PeersChanged {
 	now := f.cfg.Clock.Now()
-	routers := []fleet.HostID{f.cfg.Self}
+	var from []netip.AddrPort
 	listening := false
-	for _, n := range f.notices {
+	for addr, n := range f.notices {
 		if now.Sub(n.receivedAt) < noticeValidity {
-			routers = append(routers, n.Routers...)
+			from = append(from, addr)
 			listening = listening || n.Confirmed
 		}
 	}
-	slices.Sort(routers)
-	f.routers = slices.Compact(routers)
+	slices.SortFunc(from, netip.AddrPort.Compare)
+	if f.routersChanged || len(f.routers) == 0 || !slices.Equal(from, f.routersFrom) {
+		routers := []fleet.HostID{f.cfg.Self}
+		for _, addr := range from {
+			routers = append(routers, f.notices[addr].Routers...)
+		}
+		slices.Sort(routers)
+		f.routers, f.routersFrom, f.routersChanged = slices.Compact(routers), from, false
+	}
 	return placement.PeersChanged{Routers: f.routers, Listening: listening}
 }
 
--- a/router/feed/report.go
+++ b/router/feed/report.go
@@ -17,7 +17,7 @@
 func (f *Follower) reportLoads() {
 	for {
 		f.mu.Lock()
-		interval := max(minReportInterval, time.Duration(len(f.routers))*reportIntervalPerRouter)
+		interval := fleet.ReportInterval(len(f.routers))
 		f.mu.Unlock()
 		timer := time.NewTimer(interval)
 		select {
