fleet/quarantine: the chance of a false quarantine counts all parts that met a crash

Cause: the number of crashes in a row that quarantine a part bounds the chance of one sound part. Conclusion: better, not mended.

--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -20,8 +20,12 @@
 const (
 	// minCrashes is the least number of crashes from which a part is quarantined.
 	minCrashes = 3
-	// maxChance bounds the probability that a sound part meets the crashes by chance.
+	// maxChance bounds the probability that a sound part meets the crashes by chance. Up to
+	// enoughCrashes, it bounds the probability for all parts together.
 	maxChance = 3e-3
+	// enoughCrashes is the number of crashes after which more targets must not be lost, however
+	// many parts there are.
+	enoughCrashes = 4
 	// outcomeMemory is the time constant of the share of requests that crashes break.
 	outcomeMemory = 5 * time.Second
 	// suspectCrashes is the number of crashes from which routers are told to report answers.
@@ -121,7 +125,10 @@
 	if share >= 1 {
 		return math.MaxInt
 	}
-	return max(minCrashes, int(math.Ceil(math.Log(maxChance)/math.Log(share))))
+	crashesFor := func(chance float64) int { return int(math.Ceil(math.Log(chance) / math.Log(share))) }
+	// Each part that met a crash is another chance.
+	ofAny := crashesFor(maxChance / float64(max(1, len(t.parts))))
+	return max(minCrashes, crashesFor(maxChance), min(ofAny, enoughCrashes))
 }
 
 // AddAnswer records that an answer to a request with a part has begun, which clears the part.
