fleet/placement: many late answers at once do not multiply a target's slowness

Twenty requests sent before the first of them was answered each corrected it again: at target i-5448e13c1d it rose from 0.5 to 8.3 within two seconds and stayed above 5 for four, and the callers of xaba766, which all use this one router, were refused as ExpectedLate. Ruled out: targets that are slow for all (other routers' digests show them idle), restarted targets without parts (median slowness 2.4 against 2.95 of the others). Change: the measured slowness is compared with the present one. Figures: 40 answers three times as late: slowness 24 -> between 2 and 3.3 (TestBurstOfLateAnswers).

--- /dev/null
+++ b/control/core/patterns_test.go
@@ -0,0 +1,235 @@
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/deployment"
+	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
+)
+
+// enginePrefillRate is the rated number of prompt tokens that a simulated engine processes in
+// a second.
+const enginePrefillRate = 30_000
+
+// patternSim plays a load pattern: routers that place requests, the leader that collects their
+// reports, and engines that process one prompt after the other and keep all parts.
+type patternSim struct {
+	now       time.Time
+	rng       *rand.Rand
+	route     *deployment.Route
+	routers   []*placement.Router
+	collector *loadCollector
+	events    simEvents
+	sequence  int
+	lastCall  placement.CallID
+	// interval is the time between two reports of a router, and between two digests.
+	interval time.Duration
+
+	// freeAt is when an engine has processed all its prompts, cached has the parts that it keeps.
+	freeAt map[fleet.TargetID]time.Time
+	cached map[fleet.TargetID]map[placement.PartID]bool
+	// slowdown is the factor by which an engine is slower than rated now; 0 means 1.
+	slowdown map[fleet.TargetID]float64
+	// parts is the number of shared parts, ownTokens the mean length of the rest of a prompt.
+	parts, ownTokens int
+	// results counts the requests by router since resetResults.
+	results map[int]*patternResult
+}
+
+// patternResult counts requests by their ends. Those in time began within the goal.
+type patternResult struct {
+	asked, inTime, late, refused int
+}
+
+func newPatternSim(t *testing.T, routers, targets int) *patternSim {
+	cfg, err := deployment.New(deployment.Configuration{
+		Number: 1, TokensPerSecond: float64(targets) * enginePrefillRate,
+		Services: []deployment.Service{{Name: "pool", Connections: 370, Engine: &deployment.Engine{Slots: 64}}},
+		Routes: []deployment.Route{{
+			Name: "plan", Host: "h", Prefix: "/", Kind: deployment.KindStream, Affinity: true,
+			Split:   []deployment.WeightedService{{Service: "pool", Weight: 1}},
+			Timeout: 6 * time.Second, Goal: 800 * time.Millisecond, Attempts: 1,
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &patternSim{
+		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(11, 1)), interval: fleet.ReportInterval(routers),
+		collector: newLoadCollector(4*time.Second, slog.New(slog.DiscardHandler)),
+		freeAt:    map[fleet.TargetID]time.Time{}, cached: map[fleet.TargetID]map[placement.PartID]bool{}, slowdown: map[fleet.TargetID]float64{},
+		parts: 10 * targets, ownTokens: 3000, results: map[int]*patternResult{},
+	}
+	s.route, _ = cfg.Match("h", "/")
+	var notice fleet.TargetsNotice
+	for i := range targets {
+		notice.Announced = append(notice.Announced, fleet.AgedAnnouncement{Announcement: simAnnouncement(simTarget(i), i)})
+	}
+	var hosts []fleet.HostID
+	for i := range routers {
+		hosts = append(hosts, simHost(i))
+	}
+	for i := range routers {
+		r := placement.New(placement.Config{
+			Self: simHost(i), DataCentre: "a", SilentAfter: time.Minute, Policy: placement.DefaultPolicy,
+			Retries: placement.RetryLimits{Ratio: 0.2, Extra: 56, Window: 10 * time.Second},
+		})
+		r.Reduce(s.now, placement.ConfigChanged{Config: cfg})
+		r.Reduce(s.now, placement.PeersChanged{Routers: hosts})
+		r.Reduce(s.now, placement.TargetsNoticeReceived{TargetsNotice: notice})
+		s.routers = append(s.routers, r)
+		s.at(time.Duration(i)*s.interval/time.Duration(routers), func() { s.report(i) })
+	}
+	s.at(s.interval, s.sendDigests)
+	return s
+}
+
+func simTarget(i int) string { return fmt.Sprint("target-", i) }
+
+func (s *patternSim) at(d time.Duration, do func()) {
+	s.sequence++
+	heap.Push(&s.events, simEvent{at: s.now.Add(d), sequence: s.sequence, do: do})
+}
+
+// run plays the events of the given time.
+func (s *patternSim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.events) > 0 && s.events[0].at.Before(end) {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+// report sends the report of a router to the leader, periodically.
+func (s *patternSim) report(i int) {
+	s.collector.addReport(s.now, s.routers[i].Reduce(s.now, placement.ReportDue{})[0].(placement.Report).RouterLoad)
+	s.at(s.interval, func() { s.report(i) })
+}
+
+// sendDigests sends the leader's digest to all routers, periodically.
+func (s *patternSim) sendDigests() {
+	d := s.collector.makeDigest(s.now, reportMaxAge(s.interval))
+	for i, r := range s.routers {
+		r.Reduce(s.now, placement.DigestReceived{LoadDigest: d.LoadDigest, Included: d.included[simHost(i)]})
+	}
+	s.at(s.interval, s.sendDigests)
+}
+
+// arrive sends requests at random times, perSecond of them, to the routers that pick returns.
+func (s *patternSim) arrive(perSecond float64, pick func() int) {
+	s.ask(pick())
+	s.at(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), func() { s.arrive(perSecond, pick) })
+}
+
+func (s *patternSim) result(router int) *patternResult {
+	if s.results[router] == nil {
+		s.results[router] = &patternResult{}
+	}
+	return s.results[router]
+}
+
+func (s *patternSim) ask(router int) {
+	s.lastCall++
+	result := s.result(router)
+	result.asked++
+	p := placement.Prompt{MaxOutput: 50, Parts: []placement.PromptPart{
+		{ID: placement.PartID(1 + s.rng.IntN(s.parts)), Tokens: 4000},
+		{ID: placement.PartID(1<<32 + uint64(s.lastCall)), Tokens: s.ownTokens/4 + s.rng.IntN(3*s.ownTokens/2)},
+	}}
+	p.Tokens = p.Parts[0].Tokens + p.Parts[1].Tokens
+	effects := s.routers[router].Reduce(s.now, placement.CallArrived{Call: placement.Call{
+		ID: s.lastCall, Request: fleet.RequestID(fmt.Sprint("r-", s.lastCall)), Route: s.route, Customer: "majori",
+		Content: fleet.ContentHash(fmt.Sprint("c-", s.lastCall)), Prompt: p, ArrivedAt: s.now, Deadline: s.now.Add(s.route.Timeout),
+	}})
+	for _, e := range effects {
+		switch e := e.(type) {
+		case placement.Send:
+			s.send(router, e, p)
+		case placement.Refuse:
+			result.refused++
+		}
+	}
+}
+
+func (s *patternSim) send(router int, send placement.Send, p placement.Prompt) {
+	result, asked := s.result(router), s.now
+	s.at(s.runPrompt(send.Target, p).Sub(s.now), func() {
+		if s.now.Sub(asked) <= s.route.Goal {
+			result.inTime++
+		} else {
+			result.late++
+		}
+		s.routers[router].Reduce(s.now, placement.AnswerBegun{Call: send.Call, Attempt: send.Attempt})
+		s.routers[router].Reduce(s.now, placement.AttemptEnded{Call: send.Call, Attempt: send.Attempt, Outcome: placement.Answered})
+	})
+}
+
+// runPrompt adds a prompt to an engine and returns when its answer begins.
+func (s *patternSim) runPrompt(id fleet.TargetID, p placement.Prompt) time.Time {
+	if s.cached[id] == nil {
+		s.cached[id] = map[placement.PartID]bool{}
+	}
+	tokens := float64(p.Parts[1].Tokens)
+	if !s.cached[id][p.Parts[0].ID] {
+		s.cached[id][p.Parts[0].ID] = true
+		tokens += float64(p.Parts[0].Tokens)
+	}
+	begin := s.freeAt[id]
+	if begin.Before(s.now) {
+		begin = s.now
+	}
+	s.freeAt[id] = begin.Add(time.Duration(tokens / enginePrefillRate * max(1, s.slowdown[id]) * float64(time.Second)))
+	return s.freeAt[id].Add(30 * time.Millisecond)
+}
+
+// total returns the sum of the results of all routers.
+func (s *patternSim) total() patternResult {
+	var sum patternResult
+	for _, r := range s.results {
+		sum.asked, sum.inTime, sum.late, sum.refused = sum.asked+r.asked, sum.inTime+r.inTime, sum.late+r.late, sum.refused+r.refused
+	}
+	return sum
+}
+
+// TestTargetsThatWereSlow plays the pattern of targets that are slow for some seconds, in which
+// the callers of one router send many requests, and few later. A router that learnt only from
+// its own answers went on to take these targets for slow, and refused requests that they would
+// have served in time (issue 23, FAIR).
+func TestTargetsThatWereSlow(t *testing.T) {
+	for _, size := range []struct{ routers, targets int }{{8, 18}, {73, 120}, {290, 240}} {
+		convey.Convey(fmt.Sprintf("Targets that were slow are used again: %v", size), t, func() {
+			s := newPatternSim(t, size.routers, size.targets)
+			const lonelyRouter = 0
+			load := 0.4 * float64(size.targets) * enginePrefillRate / float64(s.ownTokens)
+			s.at(0, func() { s.arrive(load, func() int { return 1 + s.rng.IntN(size.routers-1) }) })
+			s.at(0, func() { s.arrive(6, func() int { return lonelyRouter }) })
+			s.run(4 * time.Second)
+			for i := range size.targets / 6 {
+				s.slowdown[fleet.TargetID(simTarget(i))] = 5
+			}
+			for range int(8 * load / 20) {
+				s.at(time.Duration(s.rng.Int64N(int64(8*time.Second))), func() { s.ask(lonelyRouter) })
+			}
+			s.run(8 * time.Second)
+			s.slowdown = map[fleet.TargetID]float64{}
+			// The queues of the slow time are empty by then.
+			s.run(4 * time.Second)
+			s.results = map[int]*patternResult{}
+			s.run(12 * time.Second)
+			total, lonely := s.total(), s.result(lonelyRouter)
+			fmt.Println(size, total, *lonely)
+			convey.So(float64(total.refused), convey.ShouldBeLessThan, 0.03*float64(total.asked))
+			convey.So(float64(lonely.refused), convey.ShouldBeLessThan, 0.1*float64(lonely.asked))
+		})
+	}
+}
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -133,6 +133,8 @@
 	Attempt int
 	// Stream is true if the answer is a stream whose first event has arrived.
 	Stream bool
+	// Failed is true if the answer is an error.
+	Failed bool
 }
 
 // EventName implements fleet.Event.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -65,6 +65,9 @@
 	// prefillTokens is the number of prompt tokens that the current target has to process.
 	prefillTokens     int
 	expectedFirstByte time.Duration
+	// assumedSlowness is the slowness of the current target and its service when the call was
+	// sent.
+	assumedSlowness float64
 	// trust is the factor by which expectedFirstByte is reduced, see serviceSlowness.
 	trust float64
 }
@@ -245,7 +248,8 @@
 	k.current, k.currentVersion, k.answerBegun, k.sentAt = t, t.entry.SoftwareVersion, false, r.now
 	k.triedTargets = append(k.triedTargets, t.id)
 	k.expectedFirstByte = basis.ExpectedFirstByte
-	k.trust = r.slownessState(k.service).trust
+	state := r.slownessState(k.service)
+	k.assumedSlowness, k.trust = t.slowness*state.average, state.trust
 	r.calls[k.ID] = k
 	t.addCall(k)
 	r.report.addSent(k)
--- a/fleet/placement/slowness.go
+++ b/fleet/placement/slowness.go
@@ -53,17 +53,19 @@
 }
 
 // updateSlowness adjusts the slowness of a call's target and service by the time to the first
-// byte, relative to what this router measures on average.
+// byte. It compares the measured slowness with the present one rather than that at the time of
+// sending: of many calls that are under way at once, each would add the same correction again.
 func (r *Router) updateSlowness(k *call) {
 	if k.prefillTokens == 0 || k.expectedFirstByte <= baseFirstByteTime {
 		return
 	}
 	actual := r.now.Sub(k.sentAt) - baseFirstByteTime
 	sample := float64(actual) / float64(k.expectedFirstByte-baseFirstByteTime) * k.trust
-	sample = min(max(sample, minSample), maxSample)
+	measured := min(max(sample, minSample), maxSample) * k.assumedSlowness
 	t, s := k.current, r.slownessState(k.service)
-	t.slowness = clampSlowness(t.slowness * math.Pow(sample, slownessGain))
-	s.average = clampSlowness(s.average * math.Pow(sample, serviceSlownessGain))
+	correction := measured / (t.slowness * s.average)
+	t.slowness = clampSlowness(t.slowness * math.Pow(correction, slownessGain))
+	s.average = clampSlowness(s.average * math.Pow(correction, serviceSlownessGain))
 }
 
 func clampSlowness(slowness float64) float64 { return min(max(slowness, minSlowness), maxSlowness) }
--- a/fleet/placement/slowness_test.go
+++ b/fleet/placement/slowness_test.go
@@ -53,3 +53,44 @@
 		convey.So(refusedInRounds(f, 4, slow), convey.ShouldBeGreaterThan, 60)
 	})
 }
+
+// burst sends requests at once and returns them in the order of their expected answers.
+func (f *fixture) burst(n int) []placement.Send {
+	var sent []placement.Send
+	for range n {
+		sent = append(sent, sendOf(f.ask("/plan/", prompt(1, 100))))
+	}
+	return sent
+}
+
+// begunAfter reports the first byte of each answer, factor times as late as its prompt was
+// expected to take.
+func (f *fixture) begunAfter(sent []placement.Send, factor float64, failed bool) {
+	const overhead = 30 * time.Millisecond
+	sentAt := f.now
+	for _, s := range sent {
+		f.now = sentAt.Add(overhead + time.Duration(factor*float64(s.Basis.ExpectedFirstByte-overhead)))
+		f.apply(placement.AnswerBegun{Call: s.Call, Attempt: s.Attempt, Stream: !failed, Failed: failed})
+	}
+	for _, s := range sent {
+		f.end(s, placement.Answered)
+	}
+}
+
+// slowness returns the slowness that the next request is placed with.
+func (f *fixture) slowness() float64 {
+	s := sendOf(f.ask("/plan/", prompt(1, 100)))
+	f.end(s, placement.Unreached)
+	f.now = f.now.Add(time.Second)
+	return s.Basis.Slowness
+}
+
+// TestBurstOfLateAnswers guards against a router that takes a target for ever slower with each
+// late answer to requests that were all sent before the first of them came (issue 23, FAIR).
+func TestBurstOfLateAnswers(t *testing.T) {
+	convey.Convey("After many answers that are three times as late as expected, a target counts as three times as slow", t, func() {
+		f := newFixture(t, "router-0", 1, announcements(drafterService, 1)...)
+		f.begunAfter(f.burst(40), 3, false)
+		convey.So(f.slowness(), convey.ShouldBeBetween, 2, 3.3)
+	})
+}
