--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -284,7 +284,10 @@
 	}
 	r.parts.addAnswer(k)
 	k.current.begin(k, r.now)
-	r.updateSlowness(k)
+	// Errors come without the prompt having been processed.
+	if !ev.Failed {
+		r.updateSlowness(k)
+	}
 }
 
 // attemptEnded records the end of an attempt, and sends the call again if that is permitted.
--- a/fleet/placement/slowness_test.go
+++ b/fleet/placement/slowness_test.go
@@ -94,3 +94,13 @@
 		convey.So(f.slowness(), convey.ShouldBeBetween, 2, 3.3)
 	})
 }
+
+// TestErrorsDoNotShowSpeed guards against a router that takes a target for fast because it
+// answers with errors at once, and then sends it more than it can process.
+func TestErrorsDoNotShowSpeed(t *testing.T) {
+	convey.Convey("Errors that come early do not make a target count as fast", t, func() {
+		f := newFixture(t, "router-0", 1, announcements(drafterService, 1)...)
+		f.begunAfter(f.burst(40), 0, true)
+		convey.So(f.slowness(), convey.ShouldEqual, 1)
+	})
+}
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -59,7 +59,7 @@
 		x.err = errors.Wrapf(err, "response ended after %d bytes", n)
 		return placement.Broken, false
 	}
-	x.responseBegun(false)
+	x.responseBegun(placement.AnswerBegun{Failed: resp.StatusCode >= http.StatusInternalServerError})
 	if n > maxBuffered {
 		return x.forwardUnbuffered(resp, &body)
 	}
@@ -101,10 +101,10 @@
 }
 
 // responseBegun reports to the placement that the response of the current attempt has begun.
-// stream is true at the first event of a stream.
-func (x *exchange) responseBegun(stream bool) {
+func (x *exchange) responseBegun(begun placement.AnswerBegun) {
 	x.firstByte = x.forwarder.cfg.Clock.Now()
-	x.forwarder.shareOrigins(x.forwarder.Reduce(placement.AnswerBegun{Call: x.req.Call.ID, Attempt: x.send.Attempt, Stream: stream}))
+	begun.Call, begun.Attempt = x.req.Call.ID, x.send.Attempt
+	x.forwarder.shareOrigins(x.forwarder.Reduce(begun))
 }
 
 // forwardStream passes the events of a stream on as they arrive. Until the stream ends,
@@ -119,7 +119,7 @@
 		if len(events) > 0 {
 			if !begun {
 				begun = true
-				x.responseBegun(true)
+				x.responseBegun(placement.AnswerBegun{Stream: true})
 			}
 			x.out.writeHeader(resp.StatusCode, resp.Header, -1)
 			if writeErr := x.out.writeAndFlush(events); writeErr != nil {
