--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -161,8 +161,8 @@
 	basis := r.basis(t, slices.Index(order, t), len(usable))
 	basis.PrefillTokens = k.prefillTokens
 	basis.QueueDelay = r.queueDelay(t, rate)
-	basis.Slowness = t.slowness * r.slownessOf(k.service)
-	basis.ExpectedFirstByte = basis.QueueDelay + seconds(float64(k.prefillTokens)/rate*t.slowness)
+	basis.Slowness = t.slownessAt(r.now) * r.slownessOf(k.service)
+	basis.ExpectedFirstByte = basis.QueueDelay + seconds(float64(k.prefillTokens)/rate*t.slownessAt(r.now))
 	return t, basis
 }
 
@@ -191,7 +191,7 @@
 func (r *Router) chooseLeastLoaded(k *call, usable []*target) (*target, Basis) {
 	best, bestCost := 0, 0.0
 	for i, t := range usable {
-		cost := (float64(t.running+t.othersLoad.Running) + 0.5) / float64(max(1, t.entry.Slots)) * t.slowness
+		cost := (float64(t.running+t.othersLoad.Running) + 0.5) / float64(max(1, t.entry.Slots)) * t.slownessAt(r.now)
 		if t.entry.DataCentre != r.cfg.DataCentre {
 			cost += 0.5 / float64(max(1, t.entry.Slots))
 		}
@@ -219,7 +219,7 @@
 // target that processes rate prompt tokens a second. If a call has waited there for longer than
 // hungAfter, the time is at least as long as that wait.
 func (r *Router) queueDelay(t *target, rate float64) time.Duration {
-	d := baseFirstByteTime + seconds(float64(t.queuedTokens(r.now)+t.othersLoad.Waiting)/rate*t.slowness)
+	d := baseFirstByteTime + seconds(float64(t.queuedTokens(r.now)+t.othersLoad.Waiting)/rate*t.slownessAt(r.now))
 	if longest := t.longestWait(r.now); longest > hungAfter {
 		d = max(d, longest)
 	}
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -249,7 +249,7 @@
 	k.triedTargets = append(k.triedTargets, t.id)
 	k.expectedFirstByte = basis.ExpectedFirstByte
 	state := r.slownessState(k.service)
-	k.assumedSlowness, k.trust = t.slowness*state.average, state.trust
+	k.assumedSlowness, k.trust = t.slownessAt(r.now)*state.average, state.trust
 	r.calls[k.ID] = k
 	t.addCall(k)
 	r.report.addSent(k)
--- a/fleet/placement/slowness.go
+++ b/fleet/placement/slowness.go
@@ -18,6 +18,9 @@
 	minSlowness, maxSlowness = 0.3, 10.0
 	// minSample and maxSample bound the slowness computed from one answer.
 	minSample, maxSample = 0.25, 4.0
+	// slownessRetention is the time constant with which the slowness of a target that gives no
+	// answers returns to 1.
+	slownessRetention = 10 * time.Second
 	// maxOverFleet bounds the slowness that a router assumes for a service, as a multiple of
 	// the median of all routers. A router above it measures its own delay.
 	maxOverFleet = 1.5
@@ -63,11 +66,19 @@
 	sample := float64(actual) / float64(k.expectedFirstByte-baseFirstByteTime) * k.trust
 	measured := min(max(sample, minSample), maxSample) * k.assumedSlowness
 	t, s := k.current, r.slownessState(k.service)
-	correction := measured / (t.slowness * s.average)
-	t.slowness = clampSlowness(t.slowness * math.Pow(correction, slownessGain))
+	present := t.slownessAt(r.now)
+	correction := measured / (present * s.average)
+	t.slowness, t.slownessSampledAt = clampSlowness(present*math.Pow(correction, slownessGain)), r.now
 	s.average = clampSlowness(s.average * math.Pow(correction, serviceSlownessGain))
 }
 
+// slownessAt returns the slowness of a target. Without answers it returns to 1, as a router that
+// sends a target few requests would keep it for minutes after the target has recovered.
+func (t *target) slownessAt(now time.Time) float64 {
+	age := now.Sub(t.slownessSampledAt)
+	return math.Pow(t.slowness, math.Exp(-float64(age)/float64(slownessRetention)))
+}
+
 func clampSlowness(slowness float64) float64 { return min(max(slowness, minSlowness), maxSlowness) }
 
 // measuredSlowness returns what this router measured for each service in the last seconds: the
@@ -78,7 +89,7 @@
 		logs, n := 0.0, 0
 		for _, t := range r.services[service] {
 			if r.now.Sub(t.answeredAt) < slownessValidity {
-				logs += math.Log(t.slowness)
+				logs += math.Log(t.slownessAt(r.now))
 				n++
 			}
 		}
--- a/fleet/placement/slowness_test.go
+++ b/fleet/placement/slowness_test.go
@@ -104,3 +104,16 @@
 		convey.So(f.slowness(), convey.ShouldEqual, 1)
 	})
 }
+
+// TestOldSlownessIsForgotten guards against a router that refuses requests because a target was
+// slow when it last answered, long ago (issue 23, FAIR).
+func TestOldSlownessIsForgotten(t *testing.T) {
+	convey.Convey("A target that was slow and has not been used since counts as slow for some seconds", t, func() {
+		f := newFixture(t, "router-0", 1, announcements(drafterService, 1)...)
+		f.begunAfter(f.burst(40), 4, false)
+		slow := f.slowness()
+		convey.So(slow, convey.ShouldBeGreaterThan, 2)
+		f.now = f.now.Add(30 * time.Second)
+		convey.So(f.slowness(), convey.ShouldBeLessThan, 0.5*slow)
+	})
+}
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -36,9 +36,11 @@
 
 	// slowness is the moving average of the time to the first byte divided by the expected
 	// one.
-	slowness    float64
-	failureRate float64
-	answeredAt  time.Time
+	slowness float64
+	// slownessSampledAt is the time of the last answer that changed slowness.
+	slownessSampledAt time.Time
+	failureRate       float64
+	answeredAt        time.Time
 	// pausedUntil is when the target may be used again after it refused a request or could
 	// not be reached.
 	pausedUntil time.Time
