fleet/placement: a light customer's request goes to the shortest queue before it is refused as late

Shares do not help: the governor sees room, and other targets are idle. Ruled out: limiting mixa470 as CustomerShare, since the capacity is not used up. Change: the digest names customers below half of the mean demand; what of theirs would be refused as late goes to the target with the shortest queue, which reads the shared part too.

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -199,7 +199,7 @@
 	}
 	parts := l.updateParts(now)
 	return digest{included: included, LoadDigest: fleet.LoadDigest{
-		Targets: slices.Collect(maps.Values(total)), Shares: l.shares(now, total), Suspects: l.repeatedSuspects(now), Slowness: l.medianSlowness(),
+		Targets: slices.Collect(maps.Values(total)), Shares: l.shares(now, total), Light: fairshare.Light(l.demand.Rates(now)), Suspects: l.repeatedSuspects(now), Slowness: l.medianSlowness(),
 		HotParts:     l.partRates.Hot(now, hotTargetShare*l.nominalRate/float64(max(1, len(total)))),
 		SuspectParts: parts.Parts, SuspectTargets: parts.Targets, Quarantined: parts.Quarantined,
 	}}
--- a/control/core/patterns_test.go
+++ b/control/core/patterns_test.go
@@ -245,12 +245,13 @@
 	}
 }
 
-// playHotPart plays requests of a large customer for two parts, for half of the capacity, beside
-// those of others for all parts, and of a small customer for the two parts at one router.
-func (s *patternSim) playHotParts() {
+// playHotParts plays requests of a large customer for two parts, for the given fraction of the
+// capacity, beside those of others for all parts, and of a small customer for the two parts at
+// one router.
+func (s *patternSim) playHotParts(fraction float64) {
 	hot := func() placement.PartID { return placement.PartID(1 + s.rng.IntN(2)) }
 	s.at(0, func() { s.arrive(0.2*s.capacity, source{customer: "spread", router: s.anyRouter(0), part: s.anyPart}) })
-	s.at(0, func() { s.arrive(0.5*s.capacity, source{customer: "large", router: s.anyRouter(0), part: hot}) })
+	s.at(0, func() { s.arrive(fraction*s.capacity, source{customer: "large", router: s.anyRouter(0), part: hot}) })
 	s.at(0, func() { s.arrive(6, source{customer: "small", router: func() int { return 0 }, part: hot}) })
 	s.run(4 * time.Second)
 	s.results = map[fleet.CustomerName]*patternResult{}
@@ -265,7 +266,7 @@
 	for _, size := range []struct{ routers, targets int }{{8, 24}, {73, 120}, {290, 240}} {
 		convey.Convey(fmt.Sprintf("Most requests for hot parts are served in time: %v", size), t, func() {
 			s := newPatternSim(t, size.routers, size.targets)
-			s.playHotParts()
+			s.playHotParts(0.5)
 			for _, c := range []fleet.CustomerName{"large", "spread"} {
 				r := s.result(c)
 				convey.So(float64(r.inTime), convey.ShouldBeGreaterThan, 0.7*float64(r.asked))
@@ -273,3 +274,18 @@
 		})
 	}
 }
+
+// TestLightCustomerBesideHotParts plays the same pattern for a small customer whose callers use
+// one router. It was refused as often as the large one, though it asked for less than its share
+// (issue 23, FAIR).
+func TestLightCustomerBesideHotParts(t *testing.T) {
+	for _, size := range []struct{ routers, targets int }{{8, 24}, {73, 120}, {290, 240}} {
+		convey.Convey(fmt.Sprintf("A customer that asks for little is served: %v", size), t, func() {
+			s := newPatternSim(t, size.routers, size.targets)
+			s.playHotParts(0.8)
+			small := s.result("small")
+			convey.So(float64(small.refused), convey.ShouldBeLessThan, 0.02*float64(small.asked))
+			convey.So(float64(small.inTime), convey.ShouldBeGreaterThan, 0.7*float64(small.asked))
+		})
+	}
+}
--- a/fleet/fairshare/fairshare.go
+++ b/fleet/fairshare/fairshare.go
@@ -74,3 +74,23 @@
 	}
 	return out
 }
+
+// lightShare is the fraction of the customers' mean demand below which a customer is light. All
+// light customers together request less than this fraction of the demand.
+const lightShare = 0.5
+
+// Light returns the customers that request little compared to the mean of all, sorted.
+func Light(demand Demand) []fleet.CustomerName {
+	total := 0.0
+	for _, d := range demand {
+		total += d
+	}
+	var out []fleet.CustomerName
+	for c, d := range demand {
+		if d*float64(len(demand)) < lightShare*total {
+			out = append(out, c)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -261,6 +261,8 @@
 	Targets []TargetLoad `json:",omitempty"`
 	// Shares lists the customers whose demand exceeds their fair share.
 	Shares []CustomerShare `json:",omitempty"`
+	// Light lists the customers that request little compared to the mean of all.
+	Light []CustomerName `json:",omitempty"`
 	// HotParts lists the shared parts that are too much work for a few targets.
 	HotParts []HotPart `json:",omitempty"`
 	// Suspects lists requests that crashed several targets.
--- a/fleet/placement/admit.go
+++ b/fleet/placement/admit.go
@@ -10,6 +10,8 @@
 // a token bucket for each customer that is limited.
 type admission struct {
 	shares map[fleet.CustomerName]*share
+	// light has the customers that request little compared to the mean of all.
+	light map[fleet.CustomerName]bool
 }
 
 // share is the limit of one customer.
@@ -73,6 +75,12 @@
 	return basis.QueueDelay > limit || basis.ExpectedFirstByte > limit && basis.QueueDelay > longPromptLimit
 }
 
+// isLight reports whether a call's customer requests so little that its calls are worth more of
+// the targets' time than others. It is false while the digest is outdated.
+func (r *Router) isLight(k *call) bool {
+	return r.admission.light[k.Customer] && r.digestAge() < digestValidity
+}
+
 // lateRetryDelay returns the Retry-After of a call that would be late: the time after which
 // it would probably be admitted.
 func (r *Router) lateRetryDelay(k *call, basis Basis) time.Duration {
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -170,6 +170,29 @@
 	return t, basis
 }
 
+// chooseForLight picks a target for a call of a light customer whose owners would answer late: the
+// one with the shortest queue, which has to process the shared part too, or else the given one.
+// Such calls are few, so that they neither fill the other targets' caches nor the owners' queues.
+func (r *Router) chooseForLight(k *call, owner *target, ownerBasis Basis) (*target, Basis) {
+	rate := r.prefillRate(k.service) / r.slownessOf(k.service)
+	candidates := r.healthy(r.eligible(k))
+	best, basis := owner, ownerBasis
+	for i, t := range candidates {
+		if d := r.queueDelay(t, rate); d < basis.QueueDelay {
+			best = t
+			basis = r.basis(t, i, len(candidates))
+			basis.QueueDelay, basis.PrefillTokens = d, k.Prompt.Tokens
+			basis.Slowness = t.slownessAt(r.now) * r.slownessOf(k.service)
+			basis.ExpectedFirstByte = d + seconds(float64(k.Prompt.Tokens)/rate*t.slownessAt(r.now))
+		}
+	}
+	if basis.ExpectedFirstByte >= ownerBasis.ExpectedFirstByte {
+		return owner, ownerBasis
+	}
+	k.prefillTokens = basis.PrefillTokens
+	return best, basis
+}
+
 // firstOf returns the first target of the first list that is not empty, as a list of one.
 func firstOf(lists ...[]*target) []*target {
 	for _, list := range lists {
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -179,6 +179,10 @@
 		r.report.fleetCrashes[s.Content] = s.Crashes
 	}
 	r.admission.setShares(d.Shares)
+	r.admission.light = make(map[fleet.CustomerName]bool, len(d.Light))
+	for _, c := range d.Light {
+		r.admission.light[c] = true
+	}
 	r.applyFleetSlowness(d.Slowness)
 	r.parts.applyDigest(r.now, d)
 }
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -234,7 +234,9 @@
 		r.emit(GiveUp{Call: k.ID, Reason: fleet.ReasonNoTarget, NotRun: k.attempts == 0, RetryAfter: r.cfg.Policy.NoTargetRetryDelay})
 		return
 	}
-	if k.sends == 0 && r.isTooLate(k, basis) {
+	if k.sends == 0 && r.isTooLate(k, basis) && r.isLight(k) {
+		t, basis = r.chooseForLight(k, t, basis)
+	} else if k.sends == 0 && r.isTooLate(k, basis) {
 		r.admission.refund(k.Customer, float64(shareTokens(&k.Call)))
 		r.emit(Refuse{Call: k.ID, Reason: fleet.ReasonExpectedLate, RetryAfter: r.lateRetryDelay(k, basis), Basis: basis})
 		return
