--- a/control/core/hub_test.go
+++ b/control/core/hub_test.go
@@ -89,7 +89,7 @@
 		named := c.listRouters("a", "caller")
 		convey.So(len(named), convey.ShouldEqual, 10)
 		for _, r := range named {
-			convey.So(r.DataCentre, convey.ShouldEqual, "a")
+			convey.So(r.DataCentre, convey.ShouldEqual, fleet.DataCentreName("a"))
 		}
 		convey.So(c.listRouters("a", "other caller"), convey.ShouldResemble, named)
 		convey.Convey("and more in the next half second if the load grows", func() {
