control: routers without requests get a digest once a second

Cause: a digest of 240 targets has 9 KB; at 291 routers every 0.29 s the leader sends 9 MB/s, of which two thirds go to routers that callers do not use. Change: a router whose reports show no work for 3 s gets one digest a second, so that what it knows of shares and quarantines stays valid (2 s). TestDigestsToIdleRouters.

--- a/control/core/hub.go
+++ b/control/core/hub.go
@@ -71,6 +71,9 @@
 	fleet.JoinRequest
 	peer       fleet.Subscriber
 	lastReport time.Time
+	// lastWork is when a router last reported requests, lastDigest when it was last sent a digest.
+	lastWork   time.Time
+	lastDigest time.Time
 	wake       chan struct{}
 	quit       chan struct{}
 
@@ -159,6 +162,9 @@
 	if f := h.followers[peer]; f != nil {
 		f.lastReport, f.Stopping = h.clock.Now(), r.Stopping
 		f.shedShare, f.utilisation = r.Away, r.Utilisation
+		if r.Asked > 0 || len(r.Targets) > 0 {
+			f.lastWork = f.lastReport
+		}
 	}
 }
 
--- a/control/core/publish.go
+++ b/control/core/publish.go
@@ -22,6 +22,14 @@
 	maxQueuedBytes = 256 << 10
 )
 
+const (
+	// idleAfter is the time since a router's last report of work after which it counts as idle.
+	idleAfter = 3 * time.Second
+	// idleDigestInterval is the minimum time between two digests to an idle router. Routers use
+	// a digest for 2 s.
+	idleDigestInterval = time.Second
+)
+
 // pendingChanges has the changes since the last publication.
 type pendingChanges struct {
 	notice bool
@@ -193,13 +201,16 @@
 	return append(messages, m)
 }
 
-// queueDigest replaces the digest that is queued for each router.
+// queueDigest replaces the digest that is queued for each router. A router without requests gets
+// one only often enough that it has valid ones.
 func (h *hub) queueDigest(d digest) {
 	shared := h.encode(nil, fleet.MethodDigest, &d.LoadDigest)
+	now := h.clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, f := range h.followers {
-		if f.Role == fleet.RoleRouter {
+		if f.Role == fleet.RoleRouter && (now.Sub(f.lastWork) < idleAfter || now.Sub(f.lastDigest) >= idleDigestInterval) {
+			f.lastDigest = now
 			f.digest = append(h.encode(nil, fleet.MethodIncluded, &fleet.ReportIncluded{Sequence: d.included[f.Host]}), shared...)
 			f.signal()
 		}
--- a/control/core/publish_test.go
+++ b/control/core/publish_test.go
@@ -211,3 +211,28 @@
 		})
 	})
 }
+
+// TestDigestsToIdleRouters guards against digests that take a large part of the traffic between
+// data centres though most of many routers have no requests.
+func TestDigestsToIdleRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("A router without requests gets a digest every second, one with requests each", t, func() {
+			h := newTestHub()
+			defer h.close()
+			busy, idle := &countingPeer{}, &countingPeer{}
+			h.join(busy, fleet.JoinRequest{Host: "busy", Role: fleet.RoleRouter})
+			h.join(idle, fleet.JoinRequest{Host: "idle", Role: fleet.RoleRouter})
+			time.Sleep(time.Second)
+			busyBefore, idleBefore := busy.messages.Load(), idle.messages.Load()
+			const digests, messagesPerDigest = 100, 2
+			for range digests {
+				h.recordReport(busy, &fleet.RouterLoad{Sequence: 1, Asked: 100})
+				h.recordReport(idle, &fleet.RouterLoad{Sequence: 1})
+				h.queueDigest(digest{})
+				time.Sleep(100 * time.Millisecond)
+			}
+			convey.So(busy.messages.Load()-busyBefore, convey.ShouldEqual, digests*messagesPerDigest)
+			convey.So(idle.messages.Load()-idleBefore, convey.ShouldBeBetweenOrEqual, 9*messagesPerDigest, 11*messagesPerDigest)
+		})
+	})
+}
