Reports and digests every 1 ms for each router that has requests, not for each router

Cause: at 291 routers loads were 0.3 to 0.6 s old, though callers use a part of the routers only. Change: the digest tells how many routers have requests; these report and get digests at that interval, idle ones every second. Docs of the feed.

--- a/control/core/hub.go
+++ b/control/core/hub.go
@@ -132,6 +132,23 @@
 	return n
 }
 
+// isBusy reports whether a router has reported requests in the last seconds.
+func (f *follower) isBusy(now time.Time) bool { return now.Sub(f.lastWork) < fleet.RouterIdleAfter }
+
+// busyRouters returns the number of routers that have requests.
+func (h *hub) busyRouters() int {
+	now := h.clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, f := range h.followers {
+		if f.Role == fleet.RoleRouter && f.isBusy(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // disconnected removes the follower whose connection has ended.
 func (h *hub) disconnected(peer fleet.Caller) {
 	h.mu.Lock()
@@ -162,7 +179,7 @@
 	if f := h.followers[peer]; f != nil {
 		f.lastReport, f.Stopping = h.clock.Now(), r.Stopping
 		f.shedShare, f.utilisation = r.Away, r.Utilisation
-		if r.Asked > 0 || len(r.Targets) > 0 {
+		if r.HasWork() {
 			f.lastWork = f.lastReport
 		}
 	}
--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -284,8 +284,8 @@
 // sendDigests periodically sends each router the loads of all while this host is the leader.
 func (c *Core) sendDigests() {
 	for {
-		routers, _ := c.hub.routerCounts()
-		interval := fleet.ReportInterval(routers)
+		busy := c.hub.busyRouters()
+		interval := fleet.ReportInterval(busy)
 		timer := time.NewTimer(interval)
 		select {
 		case <-c.stop:
@@ -297,7 +297,9 @@
 		leads := c.leader == c.host
 		c.mu.Unlock()
 		if leads {
-			c.hub.queueDigest(c.loads.makeDigest(c.cfg.Clock.Now(), reportMaxAge(interval)))
+			d := c.loads.makeDigest(c.cfg.Clock.Now(), reportMaxAge(interval))
+			d.BusyRouters = busy
+			c.hub.queueDigest(d)
 		}
 	}
 }
--- a/control/core/publish.go
+++ b/control/core/publish.go
@@ -22,14 +22,6 @@
 	maxQueuedBytes = 256 << 10
 )
 
-const (
-	// idleAfter is the time since a router's last report of work after which it counts as idle.
-	idleAfter = 3 * time.Second
-	// idleDigestInterval is the minimum time between two digests to an idle router. Routers use
-	// a digest for 2 s.
-	idleDigestInterval = time.Second
-)
-
 // pendingChanges has the changes since the last publication.
 type pendingChanges struct {
 	notice bool
@@ -209,7 +201,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, f := range h.followers {
-		if f.Role == fleet.RoleRouter && (now.Sub(f.lastWork) < idleAfter || now.Sub(f.lastDigest) >= idleDigestInterval) {
+		if f.Role == fleet.RoleRouter && (f.isBusy(now) || now.Sub(f.lastDigest) >= fleet.IdleReportInterval) {
 			f.lastDigest = now
 			f.digest = append(h.encode(nil, fleet.MethodIncluded, &fleet.ReportIncluded{Sequence: d.included[f.Host]}), shared...)
 			f.signal()
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -36,12 +36,23 @@
 	reportIntervalPerRouter = time.Millisecond
 )
 
-// ReportInterval returns the time between two load reports of a router, and between two
-// digests to it, in a deployment with the number of routers given.
-func ReportInterval(routers int) time.Duration {
-	return max(minReportInterval, time.Duration(routers)*reportIntervalPerRouter)
+// ReportInterval returns the time between two load reports of a router that has requests, and
+// between two digests to it, given the number of such routers.
+func ReportInterval(busyRouters int) time.Duration {
+	return max(minReportInterval, time.Duration(busyRouters)*reportIntervalPerRouter)
 }
 
+const (
+	// RouterIdleAfter is the time since its last report of work after which a router is idle.
+	RouterIdleAfter = 3 * time.Second
+	// IdleReportInterval is the time between two load reports of an idle router, and between two
+	// digests to it. Routers use a digest for 2 s.
+	IdleReportInterval = time.Second
+)
+
+// HasWork reports whether the router that sent the report has requests.
+func (r *RouterLoad) HasWork() bool { return r.Asked > 0 || len(r.Targets) > 0 }
+
 // JoinRequest subscribes a process to the feed.
 type JoinRequest struct {
 	Host HostID
@@ -262,6 +273,8 @@
 
 // LoadDigest sums up what all routers reported. It is the same for all of them.
 type LoadDigest struct {
+	// BusyRouters is the number of routers that have requests.
+	BusyRouters int `json:",omitempty"`
 	// Targets has the load of each target from all routers, the receiver included.
 	Targets []TargetLoad `json:",omitempty"`
 	// Shares lists the customers whose demand exceeds their fair share.
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -73,6 +73,10 @@
 	utilisation float64
 	stopping    bool
 	routers     []fleet.HostID
+	// busyRouters is the number of routers with requests in the newest digest, lastWork the time
+	// of the last report of this router that had some.
+	busyRouters int
+	lastWork    time.Time
 	// routersFrom are the control hosts whose lists routers unites, and routersChanged is true
 	// if one of these lists has changed since.
 	routersFrom    []netip.AddrPort
@@ -227,6 +231,7 @@
 		}
 		f.mu.Lock()
 		included := f.included[addr]
+		f.busyRouters = d.BusyRouters
 		f.mu.Unlock()
 		f.cfg.Reduce(placement.DigestReceived{LoadDigest: d, Included: included})
 	default:
--- a/router/feed/report.go
+++ b/router/feed/report.go
@@ -16,10 +16,7 @@
 // Stop.
 func (f *Follower) reportLoads() {
 	for {
-		f.mu.Lock()
-		interval := fleet.ReportInterval(len(f.routers))
-		f.mu.Unlock()
-		timer := time.NewTimer(interval)
+		timer := time.NewTimer(f.reportInterval())
 		select {
 		case <-f.stop:
 			timer.Stop()
@@ -32,12 +29,36 @@
 		}
 		for _, e := range f.cfg.Reduce(placement.ReportDue{}) {
 			if r, ok := e.(placement.Report); ok {
+				if r.HasWork() {
+					f.noteWork()
+				}
 				f.sendLoad(addr, r.RouterLoad)
 			}
 		}
 	}
 }
 
+// reportInterval returns the time until the next report. Before the first digest, all routers
+// count as busy.
+func (f *Follower) reportInterval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cfg.Clock.Now().Sub(f.lastWork) >= fleet.RouterIdleAfter {
+		return fleet.IdleReportInterval
+	}
+	if f.busyRouters > 0 {
+		return fleet.ReportInterval(f.busyRouters)
+	}
+	return fleet.ReportInterval(len(f.routers))
+}
+
+// noteWork records that the router has requests.
+func (f *Follower) noteWork() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastWork = f.cfg.Clock.Now()
+}
+
 // loadCollector returns the address of the leader named by the newest confirmed notice,
 // to which loads are reported, or false if there is none.
 func (f *Follower) loadCollector() (netip.AddrPort, bool) {
