fleet/placement: plain requests go to the better of two targets, by reports only while they are fresh

Cause: all routers sent plain requests to the target with the least reported load until the next digest, while a request takes 15 to 60 ms and a report is 50 to 600 ms old.

--- a/control/core/patterns_test.go
+++ b/control/core/patterns_test.go
@@ -25,14 +25,18 @@
 // patternSim plays a load pattern: routers that place requests, the leader that collects their
 // reports, and engines that process one prompt after the other and keep all parts.
 type patternSim struct {
-	now       time.Time
-	rng       *rand.Rand
-	route     *deployment.Route
-	routers   []*placement.Router
-	collector *loadCollector
-	events    simEvents
-	sequence  int
-	lastCall  placement.CallID
+	now   time.Time
+	rng   *rand.Rand
+	route *deployment.Route
+	// plainRoute is that of requests without a prompt.
+	plainRoute *deployment.Route
+	routers    []*placement.Router
+	collector  *loadCollector
+	events     simEvents
+	sequence   int
+	lastCall   placement.CallID
+	// atWork has the number of plain requests at each target.
+	atWork map[fleet.TargetID]int
 	// interval is the time between two reports of a router, and between two digests.
 	interval time.Duration
 
@@ -70,6 +74,10 @@
 			Name: "plan", Host: "h", Prefix: "/", Kind: deployment.KindStream, Affinity: true,
 			Split:   []deployment.WeightedService{{Service: "pool", Weight: 1}},
 			Timeout: 6 * time.Second, Goal: 800 * time.Millisecond, Attempts: 1,
+		}, {
+			Name: "lodge", Host: "h", Prefix: "/lodge/", Kind: deployment.KindAtMostOnce,
+			Split:   []deployment.WeightedService{{Service: "pool", Weight: 1}},
+			Timeout: 1500 * time.Millisecond, Goal: 300 * time.Millisecond, Attempts: 1,
 		}},
 	})
 	if err != nil {
@@ -78,10 +86,11 @@
 	s := &patternSim{
 		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(11, 1)), interval: fleet.ReportInterval(routers),
 		collector: newLoadCollector(4*time.Second, slog.New(slog.DiscardHandler)),
-		freeAt:    map[fleet.TargetID]time.Time{}, cached: map[fleet.TargetID]map[placement.PartID]bool{}, slowdown: map[fleet.TargetID]float64{},
+		freeAt:    map[fleet.TargetID]time.Time{}, cached: map[fleet.TargetID]map[placement.PartID]bool{}, slowdown: map[fleet.TargetID]float64{}, atWork: map[fleet.TargetID]int{},
 		capacity: float64(targets) * enginePrefillRate / ownTokens, parts: 10 * targets, results: map[fleet.CustomerName]*patternResult{},
 	}
 	s.route, _ = cfg.Match("h", "/")
+	s.plainRoute, _ = cfg.Match("h", "/lodge/")
 	var notice fleet.TargetsNotice
 	for i := range targets {
 		notice.Announced = append(notice.Announced, fleet.AgedAnnouncement{Announcement: simAnnouncement(simTarget(i), i)})
@@ -289,3 +298,72 @@
 		})
 	}
 }
+
+// Plain targets process plainSlots requests at a time, each in plainTime, queue plainQueue more,
+// and decline others.
+const (
+	plainSlots, plainQueue = 6, 24
+	plainTime              = 60 * time.Millisecond
+)
+
+// askPlain sends a request without a prompt to a router and counts it as late if the target
+// declines it or it has to wait for a slot.
+func (s *patternSim) askPlain(router int, result *patternResult) {
+	s.lastCall++
+	result.asked++
+	call := placement.Call{
+		ID: s.lastCall, Request: fleet.RequestID(fmt.Sprint("r-", s.lastCall)), Route: s.plainRoute, Customer: "majori",
+		Content: fleet.ContentHash(fmt.Sprint("c-", s.lastCall)), ArrivedAt: s.now, Deadline: s.now.Add(s.plainRoute.Timeout),
+	}
+	s.handlePlain(router, result, s.routers[router].Reduce(s.now, placement.CallArrived{Call: call}))
+}
+
+func (s *patternSim) handlePlain(router int, result *patternResult, effects []fleet.Effect) {
+	for _, e := range effects {
+		send, ok := e.(placement.Send)
+		if !ok {
+			result.refused++
+			continue
+		}
+		n := s.atWork[send.Target]
+		if n >= plainSlots+plainQueue {
+			s.at(time.Millisecond, func() {
+				s.handlePlain(router, result, s.routers[router].Reduce(s.now, placement.AttemptEnded{Call: send.Call, Attempt: send.Attempt, Outcome: placement.Declined}))
+			})
+			continue
+		}
+		if n < plainSlots {
+			result.inTime++
+		} else {
+			result.late++
+		}
+		s.atWork[send.Target]++
+		s.at(plainTime*time.Duration(1+n/plainSlots), func() {
+			s.atWork[send.Target]--
+			s.routers[router].Reduce(s.now, placement.AnswerBegun{Call: send.Call, Attempt: send.Attempt})
+			s.routers[router].Reduce(s.now, placement.AttemptEnded{Call: send.Call, Attempt: send.Attempt, Outcome: placement.Answered})
+		})
+	}
+}
+
+// TestPlainRequestsOfManyRouters plays the pattern of many routers that send requests without
+// prompts to few targets, at less than half of their capacity. All routers took the target that had
+// the least load in the digest, until the next digest.
+func TestPlainRequestsOfManyRouters(t *testing.T) {
+	for _, routers := range []int{8, 73, 290} {
+		convey.Convey(fmt.Sprintf("Few requests have to wait for a slot: %d routers", routers), t, func() {
+			const targets = 7
+			s := newPatternSim(t, routers, targets)
+			perSecond := 0.4 * targets * plainSlots / plainTime.Seconds()
+			var result patternResult
+			var arrive func()
+			arrive = func() {
+				s.askPlain(s.rng.IntN(routers), &result)
+				s.at(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), arrive)
+			}
+			s.at(0, arrive)
+			s.run(10 * time.Second)
+			convey.So(float64(result.inTime), convey.ShouldBeGreaterThan, 0.9*float64(result.asked))
+		})
+	}
+}
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -93,7 +93,7 @@
 	if len(usable) == 0 {
 		return nil, Basis{}
 	}
-	return r.chooseLeastLoaded(k, usable)
+	return r.chooseLeastLoaded(k, pickTwo(k, usable))
 }
 
 // eligible returns the serving targets of a call's service that fit the call, are not in a data
@@ -227,8 +227,15 @@
 // router's data centre count as less loaded, by half a request.
 func (r *Router) chooseLeastLoaded(k *call, usable []*target) (*target, Basis) {
 	best, bestCost := 0, 0.0
+	// The reports in a digest are half an interval old on average when it is made.
+	reportAge := r.digestAge() + r.digest.interval/2
+	useReports := reportAge < plainLoadValidity
 	for i, t := range usable {
-		cost := (float64(t.running+t.othersLoad.Running) + 0.5) / float64(max(1, t.entry.Slots)) * t.slownessAt(r.now)
+		running := t.running
+		if useReports {
+			running += t.othersLoad.Running
+		}
+		cost := (float64(running) + 0.5) / float64(max(1, t.entry.Slots)) * t.slownessAt(r.now)
 		if t.entry.DataCentre != r.cfg.DataCentre {
 			cost += 0.5 / float64(max(1, t.entry.Slots))
 		}
--- a/fleet/placement/policy.go
+++ b/fleet/placement/policy.go
@@ -50,6 +50,9 @@
 	// maxSends is the maximum number of times that a call is sent, including sends that
 	// reach no target.
 	maxSends = 4
+	// plainLoadValidity is the age from which on the load that others reported of a target of a
+	// plain service is not used: requests there take tens of milliseconds.
+	plainLoadValidity = 60 * time.Millisecond
 	// slowPlainAfter is the time without an answer after which a target of a plain service
 	// counts as slow. Plain requests take tens of milliseconds.
 	slowPlainAfter = time.Second
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -41,8 +41,9 @@
 
 // digestState is the state of the load digest.
 type digestState struct {
-	// at is when the newest digest was received.
-	at time.Time
+	// at is when the newest digest was received, interval the time since the one before.
+	at       time.Time
+	interval time.Duration
 }
 
 // reportState collects what this router reports besides the load of its targets.
@@ -155,6 +156,7 @@
 // applyDigest replaces the load, crashes and shares that the routers reported. The load that
 // this router itself reported is subtracted.
 func (r *Router) applyDigest(d *fleet.LoadDigest, included fleet.Sequence) {
+	r.digest.interval = min(r.digestAge(), digestValidity)
 	r.digest.at = r.now
 	for _, t := range r.targets {
 		t.othersLoad = fleet.TargetLoad{}
