--- a/control/core/core.go
+++ b/control/core/core.go
@@ -89,6 +89,8 @@
 	hub       *hub
 	loads     *loadCollector
 	clients   *clients.Handler
+	// feed handles the messages of the feed.
+	feed      rpc.Handler
 	stop      chan struct{}
 	wg        sync.WaitGroup
 	startTime time.Time
@@ -121,6 +123,7 @@
 	c.hub = newHub(c, cfg.Clock, cfg.Log)
 	c.origins = newOriginStore(cfg.Clock)
 	c.loads = newLoadCollector(cfg.DemandWindow/demandWindowParts, cfg.Log)
+	c.feed = rpc.Recovering(rpc.HandlerFunc(c.handleFeed), cfg.Log)
 	c.clientSet = rpc.NewClientSet(rpc.ClientSetConfig{
 		Uncompressed: true, OnConnect: c.followPeer,
 		Handler: func(netip.AddrPort) rpc.Handler { return rpc.HandlerFunc(c.handle) },
@@ -253,8 +256,17 @@
 	}
 }
 
-// handle handles the calls of routers and other control hosts.
+// handle handles the calls of routers and other control hosts. A panic under a message of the
+// quorum ends the process: its state may break an invariant by then.
 func (c *Core) handle(ctx context.Context, peer fleet.Caller, method string, params json.RawMessage) (any, error) {
+	if fleet.IsFeedMethod(method) {
+		return c.feed.Handle(ctx, peer, method, params)
+	}
+	return c.clients.Handle(ctx, peer, method, params)
+}
+
+// handleFeed handles the messages of the feed.
+func (c *Core) handleFeed(_ context.Context, peer fleet.Caller, method string, params json.RawMessage) (any, error) {
 	switch method {
 	case fleet.MethodJoin:
 		var r fleet.JoinRequest
@@ -302,7 +314,7 @@
 	case fleet.MethodNotice, fleet.MethodDigest:
 		return nil, nil
 	}
-	return c.clients.Handle(ctx, peer, method, params)
+	return nil, rpc.NewError(fleet.CodeInvalid, "method does not exist", nil)
 }
 
 // onStateChange stores a newer committed state and queues a notice about it.
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,11 @@
 	MethodConfig = "Feed.Config"
 )
 
+// IsFeedMethod reports whether a method belongs to the feed, which includes the origins of streams.
+func IsFeedMethod(method string) bool {
+	return strings.HasPrefix(method, "Feed.") || strings.HasPrefix(method, "Streams.")
+}
+
 const (
 	// minReportInterval is the minimum time between two load reports of a router, and between
 	// two digests.
@@ -249,6 +255,11 @@
 	if r.Away < 0 || r.Away > 1 {
 		return errors.Errorf("Away is %g; it must be from 0 to 1", r.Away)
 	}
+	for _, w := range r.Parts {
+		if w.Tokens < 0 {
+			return errors.Errorf("the work for part %d is %d tokens; it must not be negative", w.Part, w.Tokens)
+		}
+	}
 	if r.Utilisation < 0 {
 		return errors.Errorf("Utilisation is %g; it must not be negative", r.Utilisation)
 	}
@@ -295,7 +306,17 @@
 }
 
 // Check implements Checker.
-func (*LoadDigest) Check() error { return nil }
+func (d *LoadDigest) Check() error {
+	if d.BusyRouters < 0 {
+		return errors.Errorf("BusyRouters is %d; it must not be negative", d.BusyRouters)
+	}
+	for _, h := range d.HotParts {
+		if h.TokensPerSecond < 0 {
+			return errors.Errorf("the rate of part %d is %g; it must not be negative", h.Part, h.TokensPerSecond)
+		}
+	}
+	return nil
+}
 
 // ConfigRequest requests the newest configuration that a control host knows to be committed.
 type ConfigRequest struct{}
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -41,6 +41,7 @@
 	LoadUnknown       Event = "LoadUnknown"       // the router's CPU time can't be read
 	FollowerLeft      Event = "FollowerLeft"
 	NotifyFailed      Event = "NotifyFailed"     // a notification to a follower failed
+	MessagePanicked   Event = "MessagePanicked"  // the handling of a message panicked
 	ReportFailed      Event = "ReportFailed"     // a report to a control host failed
 	ReportRefused     Event = "ReportRefused"    // a router's report is invalid
 	RouterNotReading  Event = "RouterNotReading" // the queue of messages to a router is full
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -95,9 +95,9 @@
 	f.clients = rpc.NewClientSet(rpc.ClientSetConfig{
 		Uncompressed: true,
 		Handler: func(addr netip.AddrPort) rpc.Handler {
-			return rpc.HandlerFunc(func(_ context.Context, _ fleet.Caller, method string, params json.RawMessage) (any, error) {
+			return rpc.Recovering(rpc.HandlerFunc(func(_ context.Context, _ fleet.Caller, method string, params json.RawMessage) (any, error) {
 				return nil, f.handleNotification(addr, method, params)
-			})
+			}), cfg.Log)
 		},
 		OnConnect: f.join,
 		OnDisconnect: func(addr netip.AddrPort) {
