control/core: pattern of one customer at eight times

Tried and dropped: a governor that holds a mean wait of 190 ms instead of 120 (active from 280 or 200).

--- a/control/core/patterns_test.go
+++ b/control/core/patterns_test.go
@@ -367,3 +367,33 @@
 		})
 	}
 }
+
+// TestOneCustomerAtEightTimes plays the pattern of one of twenty customers that suddenly asks for
+// eight times as much, over all routers, while all ask for more than the capacity.
+func TestOneCustomerAtEightTimes(t *testing.T) {
+	for _, size := range []struct{ routers, targets int }{{8, 24}, {73, 120}, {290, 240}} {
+		convey.Convey(fmt.Sprintf("It gets no more than others after two seconds: %v", size), t, func() {
+			s := newPatternSim(t, size.routers, size.targets)
+			const customers, demand, seconds = 20, 0.07, 6
+			for i := range customers {
+				from := source{customer: fleet.CustomerName(fmt.Sprint("customer-", i)), router: s.anyRouter(0), part: s.anyPart}
+				s.at(0, func() { s.arrive(demand*s.capacity, from) })
+			}
+			s.run(4 * time.Second)
+			large := source{customer: "customer-0", router: s.anyRouter(0), part: s.anyPart}
+			s.at(0, func() { s.arrive(7*demand*s.capacity, large) })
+			s.run(2 * time.Second)
+			s.results = map[fleet.CustomerName]*patternResult{}
+			s.run(seconds * time.Second)
+			served := func(c fleet.CustomerName) float64 { r := s.result(c); return float64(r.inTime + r.late) }
+			least, sum := served("customer-1"), 0.0
+			for i := range customers {
+				n := served(fleet.CustomerName(fmt.Sprint("customer-", i)))
+				sum += n
+				least = min(least, n)
+			}
+			convey.So(sum, convey.ShouldBeGreaterThan, 0.6*seconds*s.capacity)
+			convey.So(least, convey.ShouldBeGreaterThan, 0.5*served("customer-0"))
+		})
+	}
+}
