fleet/rpc: notifications are parsed once; look-ups of routers hash each router once

Change: lineStream passes notifications on from one pass over the line; routers are hashed once; unchanged targets are announced every 3 ms a router (at most 1 s).

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -36,6 +36,12 @@
 const (
 	// housekeepingInterval is the time between two rounds of housekeeping.
 	housekeepingInterval = 500 * time.Millisecond
+	// aliveIntervalPerRouter is added up over the connected routers to get the time between two
+	// messages with the targets that have not changed, if that is longer than
+	// housekeepingInterval. Routers wait for several of them before they give up a target.
+	aliveIntervalPerRouter = 3 * time.Millisecond
+	// maxAliveInterval is the maximum of that time. Routers use a notice for 3 s.
+	maxAliveInterval = time.Second
 	// quorumContactTimeout is the time without contact to a majority after which a host
 	// counts as isolated.
 	quorumContactTimeout = 1500 * time.Millisecond
@@ -338,6 +344,7 @@
 func (c *Core) runHousekeeping() {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
+	var aliveFlushed time.Time
 	for {
 		select {
 		case <-c.stop:
@@ -359,7 +366,10 @@
 			c.cfg.Log.Warn(logevent.TargetForgotten, "target", string(id), "silentFor", targetTimeout.String())
 		}
 		c.hub.resizeSubsets()
-		c.hub.flushAlive()
+		if routers, _ := c.hub.routerCounts(); now.Sub(aliveFlushed) >= min(maxAliveInterval, time.Duration(routers)*aliveIntervalPerRouter) {
+			aliveFlushed = now
+			c.hub.flushAlive()
+		}
 		c.updateConnections()
 	}
 }
--- a/control/core/directory.go
+++ b/control/core/directory.go
@@ -78,24 +78,30 @@
 // pickRouters returns the first n routers of the data centre near, in an order that is the same
 // at all control hosts, or all of its routers and then the others if it has fewer.
 func pickRouters(routers []RouterAddress, near fleet.DataCentreName, n int) []RouterAddress {
-	order := func(a RouterAddress) uint64 { return xxhash.Sum64String(string(near) + " " + a.Address.String()) }
-	slices.SortFunc(routers, func(a, b RouterAddress) int {
-		if aNear, bNear := a.DataCentre == near, b.DataCentre == near; aNear != bNear {
-			if aNear {
-				return -1
-			}
-			return 1
+	type ordered struct {
+		RouterAddress
+		weight uint64
+	}
+	var local, others []ordered
+	for _, r := range routers {
+		o := ordered{RouterAddress: r, weight: xxhash.Sum64String(string(near) + " " + r.Address.String())}
+		if r.DataCentre == near {
+			local = append(local, o)
+		} else {
+			others = append(others, o)
 		}
-		return cmp.Compare(order(a), order(b))
-	})
-	local := 0
-	for local < len(routers) && routers[local].DataCentre == near {
-		local++
 	}
-	if local < n {
-		return routers
+	byWeight := func(a, b ordered) int { return cmp.Compare(a.weight, b.weight) }
+	slices.SortFunc(local, byWeight)
+	if len(local) >= n {
+		local, others = local[:n], nil
+	}
+	slices.SortFunc(others, byWeight)
+	out := make([]RouterAddress, 0, len(local)+len(others))
+	for _, o := range append(local, others...) {
+		out = append(out, o.RouterAddress)
 	}
-	return routers[:n]
+	return out
 }
 
 // minRoutersInUse is the least number of routers that the callers of a data centre use: they use
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -227,9 +227,7 @@
 // router's data centre count as less loaded, by half a request.
 func (r *Router) chooseLeastLoaded(k *call, usable []*target) (*target, Basis) {
 	best, bestCost := 0, 0.0
-	// The reports in a digest are half an interval old on average when it is made.
-	reportAge := r.digestAge() + r.digest.interval/2
-	useReports := reportAge < plainLoadValidity
+	useReports := r.reportAge() < plainLoadValidity
 	for i, t := range usable {
 		running := t.running
 		if useReports {
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -196,3 +196,7 @@
 	}
 	return r.now.Sub(r.digest.at)
 }
+
+// reportAge returns the mean age of the loads that the other routers reported. They are half an
+// interval old when the digest is made.
+func (r *Router) reportAge() time.Duration { return r.digestAge() + r.digest.interval/2 }
--- a/fleet/rpc/rpc.go
+++ b/fleet/rpc/rpc.go
@@ -104,7 +104,11 @@
 		<-ready
 		return p.handle(ctx, h, req)
 	}
-	stream := jsonrpc2.NewPlainObjectStream(cc)
+	stream := newLineStream(cc, func(method string, params json.RawMessage) {
+		<-ready
+		// A notification has no reply, so that the sender can't be told of an error.
+		_, _ = h.Handle(ctx, p, method, params)
+	})
 	p.conn = jsonrpc2.NewConn(ctx, stream, &orderedHandler{next: jsonrpc2.HandlerWithError(serve).SuppressErrClosed()},
 		jsonrpc2.SetLogger(discardLogger{}))
 	close(ready)
