fleet/placement: shares hold for 5 s without a digest instead of 2

TestSharesWithoutLeader: 20 of 20 requests admitted 4 s after the last digest before, at most 5 after.

--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -52,7 +52,7 @@
 	// RouterIdleAfter is the time since its last report of work after which a router is idle.
 	RouterIdleAfter = 3 * time.Second
 	// IdleReportInterval is the time between two load reports of an idle router, and between two
-	// digests to it. Routers use a digest for 2 s.
+	// digests to it.
 	IdleReportInterval = time.Second
 )
 
--- a/fleet/placement/admit.go
+++ b/fleet/placement/admit.go
@@ -78,7 +78,7 @@
 // isLight reports whether a call's customer requests so little that its calls are worth more of
 // the targets' time than others. It is false while the digest is outdated.
 func (r *Router) isLight(k *call) bool {
-	return r.admission.light[k.Customer] && r.digestAge() < digestValidity
+	return r.admission.light[k.Customer] && r.digestAge() < shareValidity
 }
 
 // lateRetryDelay returns the Retry-After of a call that would be late: the time after which
@@ -97,7 +97,7 @@
 // admitCall checks a call against its customer's share. It returns true if the call is
 // admitted, or else the refusal.
 func (r *Router) admitCall(k *call) (Refuse, bool) {
-	if k.Prompt.Tokens == 0 || r.digestAge() >= digestValidity {
+	if k.Prompt.Tokens == 0 || r.digestAge() >= shareValidity {
 		return Refuse{}, true
 	}
 	if r.admission.tryAdmit(k.Customer, float64(shareTokens(&k.Call))) {
@@ -109,5 +109,10 @@
 	}, false
 }
 
+// shareValidity is the age of the digest up to which the shares in it are enforced. It covers the
+// loss of a leader and of a few digests: without shares, the largest customer takes most of the
+// capacity within a second.
+const shareValidity = 5 * time.Second
+
 // shareRetryDelay is the Retry-After of a call that exceeds its customer's share.
 const shareRetryDelay = time.Second
--- a/fleet/placement/admit_test.go
+++ b/fleet/placement/admit_test.go
@@ -61,3 +61,25 @@
 		})
 	})
 }
+
+// TestSharesWithoutLeader guards against a customer that takes most of the capacity while no
+// leader sends digests (terase-rtr-large scale-1, FAIR).
+func TestSharesWithoutLeader(t *testing.T) {
+	convey.Convey("A customer is limited to its share for some seconds after the last digest", t, func() {
+		f := newFixture(t, "router-0", 1, announcements(drafterService, 9)...)
+		f.apply(placement.DigestReceived{LoadDigest: fleet.LoadDigest{Shares: []fleet.CustomerShare{{Customer: "majori", Admitted: 0.2}}}})
+		admitted := func() int {
+			n := 0
+			for i := range 20 {
+				if _, ok := f.ask("/plan/", prompt(placement.PartID(i+1), 0)).(placement.Send); ok {
+					n++
+				}
+			}
+			return n
+		}
+		f.now = f.now.Add(4 * time.Second)
+		convey.So(admitted(), convey.ShouldBeLessThanOrEqualTo, 5)
+		f.now = f.now.Add(2 * time.Second)
+		convey.So(admitted(), convey.ShouldEqual, 20)
+	})
+}
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -8,8 +8,8 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 )
 
-// digestValidity is the age from which on a digest is too old for decisions on admission.
-const digestValidity = 2 * time.Second
+// maxDigestInterval bounds the interval of digests that is assumed after some were lost.
+const maxDigestInterval = 2 * time.Second
 
 // rememberedReports is the number of reports whose loads are kept until a digest includes them.
 const rememberedReports = 32
@@ -156,7 +156,7 @@
 // applyDigest replaces the load, crashes and shares that the routers reported. The load that
 // this router itself reported is subtracted.
 func (r *Router) applyDigest(d *fleet.LoadDigest, included fleet.Sequence) {
-	r.digest.interval = min(r.digestAge(), digestValidity)
+	r.digest.interval = min(r.digestAge(), maxDigestInterval)
 	r.digest.at = r.now
 	for _, t := range r.targets {
 		t.othersLoad = fleet.TargetLoad{}
@@ -189,10 +189,10 @@
 	r.parts.applyDigest(r.now, d)
 }
 
-// digestAge returns the age of the newest digest, or digestValidity if there is none.
+// digestAge returns the age of the newest digest, or shareValidity if there is none.
 func (r *Router) digestAge() time.Duration {
 	if r.digest.at.IsZero() {
-		return digestValidity
+		return shareValidity
 	}
 	return r.now.Sub(r.digest.at)
 }
