fleet/placement: a light customer's call is refused if no target can answer before its deadline; review

A call that would be late is worth sending, one that can't be answered is refused at once (TestHopelessCallsOfLightCustomers).

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -8,8 +8,6 @@
 package core
 
 import (
-	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -251,78 +249,6 @@
 	c.shell.AddContacts(hosts)
 }
 
-// followPeer starts to follow the feed of another control host.
-func (c *Core) followPeer(addr netip.AddrPort, peer fleet.Caller) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	req := fleet.JoinRequest{Host: c.host, Role: fleet.RoleControl, DataCentre: c.cfg.DataCentre}
-	var reply fleet.JoinReply
-	if err := peer.Call(ctx, fleet.MethodJoin, &req, &reply); err != nil {
-		c.cfg.Log.Warn(logevent.JoinFailed, "peer", addr.String(), "error", err)
-	}
-}
-
-// handle handles the calls of routers and other control hosts. A panic under a message of the
-// quorum ends the process: its state may break an invariant by then.
-func (c *Core) handle(ctx context.Context, peer fleet.Caller, method string, params json.RawMessage) (any, error) {
-	if fleet.IsFeedMethod(method) {
-		return c.feed.Handle(ctx, peer, method, params)
-	}
-	return c.clients.Handle(ctx, peer, method, params)
-}
-
-// handleFeed handles the messages of the feed.
-func (c *Core) handleFeed(_ context.Context, peer fleet.Caller, method string, params json.RawMessage) (any, error) {
-	switch method {
-	case fleet.MethodJoin:
-		var r fleet.JoinRequest
-		if err := fleet.Decode(params, &r); err != nil {
-			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
-		}
-		subscriber, ok := peer.(fleet.Subscriber)
-		if !ok {
-			return nil, rpc.NewError(fleet.CodeInvalid, "the connection can't carry a feed", nil)
-		}
-		c.hub.join(subscriber, r)
-		return &fleet.JoinReply{Host: c.host}, nil
-	case fleet.MethodLoad:
-		var r fleet.RouterLoad
-		if err := fleet.Decode(params, &r); err != nil {
-			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
-		}
-		c.hub.recordReport(peer, &r)
-		c.loads.addReport(c.cfg.Clock.Now(), r)
-		return nil, nil
-	case fleet.MethodTargets:
-		var n fleet.TargetsNotice
-		if err := fleet.Decode(params, &n); err != nil {
-			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
-		}
-		c.mergeNotice(n)
-		return nil, nil
-	case fleet.MethodStreamsBegun:
-		var b fleet.StreamsBegun
-		if err := fleet.Decode(params, &b); err != nil {
-			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
-		}
-		c.origins.add(&b)
-		return nil, nil
-	case fleet.MethodStreamOrigin:
-		var r fleet.StreamOriginRequest
-		if err := fleet.Decode(params, &r); err != nil {
-			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
-		}
-		return c.origins.find(&r), nil
-	case fleet.MethodConfig:
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return &fleet.ConfigReply{NumberedConfig: c.state.Config}, nil
-	case fleet.MethodNotice, fleet.MethodDigest:
-		return nil, nil
-	}
-	return nil, rpc.NewError(fleet.CodeInvalid, "method does not exist", nil)
-}
-
 // onStateChange stores a newer committed state and queues a notice about it.
 func (c *Core) onStateChange(n registry.NumberedState) {
 	c.mu.Lock()
@@ -366,7 +292,7 @@
 			c.cfg.Log.Warn(logevent.TargetForgotten, "target", string(id), "silentFor", targetTimeout.String())
 		}
 		c.hub.resizeSubsets()
-		if routers, _ := c.hub.routerCounts(); now.Sub(aliveFlushed) >= min(maxAliveInterval, time.Duration(routers)*aliveIntervalPerRouter) {
+		if now.Sub(aliveFlushed) >= c.aliveInterval() {
 			aliveFlushed = now
 			c.hub.flushAlive()
 		}
@@ -374,6 +300,13 @@
 	}
 }
 
+// aliveInterval returns the minimum time between two messages with the targets that have not
+// changed.
+func (c *Core) aliveInterval() time.Duration {
+	routers, _ := c.hub.routerCounts()
+	return min(maxAliveInterval, time.Duration(routers)*aliveIntervalPerRouter)
+}
+
 // HasQuorumContact reports whether the host was in contact with a majority of the quorum
 // within quorumContactTimeout.
 func (c *Core) HasQuorumContact() bool { return c.shell.HasQuorumContact(quorumContactTimeout) }
--- a/fleet/placement/admit_test.go
+++ b/fleet/placement/admit_test.go
@@ -83,3 +83,23 @@
 		convey.So(overShare(), convey.ShouldEqual, 0)
 	})
 }
+
+// TestHopelessCallsOfLightCustomers guards against a call that waits for its deadline because its
+// customer is light, though no target can answer it before.
+func TestHopelessCallsOfLightCustomers(t *testing.T) {
+	convey.Convey("A light customer's call is sent if it would be late, and refused if its deadline would pass", t, func() {
+		f := newFixture(t, "router-0", 1, announcements(drafterService, 3)...)
+		ask := func(waiting int) fleet.Effect {
+			d := fleet.LoadDigest{Light: []fleet.CustomerName{"majori"}}
+			for _, a := range announcements(drafterService, 3) {
+				d.Targets = append(d.Targets, fleet.TargetLoad{Target: a.Target, Waiting: waiting})
+			}
+			f.apply(placement.DigestReceived{LoadDigest: d})
+			return f.ask("/plan/", prompt(1, 0))
+		}
+		sendOf(ask(60_000))
+		refused, ok := ask(1_000_000).(placement.Refuse)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(refused.Reason, convey.ShouldEqual, fleet.ReasonExpectedLate)
+	})
+}
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -205,8 +205,8 @@
 // before the request was sent.
 type Basis struct {
 	// Rank is the target's position in the rendezvous order of the prompt's shared part,
-	// from 0, or its position among the candidates if the call has no prompt or its route
-	// no affinity.
+	// from 0, or its position among the candidates if the call has no prompt, its route no
+	// affinity, or its customer is light and the owners would answer late.
 	Rank int
 	// Candidates is the number of targets to choose from.
 	Candidates int
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -234,9 +234,12 @@
 		r.emit(GiveUp{Call: k.ID, Reason: fleet.ReasonNoTarget, NotRun: k.attempts == 0, RetryAfter: r.cfg.Policy.NoTargetRetryDelay})
 		return
 	}
-	if k.sends == 0 && r.isTooLate(k, basis) && r.isLight(k) {
+	late := k.sends == 0 && r.isTooLate(k, basis)
+	if late && r.isLight(k) {
 		t, basis = r.chooseForLight(k, t, basis)
-	} else if k.sends == 0 && r.isTooLate(k, basis) {
+		late = r.now.Add(basis.ExpectedFirstByte).After(k.Deadline)
+	}
+	if late {
 		r.admission.refund(k.Customer, float64(shareTokens(&k.Call)))
 		r.emit(Refuse{Call: k.ID, Reason: fleet.ReasonExpectedLate, RetryAfter: r.lateRetryDelay(k, basis), Basis: basis})
 		return
