--- a/control/core/patterns_test.go
+++ b/control/core/patterns_test.go
@@ -223,9 +223,9 @@
 }
 
 // TestTargetsThatWereSlow plays the pattern of targets that are slow for some seconds, in which
-// the callers of one router send many requests, and few later. A router that learnt only from
-// its own answers went on to take these targets for slow, and refused requests that they would
-// have served in time (issue 23, FAIR).
+// the callers of one router send many requests, and few later. It requires that the targets are
+// used again. It does not show the fault of issue 23 (FAIR), for which TestOldSlownessIsForgotten
+// and TestBurstOfLateAnswers of fleet/placement are the tests.
 func TestTargetsThatWereSlow(t *testing.T) {
 	for _, size := range []struct{ routers, targets int }{{8, 18}, {73, 120}, {290, 240}} {
 		convey.Convey(fmt.Sprintf("Targets that were slow are used again: %v", size), t, func() {
