--- a/fleet/ids.go
+++ b/fleet/ids.go
@@ -66,6 +66,8 @@
 	ByteSize int64
 	// PrefixHash is the hash of the leading part of a prompt.
 	PrefixHash uint64
+	// RequestRate is a number of requests a second.
+	RequestRate float64
 )
 
 // MaxNameLength is the maximum length of a name or identifier in bytes.
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -55,6 +55,7 @@
 	PartQuarantined     Event = "PartQuarantined"     // requests with a part of a prompt that crashes targets are refused
 	PartReleased        Event = "PartReleased"        // a quarantine of a part ended, by time or by an answer
 	TargetForgotten     Event = "TargetForgotten"     // a target sent no announcement within the time-out
+	LimitMalformed      Event = "LimitMalformed"      // a target's response states a limit that is not valid
 	AnnouncementIgnored Event = "AnnouncementIgnored" // an announcement was out of date
 	AnnouncementRefused Event = "AnnouncementRefused" // an announcement was invalid, or control was unavailable
 )
@@ -151,6 +152,9 @@
 	FieldAdmittedShare = "share"
 	// FieldDigestAge is the age of the router's information on the load of other routers, in ms.
 	FieldDigestAge = "digestAgeMs"
+	// FieldLimit is the number of requests a second that a target states it takes from all
+	// routers together.
+	FieldLimit = "limitPerS"
 	// FieldNumber is the number of a configuration.
 	FieldNumber = "number"
 	// FieldRevision is the index of an entry in the replicated log of the control hosts.
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -40,6 +40,9 @@
 	NotRun string
 	// LastEventID carries the id of the last stream event that the caller has received.
 	LastEventID string
+	// Limit carries, in responses, the number of requests a second that the target takes from
+	// all routers together.
+	Limit string
 }
 
 // Config configures a Forwarder.
--- /dev/null
+++ b/router/forward/limit_test.go
@@ -0,0 +1,31 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+func TestParseLimit(t *testing.T) {
+	const name = "Limit"
+	convey.Convey("A limit is a decimal number of requests a second", t, func() {
+		for value, want := range map[string]fleet.RequestRate{"2.3": 2.3, "7": 7, "0": minLimit, "0.01": minLimit, "1e6": maxLimit} {
+			limit, err := parseLimit(http.Header{name: {value}}, name)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(limit, convey.ShouldEqual, want)
+		}
+		limit, err := parseLimit(http.Header{}, name)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(limit, convey.ShouldEqual, fleet.RequestRate(0))
+	})
+	convey.Convey("Other values are errors", t, func() {
+		for _, values := range [][]string{{""}, {"-1"}, {"NaN"}, {"Inf"}, {"1e9"}, {"two"}, {"2 "}, {"1", "2"}, {"9999999999999999999999999e999"}} {
+			limit, err := parseLimit(http.Header{name: values}, name)
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(limit, convey.ShouldEqual, fleet.RequestRate(0))
+		}
+	})
+}
