Limits that targets state hold for all routers together

What callers saw: nothing; targets that state a limit of 2 to 3 requests a second go on getting 5 to 10.

Ruled out: retries (175 of 175 sends are first attempts), the restart of a router (the excess begins 7 s before), routers that each keep to the limit (each goes on as before).

Change: forward passes the limit of each response to the placement; reports and digests spread it; the leader gives each router a share in proportion to its requests, from which quotas follow that add up to the limit (fleet/ratelimit).

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -13,6 +13,7 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/partrate"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quarantine"
+	"github.com/fuchsiashed/fuchsiashed/fleet/ratelimit"
 )
 
 const (
@@ -73,7 +74,8 @@
 	nominalRate float64
 	suspects    map[fleet.ContentHash]*suspect
 	// parts tracks the parts of prompts that crash targets.
-	parts *quarantine.Tracker
+	parts  *quarantine.Tracker
+	limits *ratelimit.Collector
 	// collectingSince and lastReport are the times of the first and the newest report since
 	// this host became the leader.
 	collectingSince, lastReport time.Time
@@ -96,7 +98,7 @@
 		log:     log,
 		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window), totalDemand: fairshare.NewWindow(window), sentWork: fairshare.NewWindow(window),
 		governor: fairshare.NewGovernor(governorConfig), partRates: partrate.New(),
-		suspects: map[fleet.ContentHash]*suspect{}, parts: quarantine.New(),
+		suspects: map[fleet.ContentHash]*suspect{}, parts: quarantine.New(), limits: ratelimit.NewCollector(),
 	}
 }
 
@@ -128,6 +130,7 @@
 		l.addCrashes(now, c)
 	}
 	l.addParts(now, &r)
+	l.limits.AddReport(now, &r)
 }
 
 // addParts adds what a router reports of parts of prompts. A new leader adopts the quarantines
@@ -172,6 +175,8 @@
 type digest struct {
 	fleet.LoadDigest
 	included map[fleet.HostID]fleet.Sequence
+	// limitShares divides the limits of targets among the routers.
+	limitShares map[fleet.HostID]fleet.Share
 }
 
 // reportMaxAge returns the age after which a report is dropped, for the interval of reports.
@@ -198,10 +203,12 @@
 		}
 	}
 	parts := l.updateParts(now)
-	return digest{included: included, LoadDigest: fleet.LoadDigest{
+	limits := l.limits.Limits(now)
+	return digest{included: included, limitShares: l.limits.Shares(now), LoadDigest: fleet.LoadDigest{
 		Targets: slices.Collect(maps.Values(total)), Shares: l.shares(now, total), Light: fairshare.Light(l.demand.Rates(now)), Suspects: l.repeatedSuspects(now), Slowness: l.medianSlowness(),
 		HotParts:     l.partRates.Hot(now, hotTargetShare*l.nominalRate/float64(max(1, len(total)))),
 		SuspectParts: parts.Parts, SuspectTargets: parts.Targets, Quarantined: parts.Quarantined,
+		Limits: limits,
 	}}
 }
 
--- a/control/core/patterns_test.go
+++ b/control/core/patterns_test.go
@@ -22,6 +22,9 @@
 // sharedTokens is the length of the shared part of a prompt, ownTokens the mean length of the rest.
 const sharedTokens, ownTokens = 4000, 3000
 
+// partsPerTarget is the number of shared parts for each simulated engine.
+const partsPerTarget = 10
+
 // patternSim plays a load pattern: routers that place requests, the leader that collects their
 // reports, and engines that process one prompt after the other and keep all parts.
 type patternSim struct {
@@ -45,6 +48,12 @@
 	cached map[fleet.TargetID]map[placement.PartID]bool
 	// slowdown is the factor by which an engine is slower than rated now; 0 means 1.
 	slowdown map[fleet.TargetID]float64
+	// limits has the limits that targets state now, sends the times of the requests to each of
+	// these.
+	limits map[fleet.TargetID]fleet.RequestRate
+	sends  map[fleet.TargetID][]time.Time
+	// equalShares is true if routers do not get the leader's division of the limits.
+	equalShares bool
 	// capacity is the number of requests a second that the engines can process.
 	capacity float64
 	// parts is the number of shared parts.
@@ -86,8 +95,8 @@
 	s := &patternSim{
 		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(11, 1)), interval: fleet.ReportInterval(routers),
 		collector: newLoadCollector(4*time.Second, slog.New(slog.DiscardHandler)),
-		freeAt:    map[fleet.TargetID]time.Time{}, cached: map[fleet.TargetID]map[placement.PartID]bool{}, slowdown: map[fleet.TargetID]float64{}, atWork: map[fleet.TargetID]int{},
-		capacity: float64(targets) * enginePrefillRate / ownTokens, parts: 10 * targets, results: map[fleet.CustomerName]*patternResult{},
+		freeAt:    map[fleet.TargetID]time.Time{}, cached: map[fleet.TargetID]map[placement.PartID]bool{}, slowdown: map[fleet.TargetID]float64{}, atWork: map[fleet.TargetID]int{}, sends: map[fleet.TargetID][]time.Time{},
+		capacity: float64(targets) * enginePrefillRate / ownTokens, parts: partsPerTarget * targets, results: map[fleet.CustomerName]*patternResult{},
 	}
 	s.route, _ = cfg.Match("h", "/")
 	s.plainRoute, _ = cfg.Match("h", "/lodge/")
@@ -141,8 +150,11 @@
 // sendDigests sends the leader's digest to all routers, periodically.
 func (s *patternSim) sendDigests() {
 	d := s.collector.makeDigest(s.now, reportMaxAge(s.interval))
+	if s.equalShares {
+		d.limitShares = nil
+	}
 	for i, r := range s.routers {
-		r.Reduce(s.now, placement.DigestReceived{LoadDigest: d.LoadDigest, Included: d.included[simHost(i)]})
+		r.Reduce(s.now, placement.DigestReceived{LoadDigest: d.LoadDigest, ReportIncluded: fleet.ReportIncluded{Sequence: d.included[simHost(i)], LimitShare: d.limitShares[simHost(i)]}})
 	}
 	s.at(s.interval, s.sendDigests)
 }
@@ -193,12 +205,16 @@
 
 func (s *patternSim) send(router int, result *patternResult, send placement.Send, p placement.Prompt) {
 	asked := s.now
+	if s.limits[send.Target] > 0 {
+		s.sends[send.Target] = append(s.sends[send.Target], s.now)
+	}
 	s.at(s.runPrompt(send.Target, p).Sub(s.now), func() {
 		if s.now.Sub(asked) <= s.route.Goal {
 			result.inTime++
 		} else {
 			result.late++
 		}
+		s.routers[router].Reduce(s.now, placement.ResponseReceived{Target: send.Target, Incarnation: send.Incarnation, Limit: s.limits[send.Target]})
 		s.routers[router].Reduce(s.now, placement.AnswerBegun{Call: send.Call, Attempt: send.Attempt})
 		s.routers[router].Reduce(s.now, placement.AttemptEnded{Call: send.Call, Attempt: send.Attempt, Outcome: placement.Answered})
 	})
--- a/control/core/publish.go
+++ b/control/core/publish.go
@@ -203,7 +203,7 @@
 	for _, f := range h.followers {
 		if f.Role == fleet.RoleRouter && (f.isBusy(now) || now.Sub(f.lastDigest) >= fleet.IdleReportInterval) {
 			f.lastDigest = now
-			f.digest = append(h.encode(nil, fleet.MethodIncluded, &fleet.ReportIncluded{Sequence: d.included[f.Host]}), shared...)
+			f.digest = append(h.encode(nil, fleet.MethodIncluded, &fleet.ReportIncluded{Sequence: d.included[f.Host], LimitShare: d.limitShares[f.Host]}), shared...)
 			f.signal()
 		}
 	}
--- a/control/core/quarantine_test.go
+++ b/control/core/quarantine_test.go
@@ -161,7 +161,7 @@
 	}
 	d := s.collector.makeDigest(s.now, minReportMaxAge)
 	for i, r := range s.routers {
-		r.Reduce(s.now, placement.DigestReceived{LoadDigest: d.LoadDigest, Included: d.included[simHost(i)]})
+		r.Reduce(s.now, placement.DigestReceived{LoadDigest: d.LoadDigest, ReportIncluded: fleet.ReportIncluded{Sequence: d.included[simHost(i)], LimitShare: d.limitShares[simHost(i)]}})
 	}
 	s.at(digestDelay, s.exchange)
 }
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -155,6 +155,55 @@
 	Running int `json:"R,omitempty"`
 }
 
+// StatedLimit is the number of requests a second that a target takes from all routers together,
+// as it stated in a response.
+type StatedLimit struct {
+	Target      TargetID    `json:"T"`
+	Incarnation Incarnation `json:"I"`
+	// Limit is 0 if the target stated none.
+	Limit RequestRate `json:"L,omitempty"`
+	// Age is the time since the response.
+	Age time.Duration `json:"A,omitempty"`
+}
+
+// Check implements Checker.
+func (l *StatedLimit) Check() error {
+	if l.Limit < 0 || l.Age < 0 {
+		return errors.Errorf("the limit of target %q is %g a second, %s old; neither must be negative", l.Target, l.Limit, l.Age)
+	}
+	return CheckName("T", string(l.Target))
+}
+
+// checkLimits returns the first error of a list, or nil.
+func checkLimits(limits []StatedLimit) error {
+	for i := range limits {
+		if err := limits[i].Check(); err != nil {
+			return errors.Wrapf(err, "Limits[%d]", i)
+		}
+	}
+	return nil
+}
+
+// Share is a router's part of what is divided among all routers, as an interval of the range from 0
+// to 1. The intervals of the routers do not overlap.
+type Share struct {
+	From float64
+	To   float64
+}
+
+// Check implements Checker.
+func (s *Share) Check() error {
+	if s.From < 0 || s.To > 1 || s.From > s.To {
+		return errors.Errorf("share is from %g to %g; it must lie between 0 and 1", s.From, s.To)
+	}
+	return nil
+}
+
+// EqualShare returns the share of one of n routers, by its index, if all have the same.
+func EqualShare(index, n int) Share {
+	return Share{From: float64(index) / float64(n), To: float64(index+1) / float64(n)}
+}
+
 // CustomerDemand is what a customer requested since the last report, in tokens: each
 // prompt token counts once, whether an engine has it cached or not, and each token to be
 // generated counts twice.
@@ -242,6 +291,10 @@
 	Parts []PartWork `json:",omitempty"`
 	// Slowness has the services whose answers the router measured in the last seconds.
 	Slowness []ServiceSlowness `json:",omitempty"`
+	// Calls is the number of requests since the last report.
+	Calls int `json:",omitempty"`
+	// Limits has what targets with a limit stated to this router since the last report.
+	Limits []StatedLimit `json:",omitempty"`
 	// Stopping is true once the router accepts no new callers.
 	Stopping bool `json:",omitempty"`
 	// Utilisation is the fraction of its capacity that the router uses; it may exceed 1.
@@ -260,6 +313,12 @@
 			return errors.Errorf("the work for part %d is %d tokens; it must not be negative", w.Part, w.Tokens)
 		}
 	}
+	if r.Calls < 0 {
+		return errors.Errorf("Calls is %d; it must not be negative", r.Calls)
+	}
+	if err := checkLimits(r.Limits); err != nil {
+		return err
+	}
 	if r.Utilisation < 0 {
 		return errors.Errorf("Utilisation is %g; it must not be negative", r.Utilisation)
 	}
@@ -277,10 +336,12 @@
 type ReportIncluded struct {
 	// Sequence is that of the report; 0 means that none is part of it.
 	Sequence Sequence
+	// LimitShare is the router's share in the limits of targets; empty if it was given none.
+	LimitShare Share `json:",omitzero"`
 }
 
 // Check implements Checker.
-func (*ReportIncluded) Check() error { return nil }
+func (r *ReportIncluded) Check() error { return errors.Wrap(r.LimitShare.Check(), "LimitShare") }
 
 // LoadDigest sums up what all routers reported. It is the same for all of them.
 type LoadDigest struct {
@@ -303,6 +364,8 @@
 	Quarantined    []QuarantinedPart `json:",omitempty"`
 	// Slowness is the median of all routers' measurements.
 	Slowness []ServiceSlowness `json:",omitempty"`
+	// Limits has the newest statement of each target that had a limit in the last seconds.
+	Limits []StatedLimit `json:",omitempty"`
 }
 
 // Check implements Checker.
@@ -310,6 +373,9 @@
 	if d.BusyRouters < 0 {
 		return errors.Errorf("BusyRouters is %d; it must not be negative", d.BusyRouters)
 	}
+	if err := checkLimits(d.Limits); err != nil {
+		return err
+	}
 	for _, h := range d.HotParts {
 		if h.TokensPerSecond < 0 {
 			return errors.Errorf("the rate of part %d is %g; it must not be negative", h.Part, h.TokensPerSecond)
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -155,6 +155,9 @@
 	// FieldLimit is the number of requests a second that a target states it takes from all
 	// routers together.
 	FieldLimit = "limitPerS"
+	// FieldLimitQuota is the number of requests that the router may still send to a limited
+	// target in the present window.
+	FieldLimitQuota = "limitQuota"
 	// FieldNumber is the number of a configuration.
 	FieldNumber = "number"
 	// FieldRevision is the index of an entry in the replicated log of the control hosts.
--- a/fleet/placement/admit_test.go
+++ b/fleet/placement/admit_test.go
@@ -52,7 +52,7 @@
 		total := fleet.TargetLoad{Target: target, Waiting: own.Targets[0].Waiting + 500, Running: own.Targets[0].Running + 3}
 		digest := fleet.LoadDigest{Targets: []fleet.TargetLoad{total}}
 		convey.Convey("that is part of it, not of a newer one", func() {
-			f.apply(placement.DigestReceived{LoadDigest: digest, Included: own.Sequence})
+			f.apply(placement.DigestReceived{LoadDigest: digest, ReportIncluded: fleet.ReportIncluded{Sequence: own.Sequence}})
 			convey.So(sendOf(f.ask("/plan/", prompt(1, 0))).Basis.Running, convey.ShouldEqual, 2+3)
 		})
 		convey.Convey("unless none is part of it", func() {
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -108,11 +108,12 @@
 	return out
 }
 
-// available returns those of the targets that are warm, or cold with some quota left.
+// available returns those of the targets that are warm, or cold with some quota left, and that
+// have no limit, or some quota of it left.
 func (r *Router) available(targets []*target) []*target {
 	var out []*target
 	for _, t := range targets {
-		if !r.isCold(t) || r.hasColdQuota(t) {
+		if (!r.isCold(t) || r.hasColdQuota(t)) && r.hasLimitQuota(t) {
 			out = append(out, t)
 		}
 	}
@@ -255,6 +256,7 @@
 	return Basis{
 		Rank: rank, Candidates: candidates, QueuedTokens: t.queuedTokens(r.now) + t.othersLoad.Waiting,
 		Running: t.running + t.othersLoad.Running, DigestAge: r.digestAge(),
+		Limit: t.limit.rate(r.now), LimitQuota: r.limitQuotaLeft(t),
 	}
 }
 
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -96,11 +96,11 @@
 // EventName implements fleet.Event.
 func (PeersChanged) EventName() string { return "PeersChanged" }
 
-// DigestReceived passes on the load that all routers reported. Included is the report of this
-// router that is part of it; 0 means none.
+// DigestReceived passes on the load that all routers reported, with the report of this router
+// that is part of it.
 type DigestReceived struct {
 	fleet.LoadDigest
-	Included fleet.Sequence
+	fleet.ReportIncluded
 }
 
 // EventName implements fleet.Event.
@@ -126,6 +126,18 @@
 // EventName implements fleet.Event.
 func (CallArrived) EventName() string { return "Asked" }
 
+// ResponseReceived reports what the header of a target's response states about the target.
+type ResponseReceived struct {
+	Target      fleet.TargetID
+	Incarnation fleet.Incarnation
+	// Limit is the number of requests a second that the target takes from all routers together;
+	// 0 if it states none.
+	Limit fleet.RequestRate
+}
+
+// EventName implements fleet.Event.
+func (ResponseReceived) EventName() string { return "ResponseReceived" }
+
 // AnswerBegun reports that the answer to an attempt has begun.
 type AnswerBegun struct {
 	Call CallID
@@ -227,6 +239,10 @@
 	Slowness float64
 	// DigestAge is the age of the load that the other routers reported.
 	DigestAge time.Duration
+	// Limit is the limit that the target stated, LimitQuota the number of requests that this
+	// router may still send it in the present window. Both are 0 if it stated none.
+	Limit      fleet.RequestRate
+	LimitQuota int
 }
 
 // Refuse is the effect of refusing a call that was not sent to any target.
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -15,7 +15,7 @@
 const rememberedReports = 32
 
 // TargetCounts returns the number of targets in each state, according to this router. The
-// keys are Gone, Leaving, DataCentreOut, Paused, Failing, Cold and Serving.
+// keys are Gone, Leaving, DataCentreOut, Paused, Limited, Failing, Cold and Serving.
 func (r *Router) TargetCounts(now time.Time) map[string]int {
 	out := map[string]int{}
 	for _, t := range r.targets {
@@ -28,6 +28,8 @@
 			out["DataCentreOut"]++
 		case now.Before(t.pausedUntil):
 			out["Paused"]++
+		case t.limit.rate(now) > 0:
+			out["Limited"]++
 		case t.failureRate > maxFailureRate:
 			out["Failing"]++
 		case now.Before(t.entry.ColdUntil) || t.maybeRestarted:
@@ -52,6 +54,7 @@
 	demand         map[fleet.CustomerName]fleet.CustomerDemand
 	askedTokens    int
 	admittedTokens int
+	calls          int
 	// partWork is the work requested for each shared part.
 	partWork map[PartID]int
 	suspects map[fleet.ContentHash]int
@@ -81,6 +84,7 @@
 
 // addArrival counts the demand of a new call.
 func (s *reportState) addArrival(k *call) {
+	s.calls++
 	if k.Customer != "" && k.Prompt.Tokens > 0 {
 		s.addDemand(k.Customer, shareTokens(&k.Call), 0)
 		s.askedTokens += workTokens(&k.Call)
@@ -124,6 +128,8 @@
 	out := fleet.RouterLoad{Host: r.cfg.Self, Sequence: s.sequence, Asked: s.askedTokens, Admitted: s.admittedTokens}
 	s.askedTokens, s.admittedTokens = 0, 0
 	out.Slowness = r.measuredSlowness()
+	out.Calls, out.Limits = s.calls, r.statedLimits()
+	s.calls = 0
 	r.parts.fillReport(r.now, &out)
 	if r.config != nil {
 		out.Capacity = r.config.TokensPerSecond
@@ -155,7 +161,7 @@
 
 // applyDigest replaces the load, crashes and shares that the routers reported. The load that
 // this router itself reported is subtracted.
-func (r *Router) applyDigest(d *fleet.LoadDigest, included fleet.Sequence) {
+func (r *Router) applyDigest(d *DigestReceived) {
 	r.digest.interval = min(r.digestAge(), maxDigestInterval)
 	r.digest.at = r.now
 	for _, t := range r.targets {
@@ -166,7 +172,7 @@
 			t.othersLoad = l
 		}
 	}
-	for _, own := range r.report.ownLoads[included] {
+	for _, own := range r.report.ownLoads[d.Sequence] {
 		if t := r.targets[own.Target]; t != nil {
 			t.othersLoad.Waiting = max(0, t.othersLoad.Waiting-own.Waiting)
 			t.othersLoad.Running = max(0, t.othersLoad.Running-own.Running)
@@ -186,7 +192,8 @@
 		r.admission.light[c] = true
 	}
 	r.applyFleetSlowness(d.Slowness)
-	r.parts.applyDigest(r.now, d)
+	r.parts.applyDigest(r.now, &d.LoadDigest)
+	r.applyLimits(d)
 }
 
 // digestAge returns the age of the newest digest, or shareValidity if there is none.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -45,6 +45,7 @@
 	admission admission
 	report    reportState
 	parts     partsState
+	limits    limitShare
 }
 
 // call is a request that has not ended.
@@ -97,13 +98,15 @@
 	case PeersChanged:
 		r.routers, r.listening = ev.Routers, ev.Listening
 	case DigestReceived:
-		r.applyDigest(&ev.LoadDigest, ev.Included)
+		r.applyDigest(&ev)
 	case Tick:
 		r.tick()
 	case ReportDue:
 		r.emit(Report{RouterLoad: r.makeReport()})
 	case CallArrived:
 		r.callArrived(ev.Call)
+	case ResponseReceived:
+		r.responseReceived(ev)
 	case AnswerBegun:
 		r.answerBegun(ev)
 	case AttemptEnded:
@@ -227,11 +230,12 @@
 	t, basis := r.choose(k)
 	if t == nil {
 		r.finish(k)
+		reason, delay := r.noTargetReason(k)
 		if k.sends == 0 {
-			r.emit(Refuse{Call: k.ID, Reason: fleet.ReasonNoTarget, RetryAfter: r.cfg.Policy.NoTargetRetryDelay})
+			r.emit(Refuse{Call: k.ID, Reason: reason, RetryAfter: delay})
 			return
 		}
-		r.emit(GiveUp{Call: k.ID, Reason: fleet.ReasonNoTarget, NotRun: k.attempts == 0, RetryAfter: r.cfg.Policy.NoTargetRetryDelay})
+		r.emit(GiveUp{Call: k.ID, Reason: reason, NotRun: k.attempts == 0, RetryAfter: delay})
 		return
 	}
 	late := k.sends == 0 && r.isTooLate(k, basis)
@@ -261,6 +265,7 @@
 	if r.isCold(t) {
 		t.coldSends = append(t.coldSends, r.now)
 	}
+	t.limit.addSend(r.now)
 	r.emit(Send{
 		Call: k.ID, Attempt: k.sends, Target: t.id, Incarnation: t.incarnation,
 		SoftwareVersion: k.currentVersion, Address: t.entry.Address, MaxIdle: r.idleConnections(k.service), Basis: basis,
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -49,6 +49,7 @@
 	// maybeRestarted is true if the target may have restarted without having announced it.
 	maybeRestarted bool
 	coldSends      []time.Time
+	limit          rateLimit
 	awaitingAnswer map[CallID]*call
 }
 
@@ -64,6 +65,7 @@
 	t.slowness, t.failureRate, t.pauses = 1, 0, 0
 	t.pausedUntil, t.answeredAt = time.Time{}, time.Time{}
 	t.maybeRestarted = false
+	t.limit = rateLimit{}
 }
 
 func (t *target) addCall(k *call) {
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -45,4 +45,5 @@
 	ReasonCustomerShare      Reason = "CustomerShare"
 	ReasonExpectedLate       Reason = "ExpectedLate"
 	ReasonStreamUnknown      Reason = "StreamUnknown"
+	ReasonTargetLimit        Reason = "TargetLimit"
 )
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -62,7 +62,7 @@
 	seeds   []netip.AddrPort
 	notices map[netip.AddrPort]receivedNotice
 	// included has, for each control host, the own report that is part of its next digest.
-	included map[netip.AddrPort]fleet.Sequence
+	included map[netip.AddrPort]fleet.ReportIncluded
 	revision fleet.Revision
 	config   *deployment.Configuration
 	configAt time.Time
@@ -91,7 +91,7 @@
 
 // New returns a Follower; Start connects it.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, seeds: cfg.Seeds, notices: map[netip.AddrPort]receivedNotice{}, included: map[netip.AddrPort]fleet.Sequence{}, stop: make(chan struct{})}
+	f := &Follower{cfg: cfg, seeds: cfg.Seeds, notices: map[netip.AddrPort]receivedNotice{}, included: map[netip.AddrPort]fleet.ReportIncluded{}, stop: make(chan struct{})}
 	f.clients = rpc.NewClientSet(rpc.ClientSetConfig{
 		Uncompressed: true,
 		Handler: func(addr netip.AddrPort) rpc.Handler {
@@ -222,7 +222,7 @@
 			return err
 		}
 		f.mu.Lock()
-		f.included[addr] = n.Sequence
+		f.included[addr] = n
 		f.mu.Unlock()
 	case fleet.MethodDigest:
 		var d fleet.LoadDigest
@@ -233,7 +233,7 @@
 		included := f.included[addr]
 		f.busyRouters = d.BusyRouters
 		f.mu.Unlock()
-		f.cfg.Reduce(placement.DigestReceived{LoadDigest: d, Included: included})
+		f.cfg.Reduce(placement.DigestReceived{LoadDigest: d, ReportIncluded: included})
 	default:
 		return errors.Errorf("method %q does not exist", method)
 	}
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -252,7 +252,7 @@
 	return nil, errors.Errorf("%d responses belong to other requests", maxSkipped)
 }
 
-// readLimit records the limit that the target states in its response. A malformed one is logged
+// readLimit passes the limit that the target states in its response to the placement. A malformed one is logged
 // and otherwise treated as if the target had not responded: it neither sets nor ends a limit.
 func (x *exchange) readLimit(resp *http.Response) {
 	limit, err := parseLimit(resp.Header, x.forwarder.cfg.Headers.Limit)
@@ -261,10 +261,12 @@
 		targetLimits.Add("Malformed", 1)
 		x.forwarder.cfg.Log.Warn(logevent.LimitMalformed, logevent.FieldRequest, string(x.req.Call.Request),
 			logevent.FieldTarget, string(x.send.Target), logevent.FieldError, err.Error())
+		return
 	case limit > 0:
 		targetLimits.Add("Stated", 1)
 		x.limit = limit
 	}
+	x.forwarder.Reduce(placement.ResponseReceived{Target: x.send.Target, Incarnation: x.send.Incarnation, Limit: limit})
 }
 
 // isNotRun reports whether a target states that it did not run the request.
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -27,11 +27,17 @@
 
 // logSent logs the chosen target and what the choice was based on.
 func (f *Forwarder) logSent(req *Request, s placement.Send) {
-	f.cfg.Log.Info(logevent.RequestSent, logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
+	attrs := []any{
+		logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
 		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldCaller, req.Caller, logevent.FieldAttempt, s.Attempt, logevent.FieldTarget, string(s.Target),
 		logevent.FieldIncarnation, uint64(s.Incarnation), logevent.FieldSoftwareVersion, string(s.SoftwareVersion), logevent.FieldResumes, string(req.Call.Resumes), logevent.FieldRank, s.Basis.Rank, logevent.FieldCandidates, s.Basis.Candidates,
 		logevent.FieldQueuedTokens, s.Basis.QueuedTokens, logevent.FieldPrefillTokens, s.Basis.PrefillTokens, logevent.FieldRunning, s.Basis.Running, logevent.FieldSlowness, s.Basis.Slowness,
-		logevent.FieldExpectedFirstByte, s.Basis.ExpectedFirstByte.Milliseconds(), logevent.FieldDigestAge, s.Basis.DigestAge.Milliseconds())
+		logevent.FieldExpectedFirstByte, s.Basis.ExpectedFirstByte.Milliseconds(), logevent.FieldDigestAge, s.Basis.DigestAge.Milliseconds(),
+	}
+	if s.Basis.Limit > 0 {
+		attrs = append(attrs, logevent.FieldLimit, float64(s.Basis.Limit), logevent.FieldLimitQuota, s.Basis.LimitQuota)
+	}
+	f.cfg.Log.Info(logevent.RequestSent, attrs...)
 }
 
 // logRefused counts and logs a refused request.
