A target that states in a response that it leaves gets no new requests

Cause: a router learnt that a target leaves from the feed alone.

Change: the header is read from each response; the state holds until a new incarnation, also if the target is dropped for silence in between. Parsing moves to router/forward/statement.go, one counter for all that targets state.

--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -55,7 +55,7 @@
 	PartQuarantined     Event = "PartQuarantined"     // requests with a part of a prompt that crashes targets are refused
 	PartReleased        Event = "PartReleased"        // a quarantine of a part ended, by time or by an answer
 	TargetForgotten     Event = "TargetForgotten"     // a target sent no announcement within the time-out
-	LimitMalformed      Event = "LimitMalformed"      // a target's response states a limit that is not valid
+	StatementMalformed  Event = "StatementMalformed"  // a header by which a target states something about itself is not valid
 	AnnouncementIgnored Event = "AnnouncementIgnored" // an announcement was out of date
 	AnnouncementRefused Event = "AnnouncementRefused" // an announcement was invalid, or control was unavailable
 )
@@ -155,6 +155,8 @@
 	// FieldLimit is the number of requests a second that a target states it takes from all
 	// routers together.
 	FieldLimit = "limitPerS"
+	// FieldLeaving is true if the target states that it leaves.
+	FieldLeaving = "leaving"
 	// FieldLimitQuota is the number of requests that the router may still send to a limited
 	// target in the present window.
 	FieldLimitQuota = "limitQuota"
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -101,7 +101,7 @@
 func (r *Router) eligible(k *call) []*target {
 	var out []*target
 	for _, t := range r.services[k.service] {
-		if t.entry.State == fleet.TargetServing && !r.dataCentresOut[t.entry.DataCentre] && !k.isTried(t.id) && k.fits(t) {
+		if t.isServing() && !r.dataCentresOut[t.entry.DataCentre] && !k.isTried(t.id) && k.fits(t) {
 			out = append(out, t)
 		}
 	}
@@ -276,7 +276,7 @@
 func (r *Router) prefillRate(service fleet.ServiceName) float64 {
 	n := 0
 	for _, t := range r.services[service] {
-		if t.entry.State == fleet.TargetServing {
+		if t.isServing() {
 			n++
 		}
 	}
--- a/fleet/placement/limit.go
+++ b/fleet/placement/limit.go
@@ -61,16 +61,12 @@
 	receivedAt time.Time
 }
 
-// responseReceived records what a target states in a response.
-func (r *Router) responseReceived(ev ResponseReceived) {
-	t := r.targets[ev.Target]
-	if t == nil || t.incarnation != ev.Incarnation {
+// limitStated records the limit in a response of a target, or that it states none.
+func (r *Router) limitStated(t *target, limit fleet.RequestRate) {
+	if limit == 0 && t.limit.rate(r.now) == 0 {
 		return
 	}
-	if ev.Limit == 0 && t.limit.rate(r.now) == 0 {
-		return
-	}
-	t.limit.set(ev.Limit, r.now)
+	t.limit.set(limit, r.now)
 	t.limit.isNews = true
 }
 
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -133,6 +133,10 @@
 	// Limit is the number of requests a second that the target takes from all routers together;
 	// 0 if it states none.
 	Limit fleet.RequestRate
+	// LimitUnknown is true if the limit that the response states is not valid.
+	LimitUnknown bool
+	// Leaving is true if the target states that it takes no new requests.
+	Leaving bool
 }
 
 // EventName implements fleet.Event.
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -22,7 +22,7 @@
 		switch {
 		case t.entry == nil:
 			out["Gone"]++
-		case t.entry.State != fleet.TargetServing:
+		case !t.isServing():
 			out["Leaving"]++
 		case r.dataCentresOut[t.entry.DataCentre]:
 			out["DataCentreOut"]++
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -167,16 +167,19 @@
 			t = newTarget(e.Target, e.Incarnation)
 			r.targets[e.Target] = t
 		}
-		t.entry = e
+		t.entry, t.goneAt = e, time.Time{}
 		seen[e.Target] = true
 		r.services[e.Service] = append(r.services[e.Service], t)
 	}
 	for id, t := range r.targets {
-		if !seen[id] {
-			t.entry = nil
-			if t.running == 0 {
-				delete(r.targets, id)
-			}
+		if seen[id] {
+			continue
+		}
+		if t.entry != nil {
+			t.entry, t.goneAt = nil, r.now
+		}
+		if t.running == 0 && (!t.leaving || r.now.Sub(t.goneAt) > leavingRetention) {
+			delete(r.targets, id)
 		}
 	}
 }
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -21,6 +21,9 @@
 	// minPause and maxPause bound the exponential backoff of a target that could not be
 	// reached.
 	minPause, maxPause = 200 * time.Millisecond, 3 * time.Second
+	// leavingRetention is how long a target that leaves is remembered after it was gone: it may
+	// announce itself again after a partition.
+	leavingRetention = 10 * time.Minute
 )
 
 // target is the router's state of one target.
@@ -50,6 +53,10 @@
 	maybeRestarted bool
 	coldSends      []time.Time
 	limit          rateLimit
+	// leaving is true once this incarnation has stated in a response that it leaves.
+	leaving bool
+	// goneAt is when the target was last found to be gone; zero while it has an entry.
+	goneAt         time.Time
 	awaitingAnswer map[CallID]*call
 }
 
@@ -65,7 +72,22 @@
 	t.slowness, t.failureRate, t.pauses = 1, 0, 0
 	t.pausedUntil, t.answeredAt = time.Time{}, time.Time{}
 	t.maybeRestarted = false
-	t.limit = rateLimit{}
+	t.limit, t.leaving = rateLimit{}, false
+}
+
+// isServing reports whether a target that is not gone takes new requests.
+func (t *target) isServing() bool { return t.entry.State == fleet.TargetServing && !t.leaving }
+
+// responseReceived records what a target states in a response.
+func (r *Router) responseReceived(ev ResponseReceived) {
+	t := r.targets[ev.Target]
+	if t == nil || t.incarnation != ev.Incarnation {
+		return
+	}
+	if !ev.LimitUnknown {
+		r.limitStated(t, ev.Limit)
+	}
+	t.leaving = t.leaving || ev.Leaving
 }
 
 func (t *target) addCall(k *call) {
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
-	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
 
 	"github.com/fuchsiashed/fuchsiashed/router/targetconn"
@@ -61,8 +60,10 @@
 	status int
 	// firstByte is when the response of the current attempt began; zero before.
 	firstByte time.Time
-	// limit is what the response of the current attempt states; 0 if it states none.
-	limit fleet.RequestRate
+	// limit and leaving are what the response of the current attempt states about the target; a
+	// limit of 0 means none.
+	limit   fleet.RequestRate
+	leaving bool
 }
 
 // bufferedResponse is a response that has been read in full.
@@ -74,7 +75,7 @@
 
 // attempt sends the request to a target and returns the effects that follow.
 func (x *exchange) attempt(s placement.Send) []fleet.Effect {
-	x.send, x.err, x.status, x.firstByte, x.limit = s, nil, 0, time.Time{}, 0
+	x.send, x.err, x.status, x.firstByte, x.limit, x.leaving = s, nil, 0, time.Time{}, 0, false
 	x.sentAt = x.forwarder.cfg.Clock.Now()
 	x.forwarder.logSent(x.req, s)
 	outcome := x.runAttempt()
@@ -147,7 +148,7 @@
 		x.err = err
 		return placement.Broken
 	}
-	x.readLimit(resp)
+	x.readStatement(resp)
 	outcome, clean := x.forwardResponse(resp)
 	x.releaseConn(c, resp, clean && stop() && isClosed(written))
 	return outcome
@@ -252,23 +253,6 @@
 	return nil, errors.Errorf("%d responses belong to other requests", maxSkipped)
 }
 
-// readLimit passes the limit that the target states in its response to the placement. A malformed one is logged
-// and otherwise treated as if the target had not responded: it neither sets nor ends a limit.
-func (x *exchange) readLimit(resp *http.Response) {
-	limit, err := parseLimit(resp.Header, x.forwarder.cfg.Headers.Limit)
-	switch {
-	case err != nil:
-		targetLimits.Add("Malformed", 1)
-		x.forwarder.cfg.Log.Warn(logevent.LimitMalformed, logevent.FieldRequest, string(x.req.Call.Request),
-			logevent.FieldTarget, string(x.send.Target), logevent.FieldError, err.Error())
-		return
-	case limit > 0:
-		targetLimits.Add("Stated", 1)
-		x.limit = limit
-	}
-	x.forwarder.Reduce(placement.ResponseReceived{Target: x.send.Target, Incarnation: x.send.Incarnation, Limit: limit})
-}
-
 // isNotRun reports whether a target states that it did not run the request.
 func isNotRun(resp *http.Response, names *HeaderNames) bool {
 	return resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -43,6 +43,8 @@
 	// Limit carries, in responses, the number of requests a second that the target takes from
 	// all routers together.
 	Limit string
+	// Leaving has the value 1 in the responses of a target that takes no new requests.
+	Leaving string
 }
 
 // Config configures a Forwarder.
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -29,7 +29,7 @@
 
 var headerNames = forward.HeaderNames{
 	RequestID: "Request-Id", RemainingMs: "Remaining", ExpectedTarget: "Expected", Customer: "Customer",
-	Ran: "Stamp", NotRun: "Not-Run", LastEventID: "Last-Event-Id", Limit: "Limit",
+	Ran: "Stamp", NotRun: "Not-Run", LastEventID: "Last-Event-Id", Limit: "Limit", Leaving: "Leaving",
 }
 
 // fakeTarget is a target that gives each request, on any connection, the next scripted
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -15,8 +15,8 @@
 	retries          = expvar.NewMap("ForwardRetries")
 	handshakes       = expvar.NewInt("ForwardHandshakes")
 	skippedResponses = expvar.NewInt("ForwardSkippedAnswers")
-	// targetLimits counts the responses in which a target states a limit.
-	targetLimits = expvar.NewMap("ForwardTargetLimits")
+	// targetStatements counts the responses in which a target states something about itself.
+	targetStatements = expvar.NewMap("ForwardTargetStatements")
 	// responseTimes holds, by route, the time from the start of an attempt to the first
 	// byte of its response, and from the request's arrival to the end of the attempt.
 	// predictionErrors holds, by route, the absolute difference between the expected
@@ -73,6 +73,9 @@
 	if x.limit > 0 {
 		attrs = append(attrs, logevent.FieldLimit, float64(x.limit))
 	}
+	if x.leaving {
+		attrs = append(attrs, logevent.FieldLeaving, true)
+	}
 	if x.err != nil {
 		attrs = append(attrs, logevent.FieldError, x.err.Error())
 	}
--- a/router/forward/limit_test.go
+++ b/router/forward/statement_test.go
@@ -29,3 +29,24 @@
 		}
 	})
 }
+
+func TestParseLeaving(t *testing.T) {
+	const name = "Leaving"
+	convey.Convey("A target leaves if a value of the header is 1", t, func() {
+		for _, values := range [][]string{{"1"}, {"1", "1"}, {"0", "1"}} {
+			leaving, err := parseLeaving(http.Header{name: values}, name)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(leaving, convey.ShouldBeTrue)
+		}
+		leaving, err := parseLeaving(http.Header{}, name)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(leaving, convey.ShouldBeFalse)
+	})
+	convey.Convey("Other values are errors", t, func() {
+		for _, values := range [][]string{{""}, {"0"}, {"yes"}, {"11"}} {
+			leaving, err := parseLeaving(http.Header{name: values}, name)
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(leaving, convey.ShouldBeFalse)
+		}
+	})
+}
