A target's Retry-After is kept to, and passed on to callers if no target is left

Cause: the router declined to read Retry-After of a target's 503; the target was passed over for 200 ms and, if it was the only one, not even that.

Change: until the stated time (at most a minute) this router sends the target nothing; afterwards one request at a time until one is answered. If no target of the service is available, callers are told when the first one is, spread over a second; the same for limits. Malformed values are logged, counted and ignored.

--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -155,6 +155,9 @@
 	// FieldLimit is the number of requests a second that a target states it takes from all
 	// routers together.
 	FieldLimit = "limitPerS"
+	// FieldTargetRetryAfter is the time for which the target that declined a request wants no
+	// more, in ms.
+	FieldTargetRetryAfter = "targetRetryAfterMs"
 	// FieldLeaving is true if the target states that it leaves.
 	FieldLeaving = "leaving"
 	// FieldLimitQuota is the number of requests that the router may still send to a limited
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -99,21 +99,26 @@
 // eligible returns the serving targets of a call's service that fit the call, are not in a data
 // centre that is out and were not tried for this call.
 func (r *Router) eligible(k *call) []*target {
+	return slices.DeleteFunc(r.suitable(k), func(t *target) bool { return k.isTried(t.id) })
+}
+
+// suitable returns the targets that are eligible for a call or were tried for it.
+func (r *Router) suitable(k *call) []*target {
 	var out []*target
 	for _, t := range r.services[k.service] {
-		if t.isServing() && !r.dataCentresOut[t.entry.DataCentre] && !k.isTried(t.id) && k.fits(t) {
+		if t.isServing() && !r.dataCentresOut[t.entry.DataCentre] && k.fits(t) {
 			out = append(out, t)
 		}
 	}
 	return out
 }
 
-// available returns those of the targets that are warm, or cold with some quota left, and that
-// have no limit, or some quota of it left.
+// available returns those of the targets that are warm, or cold with some quota left, that have no
+// limit, or some quota of it left, and that do not decline requests for a time.
 func (r *Router) available(targets []*target) []*target {
 	var out []*target
 	for _, t := range targets {
-		if (!r.isCold(t) || r.hasColdQuota(t)) && r.hasLimitQuota(t) {
+		if (!r.isCold(t) || r.hasColdQuota(t)) && r.hasLimitQuota(t) && t.returns.accepts(r.now) {
 			out = append(out, t)
 		}
 	}
--- a/fleet/placement/limit.go
+++ b/fleet/placement/limit.go
@@ -13,8 +13,6 @@
 	// all routers have the same share. It covers the change of leaders: routers that change their
 	// shares at different times send more than the limit together.
 	limitShareValidity = 30 * time.Second
-	// limitRetrySpread is the time over which callers that were refused for a limit return.
-	limitRetrySpread = time.Second
 )
 
 // rateLimit is the newest limit that a target stated to any router.
@@ -122,23 +120,11 @@
 	return t.limit.rate(r.now) == 0 || r.limitQuotaLeft(t) > 0
 }
 
-// noTargetReason returns the reason why there is no target for a call, and when the caller may
-// retry.
-func (r *Router) noTargetReason(k *call) (fleet.Reason, time.Duration) {
-	limited := false
-	delay := maxRetryDelay
-	for _, t := range r.eligible(k) {
-		if r.hasLimitQuota(t) {
-			continue
-		}
-		limited = true
-		if len(t.limit.sends) > 0 {
-			delay = min(delay, t.limit.sends[0].Add(ratelimit.Window).Sub(r.now))
-		}
-	}
-	if !limited {
-		return fleet.ReasonNoTarget, r.cfg.Policy.NoTargetRetryDelay
+// limitQuotaAt returns when this router may send a request to a limited target whose quota is used
+// up. A router without a quota may have one after the next division.
+func (r *Router) limitQuotaAt(t *target) time.Time {
+	if len(t.limit.sends) == 0 {
+		return r.now.Add(maxRetryDelay)
 	}
-	spread := time.Duration(hashOf(string(k.Request)) % uint64(limitRetrySpread))
-	return fleet.ReasonTargetLimit, max(delay, minRetryDelay) + spread
+	return t.limit.sends[0].Add(ratelimit.Window)
 }
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -137,6 +137,9 @@
 	LimitUnknown bool
 	// Leaving is true if the target states that it takes no new requests.
 	Leaving bool
+	// RetryAfter is how long the target, which declined the request, wants no more from this
+	// router; 0 if it does not say.
+	RetryAfter time.Duration
 }
 
 // EventName implements fleet.Event.
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -26,7 +26,7 @@
 			out["Leaving"]++
 		case r.dataCentresOut[t.entry.DataCentre]:
 			out["DataCentreOut"]++
-		case now.Before(t.pausedUntil):
+		case now.Before(t.pausedUntil) || !t.returns.accepts(now):
 			out["Paused"]++
 		case t.limit.rate(now) > 0:
 			out["Limited"]++
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -269,6 +269,7 @@
 		t.coldSends = append(t.coldSends, r.now)
 	}
 	t.limit.addSend(r.now)
+	t.returns.addCall(k)
 	r.emit(Send{
 		Call: k.ID, Attempt: k.sends, Target: t.id, Incarnation: t.incarnation,
 		SoftwareVersion: k.currentVersion, Address: t.entry.Address, MaxIdle: r.idleConnections(k.service), Basis: basis,
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -55,6 +55,7 @@
 	limit          rateLimit
 	// leaving is true once this incarnation has stated in a response that it leaves.
 	leaving bool
+	returns returnState
 	// goneAt is when the target was last found to be gone; zero while it has an entry.
 	goneAt         time.Time
 	awaitingAnswer map[CallID]*call
@@ -72,7 +73,7 @@
 	t.slowness, t.failureRate, t.pauses = 1, 0, 0
 	t.pausedUntil, t.answeredAt = time.Time{}, time.Time{}
 	t.maybeRestarted = false
-	t.limit, t.leaving = rateLimit{}, false
+	t.limit, t.leaving, t.returns = rateLimit{}, false, returnState{}
 }
 
 // isServing reports whether a target that is not gone takes new requests.
@@ -88,6 +89,9 @@
 		r.limitStated(t, ev.Limit)
 	}
 	t.leaving = t.leaving || ev.Leaving
+	if ev.RetryAfter > 0 {
+		t.returns.decline(r.now, ev.RetryAfter)
+	}
 }
 
 func (t *target) addCall(k *call) {
@@ -100,6 +104,7 @@
 	delete(t.awaitingAnswer, k.ID)
 	t.answeredAt = now
 	t.pauses, t.maybeRestarted = 0, false
+	t.returns.begin(k)
 }
 
 // queuedTokens estimates the prompt tokens of this router's calls that the target has still to
@@ -117,6 +122,7 @@
 func (t *target) removeCall(k *call) {
 	t.running--
 	delete(t.awaitingAnswer, k.ID)
+	t.returns.removeCall(k)
 }
 
 // longestWait returns the longest time that any call has waited for its first byte so far.
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -46,4 +46,5 @@
 	ReasonExpectedLate       Reason = "ExpectedLate"
 	ReasonStreamUnknown      Reason = "StreamUnknown"
 	ReasonTargetLimit        Reason = "TargetLimit"
+	ReasonTargetRetryAfter   Reason = "TargetRetryAfter"
 )
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -60,10 +60,8 @@
 	status int
 	// firstByte is when the response of the current attempt began; zero before.
 	firstByte time.Time
-	// limit and leaving are what the response of the current attempt states about the target; a
-	// limit of 0 means none.
-	limit   fleet.RequestRate
-	leaving bool
+	// stated is what the response of the current attempt states about the target.
+	stated placement.ResponseReceived
 }
 
 // bufferedResponse is a response that has been read in full.
@@ -75,7 +73,7 @@
 
 // attempt sends the request to a target and returns the effects that follow.
 func (x *exchange) attempt(s placement.Send) []fleet.Effect {
-	x.send, x.err, x.status, x.firstByte, x.limit, x.leaving = s, nil, 0, time.Time{}, 0, false
+	x.send, x.err, x.status, x.firstByte, x.stated = s, nil, 0, time.Time{}, placement.ResponseReceived{}
 	x.sentAt = x.forwarder.cfg.Clock.Now()
 	x.forwarder.logSent(x.req, s)
 	outcome := x.runAttempt()
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -70,10 +70,13 @@
 		predictionErrors.Record(route, (timeToFirstByte - x.send.Basis.ExpectedFirstByte).Abs())
 		attrs = append(attrs, logevent.FieldFirstByte, x.firstByte.Sub(x.sentAt).Milliseconds())
 	}
-	if x.limit > 0 {
-		attrs = append(attrs, logevent.FieldLimit, float64(x.limit))
+	if x.stated.Limit > 0 {
+		attrs = append(attrs, logevent.FieldLimit, float64(x.stated.Limit))
 	}
-	if x.leaving {
+	if x.stated.RetryAfter > 0 {
+		attrs = append(attrs, logevent.FieldTargetRetryAfter, x.stated.RetryAfter.Milliseconds())
+	}
+	if x.stated.Leaving {
 		attrs = append(attrs, logevent.FieldLeaving, true)
 	}
 	if x.err != nil {
--- a/router/forward/statement.go
+++ b/router/forward/statement.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,6 +20,9 @@
 	minLimit, maxLimit fleet.RequestRate = 0.25, 1e6
 )
 
+// maxRetryAfter bounds the time for which a target may decline requests in advance.
+const maxRetryAfter = time.Minute
+
 // leavingValue is the value of the header by which a target states that it leaves.
 const leavingValue = "1"
 
@@ -35,7 +39,15 @@
 	if ev.Leaving, err = parseLeaving(resp.Header, names.Leaving); err != nil {
 		x.logMalformed(err)
 	}
-	x.limit, x.leaving = ev.Limit, ev.Leaving
+	if resp.StatusCode == http.StatusServiceUnavailable && isNotRun(resp, names) {
+		if ev.RetryAfter, err = parseRetryAfter(resp.Header); err != nil {
+			x.logMalformed(err)
+		}
+	}
+	x.stated = ev
+	if ev.RetryAfter > 0 {
+		targetStatements.Add("RetryAfter", 1)
+	}
 	if ev.Limit > 0 {
 		targetStatements.Add("Limit", 1)
 	}
@@ -72,6 +84,27 @@
 	return 0, errors.Errorf("%s is %q; it must be from 0 to %g requests a second", name, values[0], maxLimit)
 }
 
+// parseRetryAfter returns the time for which a target that declined a request wants no more, or 0
+// if it states none. The value is a decimal number of seconds.
+func parseRetryAfter(h http.Header) (time.Duration, error) {
+	values := h.Values("Retry-After")
+	if len(values) == 0 {
+		return 0, nil
+	}
+	if len(values) > 1 {
+		return 0, errors.Errorf("Retry-After appears %d times", len(values))
+	}
+	n, err := strconv.ParseFloat(values[0], 64)
+	if err != nil {
+		return 0, errors.Wrap(err, "parse Retry-After")
+	}
+	// The comparison is false for NaN.
+	if n >= 0 {
+		return time.Duration(min(n, maxRetryAfter.Seconds()) * float64(time.Second)), nil
+	}
+	return 0, errors.Errorf("Retry-After is %q; it must be a number of seconds from 0", values[0])
+}
+
 // parseLeaving reports whether a response states under the given header that the target leaves.
 func parseLeaving(h http.Header, name string) (bool, error) {
 	values := h.Values(name)
--- a/router/forward/statement_test.go
+++ b/router/forward/statement_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
@@ -50,3 +51,20 @@
 		}
 	})
 }
+
+func TestParseRetryAfter(t *testing.T) {
+	convey.Convey("Retry-After is a number of seconds, up to a maximum", t, func() {
+		for value, want := range map[string]time.Duration{"0": 0, "2": 2 * time.Second, "0.25": 250 * time.Millisecond, "1e9": maxRetryAfter, "Inf": maxRetryAfter} {
+			after, err := parseRetryAfter(http.Header{"Retry-After": {value}})
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(after, convey.ShouldEqual, want)
+		}
+	})
+	convey.Convey("Other values are errors", t, func() {
+		for _, values := range [][]string{{""}, {"-1"}, {"NaN"}, {"Fri, 04 Dec 2026 16:00:00 GMT"}, {"1", "1"}} {
+			after, err := parseRetryAfter(http.Header{"Retry-After": values})
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(after, convey.ShouldEqual, time.Duration(0))
+		}
+	})
+}
