Routers that are out of sight keep their part of budgets and quotas

What callers saw: targets that decline get more retries than the budget allows, a cold one more than it bears.

Cause: the divisor is the number of listed routers. A router that is cut off lists itself alone after 3 s and takes the whole; those in touch divide the whole among themselves. Ruled out: the time at which retries are counted, the steps of the window.

Change: a router that leaves the list counts for five minutes; one out of touch forgets none. The same list serves the quotas of cold targets and the equal shares of limits.

--- a/fleet/placement/cold.go
+++ b/fleet/placement/cold.go
@@ -52,7 +52,7 @@
 func (r *Router) coldQuota(t *target) int {
 	service := r.config.Service(t.entry.Service)
 	whole := int(coldUsableShare * (service.ColdRate*r.cfg.Cold.Overshoot + r.cfg.Cold.Slack))
-	n := max(1, len(r.routers))
+	n := r.peers.count()
 	part := whole / n
 	if r.routerRank(t.id) < whole%n {
 		part++
@@ -64,7 +64,7 @@
 func (r *Router) routerRank(id fleet.TargetID) int {
 	own := routerWeight(r.cfg.Self, id)
 	place := 0
-	for _, other := range r.routers {
+	for _, other := range r.peers.all {
 		if other != r.cfg.Self && routerWeight(other, id) > own {
 			place++
 		}
--- a/fleet/placement/limit.go
+++ b/fleet/placement/limit.go
@@ -98,11 +98,11 @@
 	if r.now.Sub(r.limits.receivedAt) < limitShareValidity {
 		return r.limits.Share
 	}
-	i := slices.Index(r.routers, r.cfg.Self)
+	i := r.peers.index(r.cfg.Self)
 	if i < 0 {
-		return fleet.EqualShare(0, len(r.routers)+1)
+		return fleet.EqualShare(0, r.peers.count())
 	}
-	return fleet.EqualShare(i, len(r.routers))
+	return fleet.EqualShare(i, r.peers.count())
 }
 
 // limitQuotaLeft returns the number of requests that this router may send to a limited target
--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -195,6 +195,57 @@
 	})
 }
 
+// TestBudgetsWhileRoutersAreCutOff guards against routers that lose sight of each other and each
+// take a larger part of what is divided among all.
+func TestBudgetsWhileRoutersAreCutOff(t *testing.T) {
+	const routers, cutOff = 8, 3
+	all := hosts(routers)
+	// newCutFixture returns a router that has lost sight of others, as one of the cut off routers
+	// or one of those that still reach control hosts.
+	newCutFixture := func(i int, targets ...fleet.AgedAnnouncement) *fixture {
+		f := newFixture(t, all[i], routers, targets...)
+		f.now = f.now.Add(time.Second)
+		if i < cutOff {
+			f.apply(placement.PeersChanged{Routers: all[i : i+1]})
+		} else {
+			f.apply(placement.PeersChanged{Routers: all[cutOff:], Listening: true})
+		}
+		return f
+	}
+	convey.Convey("All routers together stay within the retry budget", t, func() {
+		asked, repeated := 0, 0
+		for i := range routers {
+			f := newCutFixture(i, announcements(deskService, 4)...)
+			for range 100 {
+				f.now = f.now.Add(50 * time.Millisecond)
+				asked++
+				s := sendOf(f.ask("/read/1", placement.Prompt{}))
+				if again, ok := f.end(s, placement.Broken).(placement.Send); ok {
+					repeated++
+					f.end(again, placement.Answered)
+				}
+			}
+		}
+		convey.So(repeated, convey.ShouldBeGreaterThan, 0)
+		convey.So(float64(repeated), convey.ShouldBeLessThanOrEqualTo, 0.2*float64(asked)+40)
+	})
+	convey.Convey("All routers together stay within the limit of a cold target", t, func() {
+		cold := announcement(drafterService, 0)
+		cold.ColdFor = 10 * time.Second
+		sent := 0
+		for i := range routers {
+			f := newCutFixture(i, cold)
+			for range 20 {
+				if _, ok := f.ask("/plan/1", prompt(1, 10)).(placement.Send); ok {
+					sent++
+				}
+			}
+		}
+		convey.So(sent, convey.ShouldBeGreaterThan, 0)
+		convey.So(sent, convey.ShouldBeLessThanOrEqualTo, 6*3/2+5)
+	})
+}
+
 func TestRequestThatCrashesTargets(t *testing.T) {
 	convey.Convey("A request that crashed three targets is refused, also if other routers reported the crashes", t, func() {
 		f := newFixture(t, "router-0", 2, announcements(deskService, 5)...)
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -33,7 +33,7 @@
 	directory      *targets.Directory
 	targets        map[fleet.TargetID]*target
 	services       map[fleet.ServiceName][]*target
-	routers        []fleet.HostID
+	peers          peers
 	listening      bool
 
 	calls           map[CallID]*call
@@ -80,7 +80,7 @@
 		cfg: cfg, directory: targets.New(),
 		dataCentresOut: map[fleet.DataCentreName]bool{}, returnedAt: map[fleet.DataCentreName]time.Time{},
 		targets: map[fleet.TargetID]*target{}, services: map[fleet.ServiceName][]*target{},
-		calls: map[CallID]*call{}, budgets: map[fleet.ServiceName]*retryBudget{},
+		peers: newPeers(), calls: map[CallID]*call{}, budgets: map[fleet.ServiceName]*retryBudget{},
 		serviceSlowness: map[fleet.ServiceName]*serviceSlowness{}, admission: newAdmission(), report: newReportState(), parts: newPartsState(),
 	}
 }
@@ -96,7 +96,8 @@
 	case TargetsNoticeReceived:
 		r.applyNotice(&ev.TargetsNotice)
 	case PeersChanged:
-		r.routers, r.listening = ev.Routers, ev.Listening
+		r.peers.update(r.now, ev.Routers, ev.Listening)
+		r.listening = ev.Listening
 	case DigestReceived:
 		r.applyDigest(&ev)
 	case Tick:
@@ -283,7 +284,7 @@
 	if s == nil || s.Connections == 0 {
 		return maxIdleConnections
 	}
-	return min(maxIdleConnections, max(1, s.Connections/(2*max(1, len(r.routers)))))
+	return min(maxIdleConnections, max(1, s.Connections/(2*max(1, len(r.peers.listed)))))
 }
 
 // answerBegun records that the answer to a call has begun.
@@ -363,7 +364,7 @@
 
 // retryShare returns this router's share of the fleet's retries.
 func (r *Router) retryShare() retryShare {
-	return retryShare{limits: r.cfg.Retries, routers: max(1, len(r.routers))}
+	return retryShare{limits: r.cfg.Retries, routers: r.peers.count()}
 }
 
 func (r *Router) budget(s fleet.ServiceName) *retryBudget {
