Above the limit, connections of customers with few requests at a router are served

Cause: a router at its limit of connections answers further ones with 503 unread, in proportion to who opens most.

The listener for such connections is a second one of the same server, so that others take no detour.

--- a/router/overload/conn.go
+++ b/router/overload/conn.go
@@ -19,11 +19,18 @@
 type limitedConn struct {
 	*net.TCPConn
 	state atomic.Int32
+	// unread has bytes that were read before the connection was passed on to the server.
+	unread []byte
 }
 
 // Read implements net.Conn. It returns no bytes of a connection that was evicted while they
 // arrived, so that their request is not served without a connection for the response.
 func (c *limitedConn) Read(b []byte) (int, error) {
+	if len(c.unread) > 0 {
+		n := copy(b, c.unread)
+		c.unread = c.unread[n:]
+		return n, nil
+	}
 	n, err := c.TCPConn.Read(b)
 	if n > 0 && !c.state.CompareAndSwap(connIdle, connInUse) && c.state.Load() == connEvicted {
 		return 0, net.ErrClosed
--- a/router/overload/listener.go
+++ b/router/overload/listener.go
@@ -37,8 +37,8 @@
 // rejectBuffers holds buffers of rejectBufferSize.
 var rejectBuffers = sync.Pool{New: func() any { return new([rejectBufferSize]byte) }}
 
-// rejections counts the connections above the limit: Answered got a response, Reset none,
-// and Broken ended before it was sent.
+// rejections counts the connections above the limit: Admitted ones are served, Answered got a
+// response, Reset none, and Broken ended before it was sent.
 var rejections = expvar.NewMap("CallerConnections")
 
 // Listener accepts connections while ShouldReject returns false. Other connections get a
@@ -53,14 +53,48 @@
 	Response func(request []byte) []byte
 	// OnReject is called for each rejected connection.
 	OnReject func()
+	// Admit reports, by what has been read of its first request, which includes the header,
+	// whether a connection above the limit is served nevertheless. Such connections are accepted
+	// from Admitted. It is optional.
+	Admit func(request []byte) bool
 
 	slots chan struct{}
+	// admitted passes on connections until closed is closed.
+	admitted  chan net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // NewListener returns a Listener that accepts from ln. Its fields describe the other
 // arguments.
 func NewListener(ln net.Listener, shouldReject func() bool, response func([]byte) []byte, onReject func()) *Listener {
-	return &Listener{Listener: ln, ShouldReject: shouldReject, Response: response, OnReject: onReject, slots: make(chan struct{}, maxConcurrentRejections)}
+	return &Listener{
+		Listener: ln, ShouldReject: shouldReject, Response: response, OnReject: onReject,
+		slots: make(chan struct{}, maxConcurrentRejections), admitted: make(chan net.Conn), closed: make(chan struct{}),
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// Admitted returns the listener for the connections that Admit admits. Closing either listener
+// closes both.
+func (l *Listener) Admitted() net.Listener { return admittedListener{l} }
+
+// admittedListener accepts the connections that Admit admits.
+type admittedListener struct{ *Listener }
+
+// Accept implements net.Listener.
+func (l admittedListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.admitted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 }
 
 // Accept implements net.Listener.
@@ -76,11 +110,11 @@
 			}
 			return c, nil
 		}
-		l.OnReject()
 		select {
 		case l.slots <- struct{}{}:
-			go l.reject(c)
+			go l.handleAboveLimit(c)
 		default:
+			l.OnReject()
 			rejections.Add("Reset", 1)
 			reset(c)
 		}
@@ -96,10 +130,23 @@
 	_ = c.Close()
 }
 
-// reject responds to the first request of a connection and closes the connection a while
-// later. Bodies of usual size are not read, which saves CPU time.
-func (l *Listener) reject(c net.Conn) {
-	linger, err := l.respond(c)
+// handleAboveLimit admits a connection above the limit, or responds to its first request and closes
+// it a while later.
+func (l *Listener) handleAboveLimit(c net.Conn) {
+	buf := rejectBuffers.Get().(*[rejectBufferSize]byte)
+	defer rejectBuffers.Put(buf)
+	n, err := readHeader(c, buf)
+	if err == nil && l.Admit != nil && l.Admit(buf[:n]) {
+		<-l.slots
+		rejections.Add("Admitted", 1)
+		l.serve(c, bytes.Clone(buf[:n]))
+		return
+	}
+	l.OnReject()
+	var linger time.Duration
+	if err == nil {
+		linger, err = l.respond(c, buf, n)
+	}
 	outcome := "Answered"
 	if err != nil {
 		outcome = "Broken"
@@ -111,26 +158,43 @@
 	})
 }
 
-// respond reads the header of the first request of a connection and sends the response. It
-// returns how long the connection is to be kept open.
-func (l *Listener) respond(c net.Conn) (linger time.Duration, err error) {
-	buf := rejectBuffers.Get().(*[rejectBufferSize]byte)
-	defer rejectBuffers.Put(buf)
+// serve passes a connection of which some bytes have been read on to Admitted.
+func (l *Listener) serve(c net.Conn, read []byte) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok || c.SetDeadline(time.Time{}) != nil {
+		_ = c.Close()
+		return
+	}
+	select {
+	case l.admitted <- &limitedConn{TCPConn: tcp, unread: read}:
+	case <-l.closed:
+		_ = c.Close()
+	}
+}
+
+// readHeader reads a connection until it has the header of a request, and returns the number of
+// bytes read.
+func readHeader(c net.Conn, buf *[rejectBufferSize]byte) (int, error) {
 	if err := c.SetDeadline(time.Now().Add(rejectTimeout)); err != nil {
 		return 0, err
 	}
-	n, headerEnd := 0, -1
-	for headerEnd < 0 {
+	n := 0
+	for !bytes.Contains(buf[:n], []byte("\r\n\r\n")) {
 		if n == len(buf) {
-			return 0, errors.Errorf("the header has more than %d bytes", rejectBufferSize)
+			return n, errors.Errorf("the header has more than %d bytes", rejectBufferSize)
 		}
 		read, err := c.Read(buf[n:])
 		if err != nil {
-			return 0, err
+			return n, err
 		}
 		n += read
-		headerEnd = bytes.Index(buf[:n], []byte("\r\n\r\n"))
 	}
+	return n, nil
+}
+
+// respond sends the response to a request of which n bytes have been read. It returns how long the
+// connection is to be kept open. Bodies of usual size are not read, which saves CPU time.
+func (l *Listener) respond(c net.Conn, buf *[rejectBufferSize]byte, n int) (linger time.Duration, err error) {
 	if _, err := c.Write(l.Response(buf[:n])); err != nil {
 		return 0, err
 	}
