--- a/router/overload/listener.go
+++ b/router/overload/listener.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -235,6 +236,17 @@
 // the request has not run. after becomes its Retry-After in seconds; header and value
 // are an extra header, and body is JSON.
 func UnavailableResponse(after time.Duration, header string, value []byte, body string) []byte {
-	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.3f\r\n%s: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		after.Seconds(), header, value, len(body), body)
+	return rawResponse(http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %.3f\r\n", after.Seconds()), header, value, body)
+}
+
+// DeniedResponse returns a raw HTTP/1.1 response with a status that makes a retry pointless.
+func DeniedResponse(status int, header string, value []byte, body string) []byte {
+	return rawResponse(status, "", header, value, body)
+}
+
+// rawResponse returns a raw HTTP/1.1 response. fields has complete header lines, header and value are
+// another one.
+func rawResponse(status int, fields, header string, value []byte, body string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s%s: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), fields, header, value, len(body), body)
 }
