--- a/fleet/placement/limit.go
+++ b/fleet/placement/limit.go
@@ -8,12 +8,10 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/ratelimit"
 )
 
-const (
-	// limitShareValidity is how long a router uses the share that a leader gave it. Afterwards
-	// all routers have the same share. It covers the change of leaders: routers that change their
-	// shares at different times send more than the limit together.
-	limitShareValidity = 30 * time.Second
-)
+// limitShareValidity is how long a router uses the share that a leader gave it. Afterwards all
+// routers have the same share. It covers the change of leaders: routers that change their shares at
+// different times send more than the limit together.
+const limitShareValidity = 30 * time.Second
 
 // rateLimit is the newest limit that a target stated to any router.
 type rateLimit struct {
--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -174,21 +174,32 @@
 	})
 }
 
+// retryTestRequests is the number of requests at each router in the tests of the retry budget.
+const retryTestRequests = 100
+
+// askBroken sends n requests, 20 a second, whose first attempts break, and returns the number of
+// retries.
+func (f *fixture) askBroken(n int) int {
+	retries := 0
+	for range n {
+		f.now = f.now.Add(50 * time.Millisecond)
+		s := sendOf(f.ask("/read/1", placement.Prompt{}))
+		if again, ok := f.end(s, placement.Broken).(placement.Send); ok {
+			retries++
+			f.end(again, placement.Answered)
+		}
+	}
+	return retries
+}
+
 func TestRetryBudgetOverAllRouters(t *testing.T) {
 	convey.Convey("All routers together stay within the retry budget", t, func() {
 		const routers = 8
 		asked, repeated := 0, 0
 		for i := range routers {
 			f := newFixture(t, hosts(routers)[i], routers, announcements(deskService, 4)...)
-			for step := range 100 {
-				f.now = start.Add(time.Duration(step) * 50 * time.Millisecond)
-				asked++
-				s := sendOf(f.ask("/read/1", placement.Prompt{}))
-				if again, ok := f.end(s, placement.Broken).(placement.Send); ok {
-					repeated++
-					f.end(again, placement.Answered)
-				}
-			}
+			repeated += f.askBroken(retryTestRequests)
+			asked += retryTestRequests
 		}
 		convey.So(repeated, convey.ShouldBeGreaterThan, 0)
 		convey.So(float64(repeated), convey.ShouldBeLessThanOrEqualTo, 0.2*float64(asked)+40)
@@ -216,15 +227,8 @@
 		asked, repeated := 0, 0
 		for i := range routers {
 			f := newCutFixture(i, announcements(deskService, 4)...)
-			for range 100 {
-				f.now = f.now.Add(50 * time.Millisecond)
-				asked++
-				s := sendOf(f.ask("/read/1", placement.Prompt{}))
-				if again, ok := f.end(s, placement.Broken).(placement.Send); ok {
-					repeated++
-					f.end(again, placement.Answered)
-				}
-			}
+			repeated += f.askBroken(retryTestRequests)
+			asked += retryTestRequests
 		}
 		convey.So(repeated, convey.ShouldBeGreaterThan, 0)
 		convey.So(float64(repeated), convey.ShouldBeLessThanOrEqualTo, 0.2*float64(asked)+40)
--- a/router/forward/statement.go
+++ b/router/forward/statement.go
@@ -13,12 +13,9 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
 )
 
-const (
-	// minLimit and maxLimit bound the limit that a target may state, in requests a second. A
-	// target that takes nothing still gets a request now and then, whose response may end the
-	// limit.
-	minLimit, maxLimit fleet.RequestRate = 0.25, 1e6
-)
+// minLimit and maxLimit bound the limit that a target may state, in requests a second. A target
+// that takes nothing still gets a request now and then, whose response may end the limit.
+const minLimit, maxLimit fleet.RequestRate = 0.25, 1e6
 
 // maxRetryAfter bounds the time for which a target may decline requests in advance.
 const maxRetryAfter = time.Minute
