--- a/soak/internal/mutant/mutant.go
+++ b/soak/internal/mutant/mutant.go
@@ -50,13 +50,13 @@
 	},
 	"LeftGetsNothing": {
 		"fleet/placement/choose.go",
-		"t.entry.State == fleet.TargetServing && !r.dataCentresOut[t.entry.DataCentre] && !k.isTried(t.id)",
-		"!r.dataCentresOut[t.entry.DataCentre] && !k.isTried(t.id)",
+		"t.isServing() && !r.dataCentresOut[t.entry.DataCentre]",
+		"!r.dataCentresOut[t.entry.DataCentre]",
 	},
 	"OutGetsNothing": {
 		"fleet/placement/choose.go",
-		"t.entry.State == fleet.TargetServing && !r.dataCentresOut[t.entry.DataCentre] && !k.isTried(t.id)",
-		"t.entry.State == fleet.TargetServing && !k.isTried(t.id)",
+		"t.isServing() && !r.dataCentresOut[t.entry.DataCentre]",
+		"t.isServing()",
 	},
 	"OneVersion": {
 		"fleet/placement/stream.go",
