--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -81,6 +82,7 @@
 	}
 	f := &Fleet{Dir: dir, record: out, start: time.Now()}
 	f.ctx, f.stop = context.WithCancel(context.Background())
+	f.endOnSignal()
 	for range 50 {
 		f.network = [2]byte{byte(64 + rand.IntN(120)), byte(rand.IntN(250))}
 		if f.isFree() {
@@ -90,6 +92,18 @@
 	return nil, fmt.Errorf("no free loopback addresses")
 }
 
+// endOnSignal ends the programs and the script when the script is told to end.
+func (f *Fleet) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		f.Logf("could not run: the script was ended by a signal")
+		f.Close()
+		os.Exit(ExitNotRun)
+	}()
+}
+
 // Address is loopback address n of the deployment.
 func (f *Fleet) Address(n int) string {
 	return fmt.Sprintf("127.%d.%d.%d", f.network[0], f.network[1], n)
