Quorum: a replaced host loses its vote while its loss still counts

Cause: a silent voter was removed after 8 s only. Until then the successor voted beside the host that it had replaced: three of four votes were needed, and the next loss left two. The loss of a host counts as made good 4 s after the start of its successor.

Ruled out: a late promotion of the successor; a handed-over vote in one step, whose majorities need not overlap.

Change: while as many other voters remain as the losses to be tolerated require (2 f + 1), a voter that was silent for 1.5 s is removed. Below that number the 8 s stay, so that no copies are given up. New setting ToleratedLosses of a control host on the platform.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -46,6 +46,10 @@
 	// memberTimeout is the time without an answer after which a control host is removed from
 	// the quorum. A suspended or restarted host is back sooner.
 	memberTimeout = 8 * time.Second
+	// surplusMemberTimeout is that time for a control host beyond the number that
+	// Config.ToleratedLosses requires. With an election before it, it ends within the time in
+	// which the successor of a lost host catches up.
+	surplusMemberTimeout = 1500 * time.Millisecond
 	// minVoters is the number of other voters that must remain for a silent one to be
 	// removed.
 	minVoters = 3
@@ -75,6 +79,8 @@
 	Bootstrap bool
 	// DataFolder holds the replicated log.
 	DataFolder string
+	// ToleratedLosses is the number of control hosts that may be lost at the same time.
+	ToleratedLosses int
 	// DemandWindow is the time over which customers are to receive their fair shares.
 	DemandWindow time.Duration
 	Clock        fleet.Clock
@@ -172,7 +178,10 @@
 		Quorum: quorum.Config{
 			Host: c.host, Incarnation: fleet.Incarnation(rand.Uint64()>>1 | 1),
 			Hosts: founders, Bootstrap: bootstrap, RecordCommits: true, NoLeases: true,
-			Membership: &quorum.MembershipPolicy{SilentAfter: memberTimeout, MinVoters: minVoters, MaxMembers: maxMembers},
+			Membership: &quorum.MembershipPolicy{
+				SilentAfter: memberTimeout, MinVoters: minVoters, MaxMembers: maxMembers,
+				SurplusSilentAfter: surplusMemberTimeout, TargetVoters: max(minVoters, 2*c.cfg.ToleratedLosses+1),
+			},
 		},
 		Storage: storage, Sender: c.transport, Clock: c.cfg.Clock, Log: c.cfg.Log,
 		WriteRetryDelay: writeRetryDelay, OnStateChange: c.onStateChange, OnRoleChange: c.onRoleChange,
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -50,7 +50,7 @@
 
 func (g *cluster) start(i int, bootstrap bool) {
 	c, err := core.New(core.Config{
-		Self: g.addrs[i], DataCentre: "a", Seeds: g.addrs[:3], Bootstrap: bootstrap, DataFolder: g.dirs[i],
+		Self: g.addrs[i], DataCentre: "a", Seeds: g.addrs[:3], Bootstrap: bootstrap, DataFolder: g.dirs[i], ToleratedLosses: 1,
 		DemandWindow: 4 * time.Second, Clock: fleet.SystemClock{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	convey.So(err, convey.ShouldBeNil)
--- a/fleet/quorum/config.go
+++ b/fleet/quorum/config.go
@@ -73,6 +73,13 @@
 	SilentAfter time.Duration
 	// MinVoters is the number of other voters that must remain for a silent one to be removed.
 	MinVoters int
+	// SurplusSilentAfter is the time that replaces SilentAfter while at least TargetVoters other
+	// voters remain. A silent voter beyond them is mostly a host that has been replaced: it
+	// raises the majority, and keeping it does not help to tolerate failures.
+	SurplusSilentAfter time.Duration
+	// TargetVoters is the number of voters that the failures to be tolerated require; 0
+	// disables SurplusSilentAfter.
+	TargetVoters int
 	// MaxMembers bounds the number of members, and with it the cost of a commit.
 	MaxMembers int
 }
--- a/fleet/quorum/membership.go
+++ b/fleet/quorum/membership.go
@@ -131,11 +131,12 @@
 	r.appendEntry(Entry{Kind: EntryMembers, Members: sortMembers(append(members, m))})
 }
 
-// removeSilentMember removes one member that has not answered for SilentAfter. A voter is
-// removed only if canRemoveVoter allows it.
+// removeSilentMember removes one member that has not answered for too long. A voter is removed
+// only if canRemoveVoter allows it.
 func (r *Replica) removeSilentMember() {
 	for _, m := range r.others() {
-		if r.sinceContact(m) < r.cfg.Membership.SilentAfter || m.Voter && !r.canRemoveVoter(m.Host) {
+		silence := r.sinceContact(m)
+		if m.Voter && !r.canRemoveVoter(m.Host, silence) || !m.Voter && silence < r.cfg.Membership.SilentAfter {
 			continue
 		}
 		rest := slices.DeleteFunc(slices.Clone(r.members()), func(old Member) bool { return old.Host == m.Host })
@@ -144,9 +145,9 @@
 	}
 }
 
-// canRemoveVoter reports whether at least MinVoters voters remain without a host, and a
-// majority of them is present.
-func (r *Replica) canRemoveVoter(host fleet.HostID) bool {
+// canRemoveVoter reports whether a voter has been silent for long enough to be removed, for the
+// number of voters that remain without it, and whether a majority of those is present.
+func (r *Replica) canRemoveVoter(host fleet.HostID, silence time.Duration) bool {
 	voters, present := 0, 0
 	for _, m := range r.members() {
 		if !m.Voter || m.Host == host {
@@ -157,7 +158,12 @@
 			present++
 		}
 	}
-	return voters >= r.cfg.Membership.MinVoters && present > voters/2
+	if present <= voters/2 {
+		return false
+	}
+	p := r.cfg.Membership
+	isSurplus := p.TargetVoters > 0 && voters >= p.TargetVoters
+	return isSurplus && silence >= p.SurplusSilentAfter || voters >= p.MinVoters && silence >= p.SilentAfter
 }
 
 // sinceContact returns the time since a member last acknowledged this leader, or since the
--- a/fleet/registry/cluster_test.go
+++ b/fleet/registry/cluster_test.go
@@ -37,6 +37,8 @@
 	violation string
 	// founders is the number of replicas that found the quorum; 0 means all.
 	founders int
+	// toleratedLosses is the number of replicas that may be lost at the same time.
+	toleratedLosses int
 	// configure, if set, changes the configuration of a replica before its start.
 	configure func(*quorum.Config)
 	// keepIncarnation makes a replica that lost its disk restart as the same member.
--- a/fleet/registry/membership_test.go
+++ b/fleet/registry/membership_test.go
@@ -17,9 +17,12 @@
 // first three are founders.
 func newManagedCluster(n int, seed uint64) *cluster {
 	c := newCluster(n, seed, fault.Set{})
-	c.founders = 3
+	c.founders, c.toleratedLosses = 3, 1
 	c.configure = func(cfg *quorum.Config) {
-		cfg.Membership = &quorum.MembershipPolicy{SilentAfter: 8 * time.Second, MinVoters: 3, MaxMembers: 9}
+		cfg.Membership = &quorum.MembershipPolicy{
+			SilentAfter: 8 * time.Second, MinVoters: 3, MaxMembers: 9,
+			SurplusSilentAfter: 1500 * time.Millisecond, TargetVoters: 2*c.toleratedLosses + 1,
+		}
 		cfg.RecordCommits, cfg.NoLeases = true, true
 	}
 	return c
@@ -331,3 +334,104 @@
 		}
 	})
 }
+
+// catchUpTime is the time after the start of a successor from which on the loss of its
+// predecessor counts as made good.
+const catchUpTime = 4 * time.Second
+
+// replaceHost stops a host for good, with its disk, and starts its successor after d.
+func (c *cluster) replaceHost(old, successor *node, d time.Duration) {
+	old.wipe()
+	c.after(d, successor.start)
+}
+
+// Guards against the loss of the quorum when hosts are replaced one after the other: the lost host
+// kept its vote long after its successor had caught up, so that the next loss left too few voters.
+func TestHostsReplacedOneAfterTheOther(t *testing.T) {
+	losses := []struct {
+		name string
+		// lose loses the second host, of which nodes[4] is the successor if it gets one.
+		lose func(c *cluster, n *node)
+	}{
+		{"another host is replaced", func(c *cluster, n *node) { c.replaceHost(n, c.nodes[4], 300*time.Millisecond) }},
+		{"another host loses its disk", func(c *cluster, n *node) { n.wipe(); c.after(2*time.Second, n.start) }},
+		{"another host is lost for good", func(_ *cluster, n *node) { n.wipe() }},
+	}
+	for _, loss := range losses {
+		for _, leaderFirst := range []bool{false, true} {
+			convey.Convey(fmt.Sprintf("A host is replaced, then %s; the first one led: %t", loss.name, leaderFirst), t, func() {
+				for seed := uint64(1); seed <= 20; seed++ {
+					c := newManagedCluster(5, seed)
+					for _, n := range c.nodes[:3] {
+						n.start()
+					}
+					c.runFor(4 * time.Second)
+					convey.So(c.put(3, "three"), convey.ShouldBeTrue)
+					first := c.nodes[0]
+					if isLeader := first == c.leader(); isLeader != leaderFirst {
+						first = c.nodes[1]
+						if leaderFirst {
+							first = c.leader()
+						}
+					}
+					delay := c.randomDuration(100*time.Millisecond, 2*time.Second)
+					c.replaceHost(first, c.nodes[3], delay)
+					c.runFor(delay + catchUpTime)
+					convey.So(c.put(4, "four"), convey.ShouldBeTrue)
+					loss.lose(c, c.leader())
+					c.runFor(4 * time.Second)
+					convey.So(c.violation, convey.ShouldBeEmpty)
+					convey.So(c.read(), convey.ShouldEqual, 4)
+					convey.So(c.put(5, "five"), convey.ShouldBeTrue)
+				}
+			})
+		}
+	}
+}
+
+// Guards against the same loss where two hosts may be lost at a time: both successors voted beside
+// both lost hosts.
+func TestPairsOfHostsReplaced(t *testing.T) {
+	convey.Convey("Two of five hosts are replaced, then two others are lost", t, func() {
+		for seed := uint64(1); seed <= 20; seed++ {
+			c := newManagedCluster(7, seed)
+			c.toleratedLosses = 2
+			for _, n := range c.nodes[:5] {
+				n.start()
+			}
+			c.runFor(6 * time.Second)
+			convey.So(len(c.voters()), convey.ShouldEqual, 5)
+			convey.So(c.put(3, "three"), convey.ShouldBeTrue)
+			for i := range 2 {
+				c.replaceHost(c.nodes[i], c.nodes[5+i], c.randomDuration(100*time.Millisecond, time.Second))
+			}
+			c.runFor(time.Second + catchUpTime)
+			convey.So(c.put(4, "four"), convey.ShouldBeTrue)
+			for _, n := range c.nodes[2:4] {
+				n.wipe()
+			}
+			c.runFor(4 * time.Second)
+			convey.So(c.violation, convey.ShouldBeEmpty)
+			convey.So(c.read(), convey.ShouldEqual, 4)
+			convey.So(c.put(5, "five"), convey.ShouldBeTrue)
+		}
+	})
+}
+
+// Guards against a group that shrinks below the copies that the tolerated losses require.
+func TestHostsThatAreNotSurplusKeepTheirVote(t *testing.T) {
+	convey.Convey("Hosts of the required number that are away for 5 s keep their votes", t, func() {
+		c := newManagedCluster(5, 3)
+		c.toleratedLosses = 2
+		c.start()
+		c.runFor(6 * time.Second)
+		for _, n := range c.nodes {
+			if n != c.leader() {
+				n.crashFor(5 * time.Second)
+				break
+			}
+		}
+		c.runFor(4 * time.Second)
+		convey.So(len(c.voters()), convey.ShouldEqual, 5)
+	})
+}
