Control: an order that arrives late does not undo a newer one

Cause: an order to bring it back, passed on by a control host that was cut off from the leader, was held up in the connection. It was committed after the cut, although its sender had given it up and newer orders had been acknowledged. Orders carried nothing that tells which state they are based on.

Ruled out: routers that follow an older notice (they compare revisions).

Change: orders are counted. A control host reads the count by a confirmed read after an order has arrived and sends it along; the order is dropped as superseded if another one was committed since.

A late end of a target is of the same class, but the call names no incarnation: suspected, unchanged.

--- a/control/core/requests.go
+++ b/control/core/requests.go
@@ -56,19 +56,48 @@
 // SetOut takes a data centre out of service or brings it back, and returns once that is
 // durable. It fails like PutConfig.
 func (c *Core) SetOut(ctx context.Context, dc fleet.DataCentreName, out bool) error {
-	req := &fleet.SetOutRequest{DataCentre: dc, Out: out}
-	var reply fleet.SetOutReply
-	return c.submit(ctx, fleet.MethodSetOut, registry.Request{SetOut: req}, req, &reply)
+	return retry(ctx, fleet.MethodSetOut, func(ctx context.Context) error {
+		base, err := c.readOutRevision(ctx)
+		if err != nil {
+			return err
+		}
+		// The operator may have given the order up while this host was suspended or waited for
+		// the revision.
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		req := &fleet.SetOutRequest{DataCentre: dc, Out: out, Base: &base}
+		return c.submitOnce(ctx, fleet.MethodSetOut, registry.Request{SetOut: req}, req, &fleet.SetOutReply{})
+	})
 }
 
-// submit sends a request to the leader, which may be this host, and retries until
-// requestTimeout. It is used for idempotent requests only.
+// readOutRevision returns the revision of the data centres out of service. It includes all
+// orders that were acknowledged before the call.
+func (c *Core) readOutRevision(ctx context.Context) (fleet.OutRevision, error) {
+	c.mu.Lock()
+	known := c.state.Config.Number
+	c.mu.Unlock()
+	req := &fleet.ReadConfigRequest{Known: known}
+	var reply fleet.ReadConfigReply
+	err := c.submitOnce(ctx, fleet.MethodReadConfig, registry.Request{ReadConfig: req}, req, &reply)
+	return reply.OutRevision, err
+}
+
+// submit sends a request to the leader, which may be this host, and retries like retry. A
+// request may be committed after submit has returned, or twice; it must therefore have no
+// effect once a newer one has been committed.
 func (c *Core) submit(ctx context.Context, method string, r registry.Request, params fleet.Checker, reply any) error {
+	return retry(ctx, method, func(ctx context.Context) error { return c.submitOnce(ctx, method, r, params, reply) })
+}
+
+// retry calls attempt until it succeeds, the request is refused as invalid, or requestTimeout
+// has passed.
+func retry(ctx context.Context, method string, attempt func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	var lastErr error
 	for {
-		err := c.submitOnce(ctx, method, r, params, reply)
+		err := attempt(ctx)
 		var refused *rpc.Error
 		if err == nil || errors.As(err, &refused) && refused.Code == fleet.CodeInvalid {
 			return err
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -31,6 +31,9 @@
 	CodeUnavailable = 1002
 	// CodeInvalid means that the request is invalid; sending it again is pointless.
 	CodeInvalid = 1003
+	// CodeSuperseded means that another change was committed since the state that the request
+	// is based on. The request has no effect and won't take effect later.
+	CodeSuperseded = 1004
 )
 
 // NotLeader is the data of an error with CodeNotLeader.
--- a/fleet/numbered.go
+++ b/fleet/numbered.go
@@ -60,6 +60,8 @@
 // request arrived.
 type ReadConfigReply struct {
 	NumberedConfig
+	// OutRevision is the revision for SetOutRequest.Base.
+	OutRevision OutRevision `json:",omitempty"`
 }
 
 // Check implements Checker.
@@ -70,6 +72,10 @@
 type SetOutRequest struct {
 	DataCentre DataCentreName
 	Out        bool
+	// Base is the revision read after the operator's order had arrived. The request has no
+	// effect if another one was committed since, so that an order that was held up on the way
+	// does not undo newer ones. Requests of earlier releases have none and always take effect.
+	Base *OutRevision `json:",omitempty"`
 }
 
 // Check implements Checker.
@@ -83,6 +89,10 @@
 // Check implements Checker.
 func (*SetOutReply) Check() error { return nil }
 
+// OutRevision counts the committed orders that take data centres out of service or bring them
+// back, with those that changed nothing.
+type OutRevision uint64
+
 // Revision counts the changes of the numbered configuration and of the set of data centres
 // that are out of service.
 type Revision uint64
--- a/fleet/registry/numbered.go
+++ b/fleet/registry/numbered.go
@@ -21,6 +21,8 @@
 	Config fleet.NumberedConfig
 	// Out lists the data centres out of service, sorted.
 	Out []fleet.DataCentreName
+	// OutRevision counts the committed SetOutRequests.
+	OutRevision fleet.OutRevision
 }
 
 // NumberedChanged reports a newly committed NumberedState.
@@ -52,9 +54,18 @@
 	return fleet.PutConfigReply{Number: n.Config.Number}
 }
 
-// applyOut takes a data centre out of service or back in.
-func (s *State) applyOut(c *fleet.SetOutRequest) fleet.SetOutReply {
+// superseded is the result of a command that has no effect, since another one was committed
+// after the state that it is based on.
+type superseded struct{}
+
+// applyOut takes a data centre out of service or back in. The result is a fleet.SetOutReply or
+// superseded.
+func (s *State) applyOut(c *fleet.SetOutRequest) any {
 	n := &s.data.Numbered
+	if c.Base != nil && *c.Base != n.OutRevision {
+		return superseded{}
+	}
+	n.OutRevision++
 	i, isOut := slices.BinarySearch(n.Out, c.DataCentre)
 	switch {
 	case c.Out && !isOut:
@@ -126,11 +137,11 @@
 
 // answerRead answers a confirmed read; the text is left out if the caller has it.
 func (s *Server) answerRead(read pendingRead) {
-	config := s.state.data.Numbered.Config
-	if config.Number == read.known {
-		config.Text = nil
+	n := s.state.data.Numbered
+	if n.Config.Number == read.known {
+		n.Config.Text = nil
 	}
-	s.answer(read.call, &fleet.ReadConfigReply{NumberedConfig: config})
+	s.answer(read.call, &fleet.ReadConfigReply{NumberedConfig: n.Config, OutRevision: n.OutRevision})
 }
 
 // announceNumbered emits NumberedChanged once per revision.
--- a/fleet/registry/server.go
+++ b/fleet/registry/server.go
@@ -173,6 +173,10 @@
 		return
 	}
 	delete(s.pending, e.ID)
+	if _, ok := e.Result.(superseded); ok {
+		s.fail(pending.call, fleet.CodeSuperseded, "another order was committed since the revision that this one is based on")
+		return
+	}
 	switch {
 	case pending.lease != "":
 		s.leaseCommitted(pending, e.Result)
--- a/fleet/registry/state.go
+++ b/fleet/registry/state.go
@@ -94,7 +94,7 @@
 
 // Apply implements quorum.StateMachine. The result is a fleet.ChangeReply, a
 // fleet.LeaseState, a fleet.LedgerBeginReply, a fleet.LedgerEndReply, a
-// fleet.PutConfigReply, a fleet.SetOutReply or nil.
+// fleet.PutConfigReply, a fleet.SetOutReply, superseded or nil.
 func (s *State) Apply(index fleet.Index, command []byte) any {
 	c, err := DecodeCommand(command)
 	if !invariant.Check(err == nil, "CommandDecoded", "entry %d: %v", index, err) {
