Placement: crashes right after the first event are blamed on the prompt

Cause: an answer that begins counted as proof that the request is sound. Its crash was not counted, and each deadly request cleared its own part.

Ruled out: counting the crashes alone, since the next beginning clears them.

Change: an answer is sustained when it ends or goes on for 500 ms. Requests that break between the first event and then are a second phase with reports and a tracker of its own, which only a sustained answer clears.

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -74,7 +74,7 @@
 	nominalRate float64
 	suspects    map[fleet.ContentHash]*suspect
 	// parts tracks the parts of prompts that crash targets.
-	parts  *quarantine.Tracker
+	parts  partTrackers
 	limits *ratelimit.Collector
 	// collectingSince and lastReport are the times of the first and the newest report since
 	// this host became the leader.
@@ -98,7 +98,7 @@
 		log:     log,
 		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window), totalDemand: fairshare.NewWindow(window), sentWork: fairshare.NewWindow(window),
 		governor: fairshare.NewGovernor(governorConfig), partRates: partrate.New(),
-		suspects: map[fleet.ContentHash]*suspect{}, parts: quarantine.New(), limits: ratelimit.NewCollector(),
+		suspects: map[fleet.ContentHash]*suspect{}, parts: newPartTrackers(), limits: ratelimit.NewCollector(),
 	}
 }
 
@@ -140,20 +140,9 @@
 		l.collectingSince = now
 	}
 	l.lastReport = now
-	l.parts.AddOutcomes(now, r.Begun, r.Broken)
-	for _, c := range r.PartCrashes {
-		l.parts.AddCrash(now, c)
-	}
+	l.parts.add(now, r)
 	if now.Sub(l.collectingSince) < adoptionTime {
-		for _, q := range r.Quarantined {
-			l.parts.Adopt(now, q)
-		}
-	}
-	for _, id := range r.AnsweredTargets {
-		l.parts.AddTargetAnswer(now, id)
-	}
-	for _, id := range r.AnsweredParts {
-		l.parts.AddAnswer(id)
+		l.parts.adopt(now, r.Quarantined)
 	}
 }
 
@@ -238,7 +227,7 @@
 
 // updateParts updates the quarantines of parts and logs their changes.
 func (l *loadCollector) updateParts(now time.Time) quarantine.Suspects {
-	s := l.parts.Update(now)
+	s := l.parts.update(now)
 	for _, id := range s.Begun {
 		l.log.Warn(logevent.PartQuarantined, "part", uint64(id))
 	}
--- a/control/core/quarantine_test.go
+++ b/control/core/quarantine_test.go
@@ -27,13 +27,15 @@
 	// beginTime and runTime are the times from the sending of a simulated request to the
 	// first byte and to the end of its answer.
 	beginTime, runTime = 250 * time.Millisecond, time.Second
+	// eventInterval is the time from the first event of a simulated answer to the next one.
+	eventInterval = 40 * time.Millisecond
 )
 
 // deadlyPart is the part of a prompt that crashes each simulated target.
 const deadlyPart placement.PartID = 999
 
 // crashSim simulates routers, the leader and targets, of which each crashes when it begins
-// an answer to a request with deadlyPart.
+// an answer to a request with deadlyPart, or after its first event.
 type crashSim struct {
 	now       time.Time
 	rng       *rand.Rand
@@ -56,6 +58,8 @@
 	// resetShare is the share of requests whose answers are reset although their targets go
 	// on.
 	resetShare float64
+	// afterFirstEvent makes targets crash after the first event of the answer.
+	afterFirstEvent bool
 	// soundQuarantined counts the sound requests that were refused as quarantined.
 	soundQuarantined int
 }
@@ -227,6 +231,11 @@
 		return
 	}
 	if q.deadly {
+		if s.afterFirstEvent {
+			s.handle(q, s.reduce(q, placement.AnswerBegun{Call: q.call, Attempt: q.attempt, Stream: true}))
+			s.at(eventInterval, func() { s.crashUnder(q) })
+			return
+		}
 		s.crash(q.target)
 		return
 	}
@@ -239,6 +248,11 @@
 		s.soundBegun++
 	}
 	s.handle(q, s.reduce(q, placement.AnswerBegun{Call: q.call, Attempt: q.attempt}))
+	s.at(placement.AnswerProbation+eventInterval, func() {
+		if s.running[q.target][q] {
+			s.handle(q, s.reduce(q, placement.AnswerSustained{Call: q.call, Attempt: q.attempt}))
+		}
+	})
 	s.at(runTime-beginTime, func() {
 		if s.running[q.target][q] {
 			delete(s.running[q.target], q)
@@ -247,6 +261,13 @@
 	})
 }
 
+// crashUnder crashes the target of a request, unless it crashed meanwhile.
+func (s *crashSim) crashUnder(q *simRequest) {
+	if s.running[q.target][q] {
+		s.crash(q.target)
+	}
+}
+
 func (s *crashSim) crash(id fleet.TargetID) {
 	s.crashedAt = append(s.crashedAt, s.now)
 	s.upAt[id] = s.now.Add(downTime)
@@ -293,7 +314,7 @@
 
 // TestPartThatCrashesTargets guards against requests that crash one target after the other
 // because they share a part of their prompts, though no two of them are alike (issue 23,
-// BUDGET).
+// BUDGET). A target may crash before the answer begins or shortly after (review, case 4).
 func TestPartThatCrashesTargets(t *testing.T) {
 	// mayFollow is the number of requests that may be sent later than contact after the fifth
 	// crash.
@@ -305,10 +326,12 @@
 		contact time.Duration
 		seeds   uint64
 	}{{8, 18, 60, 0.05, 3 * time.Second, 4}, {8, 18, 60, 0.01, 3 * time.Second, 4}, {55, 60, 220, 0.05, 4 * time.Second, 1}} {
-		for position := range 2 {
-			convey.Convey(fmt.Sprintf("Requests with such a part are refused, sound ones are served: %v, part %d", size, position), t, func() {
+		for variant := range 4 {
+			position, afterFirstEvent := variant%2, variant >= 2
+			convey.Convey(fmt.Sprintf("Requests with such a part are refused, sound ones are served: %v, part %d, after the first event: %t", size, position, afterFirstEvent), t, func() {
 				for seed := range size.seeds {
 					s := newCrashSim(t, seed, size.routers, size.targets)
+					s.afterFirstEvent = afterFirstEvent
 					s.at(0, s.exchange)
 					s.at(0, func() { s.arrive(size.perSecond, size.share, s.prompts(position)) })
 					s.run(20 * time.Second)
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -236,8 +236,19 @@
 // PartID identifies a part of a prompt. Equal parts have equal IDs in the whole fleet.
 type PartID uint64
 
-// PartCrash is a crash of a target before it began the answer to a request whose prompt has
-// the part.
+// PartOutcomes has what a router saw, since its last report, of requests to engines in one phase:
+// until their answers begin, or from then on until they are sustained.
+type PartOutcomes struct {
+	// Begun counts the requests that got through the phase, Broken those that broke in it.
+	Begun  int `json:",omitempty"`
+	Broken int `json:",omitempty"`
+	// PartCrashes has the crashes of targets during the phase, AnsweredParts the suspect or
+	// quarantined parts with which a request got through it.
+	PartCrashes   []PartCrash `json:",omitempty"`
+	AnsweredParts []PartID    `json:",omitempty"`
+}
+
+// PartCrash is a crash of a target that ran a request whose prompt has the part.
 type PartCrash struct {
 	Part        PartID      `json:"P"`
 	Target      TargetID    `json:"T"`
@@ -275,16 +286,12 @@
 	// in Asked.
 	Capacity float64        `json:",omitempty"`
 	Suspects []SuspectCount `json:",omitempty"`
-	// Begun counts the requests to engines whose answers have begun since the last report,
-	// Broken those that broke before.
-	Begun  int `json:",omitempty"`
-	Broken int `json:",omitempty"`
-	// PartCrashes has the crashes since the last report, AnsweredParts the suspect or
-	// quarantined parts, and AnsweredTargets the suspect targets, of which an answer has begun
-	// since then.
-	PartCrashes     []PartCrash `json:",omitempty"`
-	AnsweredParts   []PartID    `json:",omitempty"`
-	AnsweredTargets []TargetID  `json:",omitempty"`
+	// PartOutcomes is of the requests until their answers begin, BegunOutcomes of those whose
+	// answers have begun, until they are sustained.
+	PartOutcomes
+	BegunOutcomes PartOutcomes `json:",omitzero"`
+	// AnsweredTargets has the suspect targets that have begun an answer since the last report.
+	AnsweredTargets []TargetID `json:",omitempty"`
 	// Quarantined has the quarantines that the router enforces, for a new leader.
 	Quarantined []QuarantinedPart `json:",omitempty"`
 	// Parts has the work for shared parts of prompts.
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -159,6 +159,21 @@
 // EventName implements fleet.Event.
 func (AnswerBegun) EventName() string { return "Begun" }
 
+// AnswerProbation is the time after the beginning of an answer in which a crash of the target
+// may still be due to the request: a target may crash while it writes the first events.
+const AnswerProbation = 500 * time.Millisecond
+
+// AnswerSustained reports that a part of the answer to an attempt has arrived later than
+// AnswerProbation after its beginning.
+type AnswerSustained struct {
+	Call CallID
+	// Attempt is as in Send.
+	Attempt int
+}
+
+// EventName implements fleet.Event.
+func (AnswerSustained) EventName() string { return "AnswerSustained" }
+
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	Call CallID
--- a/fleet/placement/quarantine.go
+++ b/fleet/placement/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,47 +18,84 @@
 	suspectTargets map[fleet.TargetID]bool
 	// quarantined holds the ends of the quarantines.
 	quarantined map[PartID]time.Time
-	// begun, broken, crashes, answered and answeredTargets are collected from report to report.
-	begun, broken   int
-	crashes         []fleet.PartCrash
-	answered        map[PartID]bool
-	answeredTargets map[fleet.TargetID]bool
+	// waiting, starting and answeredTargets are collected from report to report: the outcomes
+	// of calls until their answers begin, and from then on until they are sustained.
+	waiting, starting outcomeCounter
+	answeredTargets   map[fleet.TargetID]bool
 }
 
 func newPartsState() partsState {
-	return partsState{quarantined: map[PartID]time.Time{}, answered: map[PartID]bool{}, answeredTargets: map[fleet.TargetID]bool{}}
+	return partsState{
+		quarantined: map[PartID]time.Time{}, answeredTargets: map[fleet.TargetID]bool{},
+		waiting: outcomeCounter{answered: map[PartID]bool{}}, starting: outcomeCounter{answered: map[PartID]bool{}},
+	}
+}
+
+// outcomeCounter counts the outcomes of calls in one phase.
+type outcomeCounter struct {
+	// passed counts the calls that got through the phase, broken those that broke in it.
+	passed, broken int
+	crashes        []fleet.PartCrash
+	answered       map[PartID]bool
 }
 
 // maxPartCrashes bounds the crashes in a report.
 const maxPartCrashes = 1024
 
-// sharedParts returns the parts that other requests may have too.
-func (p *Prompt) sharedParts() []PromptPart { return p.Parts[:max(0, len(p.Parts)-1)] }
-
-// addCrash records a target that crashed before it began the answer to a call.
-func (s *partsState) addCrash(k *call, t *target) {
+// addCrash records that a target crashed while a call to it was in the phase.
+func (c *outcomeCounter) addCrash(k *call, t *target) {
 	if len(k.Prompt.Parts) > 0 {
-		s.broken++
+		c.broken++
 	}
 	for _, p := range k.Prompt.sharedParts() {
-		if len(s.crashes) < maxPartCrashes {
-			s.crashes = append(s.crashes, fleet.PartCrash{Part: p.ID, Target: t.id, Incarnation: t.incarnation})
+		if len(c.crashes) < maxPartCrashes {
+			c.crashes = append(c.crashes, fleet.PartCrash{Part: p.ID, Target: t.id, Incarnation: t.incarnation})
 		}
 	}
 }
 
-// addAnswer records that the answer to a call has begun.
-func (s *partsState) addAnswer(k *call) {
-	if len(k.Prompt.Parts) > 0 {
-		s.begun++
+// take returns what was counted since the last call, and resets it.
+func (c *outcomeCounter) take() fleet.PartOutcomes {
+	out := fleet.PartOutcomes{Begun: c.passed, Broken: c.broken, PartCrashes: c.crashes, AnsweredParts: slices.Sorted(maps.Keys(c.answered))}
+	c.passed, c.broken, c.crashes = 0, 0, nil
+	clear(c.answered)
+	return out
+}
+
+// sharedParts returns the parts that other requests may have too.
+func (p *Prompt) sharedParts() []PromptPart { return p.Parts[:max(0, len(p.Parts)-1)] }
+
+// addCrash records a target that crashed before the answer to a call was sustained.
+func (s *partsState) addCrash(k *call, t *target) {
+	// An answer that began before the crash does not refute it.
+	delete(s.answeredTargets, t.id)
+	if k.answerBegun {
+		s.starting.addCrash(k, t)
+		return
 	}
+	s.waiting.addCrash(k, t)
+}
+
+// addBegin records that the answer to a call has begun.
+func (s *partsState) addBegin(k *call) {
 	if s.suspectTargets[k.current.id] {
 		s.answeredTargets[k.current.id] = true
 	}
+	s.addPassed(&s.waiting, k)
+}
+
+// addSustained records that the answer to a call is sustained.
+func (s *partsState) addSustained(k *call) { s.addPassed(&s.starting, k) }
+
+// addPassed records that a call got through a phase.
+func (s *partsState) addPassed(c *outcomeCounter, k *call) {
+	if len(k.Prompt.Parts) > 0 {
+		c.passed++
+	}
 	for _, p := range k.Prompt.sharedParts() {
 		_, quarantined := s.quarantined[p.ID]
 		if quarantined || s.suspects[p.ID] {
-			s.answered[p.ID] = true
+			c.answered[p.ID] = true
 		}
 	}
 }
@@ -90,13 +128,7 @@
 
 // fillReport adds what was counted since the last report, and resets it.
 func (s *partsState) fillReport(now time.Time, out *fleet.RouterLoad) {
-	out.Begun, out.Broken, out.PartCrashes = s.begun, s.broken, s.crashes
-	s.begun, s.broken, s.crashes = 0, 0, nil
-	for id := range s.answered {
-		out.AnsweredParts = append(out.AnsweredParts, id)
-	}
-	slices.Sort(out.AnsweredParts)
-	clear(s.answered)
+	out.PartOutcomes, out.BegunOutcomes = s.waiting.take(), s.starting.take()
 	for id := range s.answeredTargets {
 		out.AnsweredTargets = append(out.AnsweredTargets, id)
 	}
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -63,7 +63,10 @@
 	// origin is set once the call belongs to a stream that has begun.
 	origin      *fleet.StreamOrigin
 	answerBegun bool
-	sentAt      time.Time
+	// answerSustained is true once the answer has shown that the request does not crash the
+	// current target.
+	answerSustained bool
+	sentAt          time.Time
 	// prefillTokens is the number of prompt tokens that the current target has to process.
 	prefillTokens     int
 	expectedFirstByte time.Duration
@@ -110,6 +113,10 @@
 		r.responseReceived(ev)
 	case AnswerBegun:
 		r.answerBegun(ev)
+	case AnswerSustained:
+		if k := r.calls[ev.Call]; k != nil && k.sends == ev.Attempt {
+			r.sustain(k)
+		}
 	case AttemptEnded:
 		r.attemptEnded(ev)
 	}
@@ -258,7 +265,8 @@
 func (r *Router) send(k *call, t *target, basis Basis) {
 	k.sends++
 	k.attempts++
-	k.current, k.currentVersion, k.answerBegun, k.sentAt = t, t.entry.SoftwareVersion, false, r.now
+	k.current, k.currentVersion, k.sentAt = t, t.entry.SoftwareVersion, r.now
+	k.answerBegun, k.answerSustained = false, false
 	k.triedTargets = append(k.triedTargets, t.id)
 	k.expectedFirstByte = basis.ExpectedFirstByte
 	state := r.slownessState(k.service)
@@ -297,7 +305,7 @@
 	if ev.Stream {
 		r.beginStream(k)
 	}
-	r.parts.addAnswer(k)
+	r.parts.addBegin(k)
 	k.current.begin(k, r.now)
 	// Errors come without the prompt having been processed.
 	if !ev.Failed {
@@ -305,6 +313,14 @@
 	}
 }
 
+// sustain records that the request of a call does not crash its target.
+func (r *Router) sustain(k *call) {
+	if !k.answerSustained {
+		k.answerSustained = true
+		r.parts.addSustained(k)
+	}
+}
+
 // attemptEnded records the end of an attempt, and sends the call again if that is permitted.
 func (r *Router) attemptEnded(ev AttemptEnded) {
 	k := r.calls[ev.Call]
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -145,6 +145,8 @@
 func (r *Router) recordOutcome(k *call, t *target, ev AttemptEnded) {
 	failed := 0.0
 	switch ev.Outcome {
+	case Answered:
+		r.sustain(k)
 	case CallerGone:
 		return
 	case Unreached:
@@ -160,11 +162,16 @@
 	case Broken, Truncated:
 		failed = 1
 		r.report.addCrash(k)
-		if !k.answerBegun {
+		if !k.answerSustained {
 			r.parts.addCrash(k, t)
+		}
+		if !k.answerBegun {
 			t.maybeRestarted = true
 		}
-	case FailedAnswer, Expired:
+	case FailedAnswer:
+		failed = 1
+		r.sustain(k)
+	case Expired:
 		failed = 1
 	case Declined:
 		t.pausedUntil = r.now.Add(minPause)
--- a/fleet/quarantine/quarantine.go
+++ b/fleet/quarantine/quarantine.go
@@ -2,10 +2,11 @@
 // them, from what all routers see. The requests with such a part differ in all else, so that
 // none of them alone shows the cause.
 //
-// A crash breaks all requests at a target, and the parts of all those whose answers have not
-// begun are possible causes. The deadly part is the one without any answer: the others are
-// cleared by the first answer that begins anywhere. A target that goes on to answer has not
-// crashed, but reset a connection.
+// A crash breaks all requests at a target, and the parts of all those in the same phase, before
+// their answers begin or right after, are possible causes. The deadly part is the one with which no
+// request gets through the phase: the others are cleared by the first request that does anywhere,
+// which is called its answer below. A target that goes on to answer has not crashed, but reset a
+// connection.
 package quarantine
 
 import (
@@ -62,10 +63,10 @@
 	until time.Time
 }
 
-// Tracker tracks the parts of one fleet.
+// Tracker tracks the parts of one fleet, by the requests in one phase.
 type Tracker struct {
 	parts map[fleet.PartID]*part
-	// begun and broken count the requests whose answers began, and those that broke before,
+	// begun and broken count the requests that got through the phase, and those that broke in it,
 	// with exponential decay; as of decayedAt.
 	begun, broken float64
 	decayedAt     time.Time
@@ -87,7 +88,7 @@
 // New returns a Tracker without any suspects.
 func New() *Tracker { return &Tracker{parts: map[fleet.PartID]*part{}} }
 
-// AddCrash records that a target crashed before it began the answer to a request with a part.
+// AddCrash records that a target crashed while a request with a part was in the phase.
 func (t *Tracker) AddCrash(now time.Time, c fleet.PartCrash) {
 	p := t.parts[c.Part]
 	if p == nil {
@@ -107,7 +108,7 @@
 	p.crashes[start], p.lastCrash = now, now
 }
 
-// AddOutcomes records how many answers have begun, and how many requests broke before.
+// AddOutcomes records how many requests got through the phase, and how many broke in it.
 func (t *Tracker) AddOutcomes(now time.Time, begun, broken int) {
 	keep := math.Exp(-float64(now.Sub(t.decayedAt)) / float64(outcomeMemory))
 	t.begun = t.begun*keep + float64(begun)
@@ -131,7 +132,7 @@
 	return max(minCrashes, crashesFor(maxChance), min(ofAny, enoughCrashes))
 }
 
-// AddAnswer records that an answer to a request with a part has begun, which clears the part.
+// AddAnswer records that a request with a part got through the phase, which clears the part.
 func (t *Tracker) AddAnswer(id fleet.PartID) { delete(t.parts, id) }
 
 // AddTargetAnswer records that a target of Suspects.Targets has begun an answer, so that it
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -410,6 +410,39 @@
 	})
 }
 
+// Guards against a stream that counts as sound once it has begun, although its target crashes right
+// after the first event (review, case 4).
+func TestStreamIsSustained(t *testing.T) {
+	two := chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: b\n\n")
+	breakOff := thenClose(respond("200 OK", eventStreamHeaders, two))
+	for name, c := range map[string]struct {
+		response func(net.Conn, *http.Request)
+		want     fleet.PartOutcomes
+	}{
+		"that breaks off soon is blamed": {
+			breakOff, fleet.PartOutcomes{Broken: 1, PartCrashes: []fleet.PartCrash{{Part: 7, Target: "t-0", Incarnation: 1}}},
+		},
+		"that goes on for some time is not": {
+			func(c net.Conn, r *http.Request) {
+				respond("200 OK", eventStreamHeaders, two)(c, r)
+				time.Sleep(placement.AnswerProbation + 100*time.Millisecond)
+				// The router may have closed the connection.
+				_, _ = io.WriteString(c, chunk("id: 3\ndata: c\n\n"))
+				_ = c.Close()
+			}, fleet.PartOutcomes{Begun: 1},
+		},
+	} {
+		convey.Convey("A stream "+name, t, func() {
+			f := newFixture(deployment.KindStream, 1, false, newFakeTarget(c.response))
+			f.prompt = placement.Prompt{Tokens: 20, Parts: []placement.PromptPart{{ID: 7, Tokens: 10}, {ID: 8, Tokens: 10}}}
+			_, _, err := f.post("id-1", "")
+			convey.So(err, convey.ShouldNotBeNil)
+			report := f.forwarder.Reduce(placement.ReportDue{})[0].(placement.Report)
+			convey.So(report.BegunOutcomes, convey.ShouldResemble, c.want)
+		})
+	}
+}
+
 // TestStreamsWithoutEvents guards against a stream that breaks off before its next event and
 // reaches the caller as a complete one (issue 26).
 func TestStreamsWithoutEvents(t *testing.T) {
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -113,14 +113,11 @@
 	bp := buffers.Get().(*[]byte)
 	defer buffers.Put(bp)
 	x.events.reset()
-	begun := false
+	var progress streamProgress
 	for {
 		events, err := x.readEvents(resp, *bp)
 		if len(events) > 0 {
-			if !begun {
-				begun = true
-				x.responseBegun(placement.AnswerBegun{Stream: true})
-			}
+			x.reportProgress(&progress)
 			x.out.writeHeader(resp.StatusCode, resp.Header, -1)
 			if writeErr := x.out.writeAndFlush(events); writeErr != nil {
 				x.err = writeErr
@@ -138,6 +135,23 @@
 	}
 }
 
+// streamProgress is what the placement knows of a stream.
+type streamProgress struct {
+	begun, sustained bool
+}
+
+// reportProgress reports to the placement that events of a stream have arrived.
+func (x *exchange) reportProgress(p *streamProgress) {
+	switch {
+	case !p.begun:
+		p.begun = true
+		x.responseBegun(placement.AnswerBegun{Stream: true})
+	case !p.sustained && x.forwarder.cfg.Clock.Now().Sub(x.firstByte) > placement.AnswerProbation:
+		p.sustained = true
+		x.forwarder.Reduce(placement.AnswerSustained{Call: x.req.Call.ID, Attempt: x.send.Attempt})
+	}
+}
+
 // readEvents reads the next part of a stream and returns the events that it completes. The
 // error is io.EOF at the end of the stream.
 func (x *exchange) readEvents(resp *http.Response, buf []byte) ([]byte, error) {
