Targets: odd announcements neither displace sound targets nor stop a follower

Report of a similar system: one odd entry among those of the targets (deeply nested, too large a number, a port out of range) ended the processes that read them, or made them stop following.

Found by TestFeedWithAnInvalidAnnouncement and TestNoticeWithAnInvalidAnnouncement: a router or control host dropped all announcements of a message with one invalid entry, such as one that another release let through.

--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -174,6 +174,25 @@
 	})
 }
 
+// Guards against a control host that drops all announcements of a message because of one.
+func TestFeedWithAnInvalidAnnouncement(t *testing.T) {
+	convey.Convey("A control host takes the valid announcements of another one", t, func() {
+		g := newCluster(t, 3)
+		g.start(0, true)
+		odd, sound := announcement(1, fleet.TargetServing), announcement(1, fleet.TargetServing)
+		odd.Target, odd.Slots = "t-0", -1
+		c := rpc.NewClient(rpc.ClientConfig{Address: g.addrs[0], Uncompressed: true, OnConnect: func(peer fleet.Caller) {
+			// If the call fails, the test fails because no announcement arrives.
+			_ = peer.Notify(context.Background(), fleet.MethodTargets, fleet.TargetsNotice{
+				Announced: []fleet.AgedAnnouncement{{Announcement: odd}, {Announcement: sound}},
+			})
+		}})
+		c.Start()
+		convey.Reset(c.Stop)
+		convey.So(eventually(func() bool { return g.cores[0].Status().Targets == 1 }, 3*time.Second), convey.ShouldBeTrue)
+	})
+}
+
 func TestCutOffHostTakesNoAnnouncement(t *testing.T) {
 	convey.Convey("A host without a majority and without routers refuses announcements and reads", t, func() {
 		g := newCluster(t, 3)
--- a/control/core/feed.go
+++ b/control/core/feed.go
@@ -54,10 +54,13 @@
 		c.loads.addReport(c.cfg.Clock.Now(), r)
 		return nil, nil
 	case fleet.MethodTargets:
-		var n fleet.TargetsNotice
-		if err := fleet.Decode(params, &n); err != nil {
+		n, invalid, err := fleet.DecodeTargetsNotice(params)
+		if err != nil {
 			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
 		}
+		for _, err := range invalid {
+			c.cfg.Log.Warn(logevent.AnnouncementRefused, "error", err)
+		}
 		c.mergeNotice(n)
 		return nil, nil
 	case fleet.MethodStreamsBegun:
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"encoding/json"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -138,6 +140,22 @@
 	return nil
 }
 
+// DecodeTargetsNotice decodes a notice. It leaves out announcements that are not valid, since
+// those of all other targets must still arrive, and returns an error for each.
+func DecodeTargetsNotice(data []byte) (n TargetsNotice, invalid []error, err error) {
+	if err := json.Unmarshal(data, &n); err != nil {
+		return TargetsNotice{}, nil, errors.Wrap(err, "decode TargetsNotice")
+	}
+	n.Announced = slices.DeleteFunc(n.Announced, func(a AgedAnnouncement) bool {
+		err := a.Check()
+		if err != nil {
+			invalid = append(invalid, errors.Wrapf(err, "announcement of %q", a.Target))
+		}
+		return err != nil
+	})
+	return n, invalid, nil
+}
+
 // AgedAnnouncement is an announcement with its age, since the clocks of hosts differ.
 type AgedAnnouncement struct {
 	Announcement
--- /dev/null
+++ b/fleet/feed_test.go
@@ -0,0 +1,35 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+// Guards against a router or control host that stops following the targets because of one entry that
+// another release or writer has let through.
+func TestNoticeWithAnInvalidAnnouncement(t *testing.T) {
+	convey.Convey("Of a notice with an invalid announcement, the others are taken", t, func() {
+		announced := func(id string, port uint16) fleet.AgedAnnouncement {
+			return fleet.AgedAnnouncement{Announcement: fleet.Announcement{
+				Target: fleet.TargetID(id), Incarnation: 1, Sequence: 1, Service: "s", DataCentre: "a", Slots: 4,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port), State: fleet.TargetServing,
+			}}
+		}
+		raw, err := json.Marshal(fleet.TargetsNotice{
+			Announced: []fleet.AgedAnnouncement{announced("t-1", 80), announced("t-2", 0), announced("?", 80), announced("t-3", 81)},
+			Alive:     []fleet.TargetID{"t-4"},
+		})
+		convey.So(err, convey.ShouldBeNil)
+		n, invalid, err := fleet.DecodeTargetsNotice(raw)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(invalid, convey.ShouldHaveLength, 2)
+		convey.So(n.Announced, convey.ShouldHaveLength, 2)
+		convey.So(n.Announced[1].Target, convey.ShouldEqual, fleet.TargetID("t-3"))
+		convey.So(n.Alive, convey.ShouldHaveLength, 1)
+	})
+}
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -62,6 +62,19 @@
 // MaxSoftwareVersionBytes is the maximum length of a SoftwareVersion.
 const MaxSoftwareVersionBytes = 128
 
+// checkTargetAddress returns an error if a router can't connect to an address.
+func checkTargetAddress(addr netip.AddrPort) error {
+	switch ip := addr.Addr(); {
+	case !addr.IsValid():
+		return errors.New("Address is missing; give an IP address and a port")
+	case addr.Port() == 0:
+		return errors.Errorf("Address is %s; port 0 is not allowed", addr)
+	case ip.IsUnspecified() || ip.IsMulticast():
+		return errors.Errorf("Address is %s; give the address of one host", addr)
+	}
+	return nil
+}
+
 // Check implements Checker.
 func (a *Announcement) Check() error {
 	if err := checkAll(
@@ -71,8 +84,8 @@
 	); err != nil {
 		return err
 	}
-	if !a.Address.IsValid() {
-		return errors.New("Address is missing; give an IP address and a port")
+	if err := checkTargetAddress(a.Address); err != nil {
+		return err
 	}
 	if len(a.SoftwareVersion) > MaxSoftwareVersionBytes {
 		return errors.Errorf("SoftwareVersion has %d bytes; at most %d are allowed", len(a.SoftwareVersion), MaxSoftwareVersionBytes)
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -211,10 +211,13 @@
 		}
 		f.handleNotice(addr, n)
 	case fleet.MethodTargets:
-		var n fleet.TargetsNotice
-		if err := fleet.Decode(params, &n); err != nil {
+		n, invalid, err := fleet.DecodeTargetsNotice(params)
+		if err != nil {
 			return err
 		}
+		for _, err := range invalid {
+			f.cfg.Log.Warn(logevent.AnnouncementRefused, "control", addr.String(), "error", err)
+		}
 		f.cfg.Reduce(placement.TargetsNoticeReceived{TargetsNotice: n})
 	case fleet.MethodIncluded:
 		var n fleet.ReportIncluded
