Streams: a take-up that names no stream is not joined from two versions

Reports of similar systems: after all routers were killed during a release, or at a router out of step, streams that callers took up again were answered 200 with the first part from one software version and the rest from another.

Found: streams that their callers name are safe (origins are asked for at the control hosts, unknown ones refused).

Ruled out: named streams, restarted, cut-off and suspended routers.

Change: the router asks the control hosts which version the service has had alone for twice the route's timeout, and refuses the stream if one knows of several or none is sure.

TestResumedStreamGoesToItsOrigin asserted the fault: "served while there is one version" as known to the router. Replaced by: refused without an origin in each of three cases, and sent to the version of the origin only.

Before: TestStreamsAfterAllRoutersWereKilled (real processes) fails with 200 instead of 503, TestResumedStreamGoesToItsOrigin fails. After: both pass, with TestSoleVersion, TestSoleVersionOfAService and TestUnnamedStream. TestStreamsAtARouterThatWasSuspended passed before as well.

--- a/control/core/feed.go
+++ b/control/core/feed.go
@@ -76,6 +76,12 @@
 			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
 		}
 		return c.origins.find(&r), nil
+	case fleet.MethodSoleVersion:
+		var r fleet.SoleVersionRequest
+		if err := fleet.Decode(params, &r); err != nil {
+			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
+		}
+		return c.soleVersion(&r), nil
 	case fleet.MethodConfig:
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/control/core/origins.go
+++ b/control/core/origins.go
@@ -35,3 +35,18 @@
 	o, ok := s.store.Find(now, r.Stream)
 	return &fleet.StreamOriginReply{Found: ok, Origin: o}
 }
+
+// soleVersion returns the software version that a service has had alone, as far as this host knows.
+func (c *Core) soleVersion(r *fleet.SoleVersionRequest) *fleet.SoleVersionReply {
+	now := c.cfg.Clock.Now()
+	c.mu.Lock()
+	versions := c.targets.Versions(r.Service, now.Add(-r.Age))
+	c.mu.Unlock()
+	switch {
+	case len(versions) > 1:
+		return &fleet.SoleVersionReply{Several: true}
+	case len(versions) == 0 || now.Sub(c.startTime) < r.Age || !c.HasQuorumContact():
+		return &fleet.SoleVersionReply{}
+	}
+	return &fleet.SoleVersionReply{Sole: true, Version: versions[0]}
+}
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -19,6 +19,9 @@
 	return xxhash.Sum64String(string(c.Request))
 }
 
+// ServiceOf returns the service to which a call is sent, by the weights of its route.
+func ServiceOf(c *Call) fleet.ServiceName { return c.Route.PickService(serviceHash(c)) }
+
 // partBytes returns an ID in little-endian order, for hashing.
 func partBytes(p PartID) []byte {
 	b := make([]byte, 8)
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -212,7 +212,7 @@
 		r.emit(Refuse{Call: c.ID, Reason: fleet.ReasonConfigUnconfirmed, RetryAfter: r.cfg.Policy.NoTargetRetryDelay})
 		return
 	}
-	k := &call{Call: c, service: c.Route.PickService(serviceHash(&c))}
+	k := &call{Call: c, service: ServiceOf(&c)}
 	if c.Resuming && c.Route.ResumesStreams() && !r.resumeStream(k) {
 		r.emit(Refuse{Call: c.ID, Reason: fleet.ReasonStreamUnknown, RetryAfter: minRetryDelay})
 		return
--- a/fleet/placement/stream.go
+++ b/fleet/placement/stream.go
@@ -17,27 +17,14 @@
 
 // resumeStream binds a call to the service and the software version that began the stream that
 // it resumes. It returns false if these are unknown, or the route does not lead to the service
-// any more. A caller that does not name the stream is served while the service has only one
-// version.
+// any more. The targets that this router knows do not show the version, even if all have the same:
+// others may have left, or not be known yet.
 func (r *Router) resumeStream(k *call) bool {
-	switch {
-	case k.Origin != nil:
-		k.origin, k.service = k.Origin, k.Origin.Service
-		return k.Route.LeadsTo(k.service)
-	case k.Resumes == "":
-		return r.hasOneVersion(k.service)
+	if k.Origin == nil {
+		return false
 	}
-	return false
-}
-
-// hasOneVersion reports whether all known targets of a service have the same software version.
-func (r *Router) hasOneVersion(service fleet.ServiceName) bool {
-	for _, t := range r.services[service] {
-		if t.entry.SoftwareVersion != r.services[service][0].entry.SoftwareVersion {
-			return false
-		}
-	}
-	return true
+	k.origin, k.service = k.Origin, k.Origin.Service
+	return k.Route.LeadsTo(k.service)
 }
 
 // fits reports whether a target can answer a call: it continues a stream only if it has the
--- a/fleet/placement/stream_test.go
+++ b/fleet/placement/stream_test.go
@@ -87,12 +87,27 @@
 			})
 		}
 	})
-	convey.Convey("A stream that its caller does not name is served only while there is one version", t, func() {
-		for old, want := range map[int]string{6: "placement.Send", 3: "placement.Refuse"} {
+	// A router that was restarted or cut off may know one version only while there are others.
+	convey.Convey("A stream that its caller does not name is refused without an origin, though all known targets have one version", t, func() {
+		for _, old := range []int{0, 3, 6} {
 			f := newFixture(t, "router-0", 1, mixedVersions(6, old)...)
 			c := f.resume(1, nil)
 			c.Resumes = ""
-			convey.So(fmt.Sprintf("%T", f.apply(placement.CallArrived{Call: c})), convey.ShouldEqual, want)
+			refuse, ok := f.apply(placement.CallArrived{Call: c}).(placement.Refuse)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(refuse.Reason, convey.ShouldEqual, fleet.ReasonStreamUnknown)
+		}
+	})
+	convey.Convey("It is served at the version that its service has had alone", t, func() {
+		for old, want := range map[int]string{0: "placement.Refuse", 3: "placement.Send", 6: "placement.Send"} {
+			f := newFixture(t, "router-0", 1, mixedVersions(6, old)...)
+			c := f.resume(1, &fleet.StreamOrigin{Service: drafterService, Version: "v1"})
+			c.Resumes = ""
+			effect := f.apply(placement.CallArrived{Call: c})
+			convey.So(fmt.Sprintf("%T", effect), convey.ShouldEqual, want)
+			if s, ok := effect.(placement.Send); ok {
+				convey.So(s.SoftwareVersion, convey.ShouldEqual, fleet.SoftwareVersion("v1"))
+			}
 		}
 	})
 	convey.Convey("The origin of a stream is shared once, at its first event", t, func() {
--- a/fleet/stream.go
+++ b/fleet/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -12,6 +13,8 @@
 	MethodStreamsBegun = "Streams.Begun"
 	// MethodStreamOrigin takes a StreamOriginRequest and returns a StreamOriginReply.
 	MethodStreamOrigin = "Streams.Origin"
+	// MethodSoleVersion takes a SoleVersionRequest and returns a SoleVersionReply.
+	MethodSoleVersion = "Streams.SoleVersion"
 )
 
 // StreamOrigin says which software began a stream. Only targets of the same service and
@@ -61,6 +64,37 @@
 // Check implements Checker.
 func (*StreamOriginReply) Check() error { return nil }
 
+// SoleVersionRequest asks which software version alone a service has had lately.
+type SoleVersionRequest struct {
+	Service ServiceName
+	// Age is how far back no other version may have been there.
+	Age time.Duration
+}
+
+// Check implements Checker.
+func (r *SoleVersionRequest) Check() error {
+	if r.Age <= 0 {
+		return errors.Errorf("Age is %s; it must be positive", r.Age)
+	}
+	return CheckName("Service", string(r.Service))
+}
+
+// SoleVersionReply has the version that a service has had alone. Neither Sole nor Several is set
+// if the control host does not know, since it has not been up for long enough.
+type SoleVersionReply struct {
+	Sole    bool            `json:",omitempty"`
+	Several bool            `json:",omitempty"`
+	Version SoftwareVersion `json:",omitempty"`
+}
+
+// Check implements Checker.
+func (r *SoleVersionReply) Check() error {
+	if r.Sole && r.Several {
+		return errors.New("Sole and Several exclude each other")
+	}
+	return nil
+}
+
 // StreamOrigins finds out which software began a stream, at any router.
 type StreamOrigins interface {
 	// Share makes the origin of a stream that this router has begun known to the other
@@ -69,4 +103,7 @@
 	// Find returns the origin of a stream. ok is false if no process that this router reaches
 	// has it.
 	Find(ctx context.Context, stream RequestID) (o StreamOrigin, ok bool)
+	// SoleVersion returns the software version of all targets that a service has had for the given
+	// time. ok is false if there were several, or no process that this router reaches knows.
+	SoleVersion(ctx context.Context, service ServiceName, age time.Duration) (v SoftwareVersion, ok bool)
 }
--- a/fleet/targets/targets.go
+++ b/fleet/targets/targets.go
@@ -17,6 +17,8 @@
 	// unknownEndRetention is how long announcements of a target are ignored after it ended
 	// in an unknown incarnation, since its last announcements may still arrive.
 	unknownEndRetention = 10 * time.Second
+	// versionRetention is how long a software version is remembered that has no targets any more.
+	versionRetention = 10 * time.Minute
 )
 
 // Result is the effect of an announcement on the Directory.
@@ -53,6 +55,15 @@
 	entries   map[fleet.TargetID]*Entry
 	ended     map[fleet.TargetID]endRecord
 	byAddress map[netip.AddrPort]fleet.TargetID
+	// seenAt has when a target of each software version of a service last announced itself or
+	// ended.
+	seenAt map[serviceVersion]time.Time
+}
+
+// serviceVersion is a software version of a service.
+type serviceVersion struct {
+	service fleet.ServiceName
+	version fleet.SoftwareVersion
 }
 
 // New returns an empty Directory.
@@ -61,6 +72,7 @@
 		entries:   map[fleet.TargetID]*Entry{},
 		ended:     map[fleet.TargetID]endRecord{},
 		byAddress: map[netip.AddrPort]fleet.TargetID{},
+		seenAt:    map[serviceVersion]time.Time{},
 	}
 }
 
@@ -83,6 +95,7 @@
 		return Ignored
 	}
 	e := &Entry{Announcement: a, LastAnnounced: made, ColdUntil: made.Add(a.ColdFor)}
+	d.see(made, e)
 	d.entries[a.Target] = e
 	if old != nil && old.Address != a.Address && d.byAddress[old.Address] == a.Target {
 		delete(d.byAddress, old.Address)
@@ -132,6 +145,7 @@
 	}
 	if made.After(e.LastAnnounced) {
 		e.LastAnnounced = made
+		d.see(made, e)
 	}
 	return true
 }
@@ -142,6 +156,7 @@
 	e := d.entries[end.Target]
 	if e != nil && (end.Incarnation == 0 || end.Incarnation >= e.Incarnation) {
 		end.Incarnation = max(end.Incarnation, e.Incarnation)
+		d.see(now, e)
 		d.remove(e)
 	}
 	if old := d.ended[end.Target]; old.incarnation <= end.Incarnation {
@@ -150,6 +165,27 @@
 	return end
 }
 
+// see records that a target of a software version was there at a time.
+func (d *Directory) see(at time.Time, e *Entry) {
+	v := serviceVersion{e.Service, e.SoftwareVersion}
+	if at.After(d.seenAt[v]) {
+		d.seenAt[v] = at
+	}
+}
+
+// Versions returns the software versions of the targets of a service that were there at since or
+// later, for at most versionRetention, sorted.
+func (d *Directory) Versions(service fleet.ServiceName, since time.Time) []fleet.SoftwareVersion {
+	var out []fleet.SoftwareVersion
+	for v, at := range d.seenAt {
+		if v.service == service && !at.Before(since) {
+			out = append(out, v.version)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (d *Directory) remove(e *Entry) {
 	delete(d.entries, e.Target)
 	if d.byAddress[e.Address] == e.Target {
@@ -172,6 +208,11 @@
 			delete(d.ended, id)
 		}
 	}
+	for v, at := range d.seenAt {
+		if now.Sub(at) > versionRetention {
+			delete(d.seenAt, v)
+		}
+	}
 	slices.Sort(out)
 	return out
 }
--- a/router/feed/origins.go
+++ b/router/feed/origins.go
@@ -142,32 +142,60 @@
 }
 
 // findAtControl returns the first origin that a control host replies with.
-func (s *Origins) findAtControl(ctx context.Context, stream fleet.RequestID) (fleet.StreamOrigin, bool) {
+func (s *Origins) findAtControl(ctx context.Context, stream fleet.RequestID) (o fleet.StreamOrigin, ok bool) {
+	req := &fleet.StreamOriginRequest{Stream: stream}
+	askAll(ctx, s, fleet.MethodStreamOrigin, req, func(reply fleet.StreamOriginReply) bool {
+		o, ok = reply.Origin, reply.Found
+		return ok
+	})
+	return o, ok
+}
+
+// SoleVersion implements fleet.StreamOrigins. It waits for all control hosts, any of which may know
+// of another version.
+func (s *Origins) SoleVersion(ctx context.Context, service fleet.ServiceName, age time.Duration) (v fleet.SoftwareVersion, ok bool) {
+	req := &fleet.SoleVersionRequest{Service: service, Age: age}
+	askAll(ctx, s, fleet.MethodSoleVersion, req, func(reply fleet.SoleVersionReply) bool {
+		if reply.Several || ok && reply.Sole && reply.Version != v {
+			ok = false
+			return true
+		}
+		if reply.Sole {
+			v, ok = reply.Version, true
+		}
+		return false
+	})
+	result := "VersionUnsure"
+	if ok {
+		result = "VersionSole"
+	}
+	originLookups.Add(result, 1)
+	return v, ok
+}
+
+// askAll calls a method of all connected control hosts and passes the replies on until done returns
+// true or originTimeout has passed. A host that does not reply is left out.
+func askAll[T any](ctx context.Context, s *Origins, method string, params any, done func(reply T) bool) {
 	connected := s.clients.Connected()
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	replies := make(chan fleet.StreamOriginReply, len(connected))
+	replies := make(chan *T, len(connected))
 	for _, addr := range connected {
-		go func() { replies <- s.ask(ctx, addr, stream) }()
+		go func() {
+			reply := new(T)
+			c := s.clients.Client(addr)
+			if c == nil {
+				reply = nil
+			} else if err := c.Call(ctx, method, params, reply); err != nil {
+				s.log.Debug(logevent.ReportFailed, "control", addr.String(), "error", err)
+				reply = nil
+			}
+			replies <- reply
+		}()
 	}
 	for range connected {
-		if reply := <-replies; reply.Found {
-			return reply.Origin, true
+		if reply := <-replies; reply != nil && done(*reply) {
+			return
 		}
 	}
-	return fleet.StreamOrigin{}, false
-}
-
-// ask requests the origin from one control host. No reply counts as not found.
-func (s *Origins) ask(ctx context.Context, addr netip.AddrPort, stream fleet.RequestID) fleet.StreamOriginReply {
-	var reply fleet.StreamOriginReply
-	c := s.clients.Client(addr)
-	if c == nil {
-		return reply
-	}
-	if err := c.Call(ctx, fleet.MethodStreamOrigin, &fleet.StreamOriginRequest{Stream: stream}, &reply); err != nil {
-		s.log.Debug(logevent.ReportFailed, "control", addr.String(), "error", err)
-		return fleet.StreamOriginReply{}
-	}
-	return reply
 }
--- a/router/feed/origins_test.go
+++ b/router/feed/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/netip"
@@ -15,9 +16,9 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
 )
 
-// startControl starts a control host that replies to each search for an origin as given, or
-// not at all if reply is nil.
-func startControl(reply *fleet.StreamOriginReply) netip.AddrPort {
+// startControl starts a control host that replies to each call as given, or not at all if reply
+// is nil.
+func startControl(reply any) netip.AddrPort {
 	s := rpc.NewServer(rpc.ServerConfig{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Uncompressed: true,
 		Handler: rpc.HandlerFunc(func(ctx context.Context, _ fleet.Caller, _ string, _ json.RawMessage) (any, error) {
@@ -76,6 +77,36 @@
 	})
 }
 
+// Guards against a stream that goes on at another software version because its caller does not name
+// it and this router knows one version only.
+func TestSoleVersion(t *testing.T) {
+	sole := func(v fleet.SoftwareVersion) *fleet.SoleVersionReply { return &fleet.SoleVersionReply{Sole: true, Version: v} }
+	unknown, several := &fleet.SoleVersionReply{}, &fleet.SoleVersionReply{Several: true}
+	for name, c := range map[string]struct {
+		replies []any
+		want    bool
+	}{
+		"all know it":                              {[]any{sole("v1"), sole("v1")}, true},
+		"one has just started, one does not reply": {[]any{sole("v1"), unknown, nil}, true},
+		"one knows of several":                     {[]any{sole("v1"), several}, false},
+		"they know different ones":                 {[]any{sole("v1"), sole("v2")}, false},
+		"none is sure":                             {[]any{unknown, nil}, false},
+		"this router is cut off":                   {nil, false},
+	} {
+		convey.Convey(fmt.Sprintf("The version of a service is known if %s: %t", name, c.want), t, func() {
+			var controls []netip.AddrPort
+			for _, reply := range c.replies {
+				controls = append(controls, startControl(reply))
+			}
+			v, ok := connectedOrigins(controls...).SoleVersion(context.Background(), "s", time.Second)
+			convey.So(ok, convey.ShouldEqual, c.want)
+			if ok {
+				convey.So(v, convey.ShouldEqual, fleet.SoftwareVersion("v1"))
+			}
+		})
+	}
+}
+
 func TestHolders(t *testing.T) {
 	convey.Convey("A stream keeps its holders when others are connected, but for those that come or go", t, func() {
 		var controls []netip.AddrPort
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -170,9 +170,21 @@
 	}
 }
 
-// findOrigin sets the origin of the stream that a call resumes, if it is known.
+// maxStreamAge is the time that a stream which is resumed may have taken so far, as a multiple of
+// the route's timeout.
+const maxStreamAge = 2
+
+// findOrigin sets the origin of the stream that a call resumes, if it is known. If the caller does
+// not name the stream, only a service with one software version can have begun it.
 func (f *Forwarder) findOrigin(ctx context.Context, c *placement.Call) {
-	if f.cfg.Origins == nil || !c.Resuming || c.Resumes == "" || !c.Route.ResumesStreams() {
+	if f.cfg.Origins == nil || !c.Resuming || !c.Route.ResumesStreams() {
+		return
+	}
+	if c.Resumes == "" {
+		service := placement.ServiceOf(c)
+		if v, ok := f.cfg.Origins.SoleVersion(ctx, service, maxStreamAge*c.Route.Timeout); ok {
+			c.Origin = &fleet.StreamOrigin{Service: service, Version: v}
+		}
 		return
 	}
 	if o, ok := f.cfg.Origins.Find(ctx, c.Resumes); ok {
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -150,6 +150,12 @@
 }
 
 func newFixture(kind deployment.RouteKind, attempts int, resumable bool, targets ...*fakeTarget) *fixture {
+	return newFixtureWith(nil, kind, attempts, resumable, targets...)
+}
+
+// newFixtureWith returns a fixture whose forwarder finds out the origins of streams, all of whose
+// targets run version v1.
+func newFixtureWith(origins fleet.StreamOrigins, kind deployment.RouteKind, attempts int, resumable bool, targets ...*fakeTarget) *fixture {
 	cfg, err := deployment.New(deployment.Configuration{
 		Number: 1, Services: []deployment.Service{{Name: "desk"}},
 		Routes: []deployment.Route{{
@@ -159,7 +165,7 @@
 	})
 	convey.So(err, convey.ShouldBeNil)
 	forwarder := forward.New(forward.Config{
-		Headers: headerNames, Clock: fleet.SystemClock{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Headers: headerNames, Origins: origins, Clock: fleet.SystemClock{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Placement: placement.Config{
 			Self: "router-1", SilentAfter: time.Minute, Policy: placement.DefaultPolicy,
 			Retries: placement.RetryLimits{Ratio: 1, Extra: 10, Window: 10 * time.Second},
@@ -169,7 +175,7 @@
 	var notice fleet.TargetsNotice
 	for i, t := range targets {
 		notice.Announced = append(notice.Announced, fleet.AgedAnnouncement{Announcement: fleet.Announcement{
-			Target: fleet.TargetID(fmt.Sprintf("t-%d", i)), Incarnation: 1, Sequence: 1, Service: "desk",
+			Target: fleet.TargetID(fmt.Sprintf("t-%d", i)), Incarnation: 1, Sequence: 1, Service: "desk", SoftwareVersion: "v1",
 			DataCentre: "a", Address: t.address(), Slots: 4, State: fleet.TargetServing,
 		}})
 	}
@@ -198,7 +204,8 @@
 	}
 	f.forwarder.Serve(ctx, rw, forward.Request{
 		Call: placement.Call{
-			Request: fleet.RequestID(r.Header.Get("Request-Id")), Route: f.route, Customer: f.customer, Prompt: f.prompt, Content: "c", ArrivedAt: now, Deadline: now.Add(f.timeout),
+			Request: fleet.RequestID(r.Header.Get("Request-Id")), Route: f.route, Customer: f.customer, Prompt: f.prompt, Content: "c",
+			Resuming: r.Header.Get("Last-Event-Id") != "", ArrivedAt: now, Deadline: now.Add(f.timeout),
 		},
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: targetconn.EndToEnd(r.Header), Body: body, NoChunks: !r.ProtoAtLeast(1, 1),
 	})
@@ -628,3 +635,35 @@
 		convey.So(<-sent, convey.ShouldBeLessThan, maxSent)
 	})
 }
+
+// soleVersion is a StreamOrigins that knows the version of the only service, or none if it is empty.
+type soleVersion fleet.SoftwareVersion
+
+func (soleVersion) Share(fleet.StreamOrigin) {}
+
+func (soleVersion) Find(context.Context, fleet.RequestID) (o fleet.StreamOrigin, ok bool) {
+	return o, false
+}
+
+func (v soleVersion) SoleVersion(context.Context, fleet.ServiceName, time.Duration) (fleet.SoftwareVersion, bool) {
+	return fleet.SoftwareVersion(v), v != ""
+}
+
+// Guards against a caller that resumes a stream without naming it and gets the rest of it from
+// another software version.
+func TestUnnamedStream(t *testing.T) {
+	for version, want := range map[soleVersion]int{"": http.StatusServiceUnavailable, "v1": http.StatusOK, "v2": http.StatusServiceUnavailable} {
+		convey.Convey(fmt.Sprintf("A stream that is not named, and its service has had version %q alone, is answered %d", version, want), t, func() {
+			target := newFakeTarget(respond("200 OK", eventStreamHeaders, chunk("id: 2\ndata: b\n\n")+"0\r\n\r\n"))
+			f := newFixtureWith(version, deployment.KindStream, 1, true, target)
+			req, err := http.NewRequest(http.MethodPost, f.server.URL, nil)
+			convey.So(err, convey.ShouldBeNil)
+			req.Header.Set("Request-Id", "id-1")
+			req.Header.Set("Last-Event-Id", "1")
+			resp, err := http.DefaultClient.Do(req)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(resp.Body.Close(), convey.ShouldBeNil)
+			convey.So(resp.StatusCode, convey.ShouldEqual, want)
+		})
+	}
+}
