Router: a path that begins with two slashes is sent as it is

Cause: net/url writes the scheme before an opaque path that begins with two slashes, which makes it an absolute URI.

Ruled out: the way in; the router takes the request line as it was sent. A path set in place of the opaque one would encode more than the caller did.

Change: WriteRequest leaves the scheme out of the request line.

--- a/router/feed/origins_test.go
+++ b/router/feed/origins_test.go
@@ -80,13 +80,15 @@
 // Guards against a stream that goes on at another software version because its caller does not name
 // it and this router knows one version only.
 func TestSoleVersion(t *testing.T) {
-	sole := func(v fleet.SoftwareVersion) *fleet.SoleVersionReply { return &fleet.SoleVersionReply{Sole: true, Version: v} }
+	sole := func(v fleet.SoftwareVersion) *fleet.SoleVersionReply {
+		return &fleet.SoleVersionReply{Sole: true, Version: v}
+	}
 	unknown, several := &fleet.SoleVersionReply{}, &fleet.SoleVersionReply{Several: true}
 	for name, c := range map[string]struct {
 		replies []any
 		want    bool
 	}{
-		"all know it":                              {[]any{sole("v1"), sole("v1")}, true},
+		"all know it": {[]any{sole("v1"), sole("v1")}, true},
 		"one has just started, one does not reply": {[]any{sole("v1"), unknown, nil}, true},
 		"one knows of several":                     {[]any{sole("v1"), several}, false},
 		"they know different ones":                 {[]any{sole("v1"), sole("v2")}, false},
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -243,6 +243,30 @@
 	})
 }
 
+// Guards against a path that begins with two slashes and reaches the target as an absolute URI, whose
+// host is the first segment of the path (review, case 3).
+func TestPathIsNotChanged(t *testing.T) {
+	for _, uri := range []string{
+		"//bookings/accounts/0", "//bookings/a%2Fb%20c?q=//x&r=%3F", "//", "//?", "///x//y/", "//a;b=1/@:x,$+!*'()", "//[x]/~_-.", "//%E2%82%AC?", "/a//b", "/x:80//y",
+		"//a|b\"c", "//a^`{}<>",
+	} {
+		convey.Convey("A target gets "+uri+" as the caller sent it", t, func() {
+			target := newFakeTarget(respondOK("one"))
+			f := newFixture(deployment.KindAtMostOnce, 1, false, target)
+			c, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			convey.So(err, convey.ShouldBeNil)
+			convey.Reset(func() { _ = c.Close() })
+			_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n\r\n", uri)
+			convey.So(err, convey.ShouldBeNil)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(resp.StatusCode, convey.ShouldEqual, 200)
+			convey.So(target.requests[0].RequestURI, convey.ShouldEqual, uri)
+			convey.So(target.requests[0].Host, convey.ShouldEqual, "h")
+		})
+	}
+}
+
 func TestResponsesToOtherRequests(t *testing.T) {
 	convey.Convey("A second response to an earlier request is not passed on for a later one", t, func() {
 		late := func(c net.Conn, r *http.Request) {
--- a/router/targetconn/conn.go
+++ b/router/targetconn/conn.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -114,12 +116,37 @@
 // WriteRequest sends a request with its body.
 func (c *Conn) WriteRequest(req *http.Request) error {
 	bw := bufio.NewWriterSize(c, BufferSize)
-	if err := req.Write(bw); err != nil {
+	var w io.Writer = bw
+	if strings.HasPrefix(req.URL.Opaque, "//") {
+		// Package url writes the scheme before such a path, which makes it an absolute URI.
+		begin := len(req.Method) + len(" ")
+		w = &rangeOmitter{w: bw, begin: begin, end: begin + len(req.URL.Scheme) + len(":")}
+	}
+	if err := req.Write(w); err != nil {
 		return errors.Wrap(err, "write request")
 	}
 	return errors.Wrap(bw.Flush(), "write request")
 }
 
+// rangeOmitter is a writer that leaves out the bytes from begin to end, excluded.
+type rangeOmitter struct {
+	w          io.Writer
+	begin, end int
+	// written is the number of bytes so far, with those that were left out.
+	written int
+}
+
+// Write implements io.Writer.
+func (o *rangeOmitter) Write(p []byte) (int, error) {
+	begin := min(max(o.begin-o.written, 0), len(p))
+	end := min(max(o.end-o.written, 0), len(p))
+	o.written += len(p)
+	if _, err := o.w.Write(slices.Concat(p[:begin], p[end:])); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
 // ReadResponse reads the header of the final response; informational ones (1xx) are
 // skipped.
 func (c *Conn) ReadResponse(req *http.Request) (*http.Response, error) {
