Control: a new leader takes over which requests crash targets

Cause: crashes by content were counted by the leader alone, and routers replaced what they knew by the first digest of the new leader. Quarantines of parts could be cleared by that digest too.

Ruled out as the cause: counts reported to the killed leader and lost.

Before: TestSuspectsOutliveTheLeader: 9 requests reach targets instead of 3.

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -93,6 +93,14 @@
 	lastCrash time.Time
 }
 
+// count returns the number of crashes; s may be nil.
+func (s *suspect) count() int {
+	if s == nil {
+		return 0
+	}
+	return s.crashes
+}
+
 func newLoadCollector(window time.Duration, log *slog.Logger) *loadCollector {
 	return &loadCollector{
 		log:     log,
@@ -129,23 +137,41 @@
 	for _, c := range r.Suspects {
 		l.addCrashes(now, c)
 	}
+	if now.Sub(l.lastReport) > minReportMaxAge {
+		l.collectingSince = now
+	}
+	l.lastReport = now
 	l.addParts(now, &r)
+	if l.isAdopting(now) {
+		l.adoptSuspects(now, r.KnownSuspects)
+	}
 	l.limits.AddReport(now, &r)
 }
 
 // addParts adds what a router reports of parts of prompts. A new leader adopts the quarantines
 // that the former one began; later, a router may only not know yet that one has ended.
 func (l *loadCollector) addParts(now time.Time, r *fleet.RouterLoad) {
-	if now.Sub(l.lastReport) > minReportMaxAge {
-		l.collectingSince = now
-	}
-	l.lastReport = now
 	l.parts.add(now, r)
-	if now.Sub(l.collectingSince) < adoptionTime {
+	if l.isAdopting(now) {
 		l.parts.adopt(now, r.Quarantined)
 	}
 }
 
+// isAdopting reports whether this host has become the leader so lately that it has no reports yet,
+// or adopts what routers know.
+func (l *loadCollector) isAdopting(now time.Time) bool {
+	return now.Sub(l.lastReport) > minReportMaxAge || now.Sub(l.collectingSince) < adoptionTime
+}
+
+// adoptSuspects takes over the crashes that the former leader had counted.
+func (l *loadCollector) adoptSuspects(now time.Time, known []fleet.SuspectCount) {
+	for _, c := range known {
+		if s := l.suspects[c.Content]; s == nil || s.crashes < c.Crashes {
+			l.addCrashes(now, fleet.SuspectCount{Content: c.Content, Crashes: c.Crashes - s.count()})
+		}
+	}
+}
+
 // addCrashes adds the crashes of targets that a router attributes to a request.
 func (l *loadCollector) addCrashes(now time.Time, c fleet.SuspectCount) {
 	s := l.suspects[c.Content]
@@ -197,7 +223,7 @@
 		Targets: slices.Collect(maps.Values(total)), Shares: l.shares(now, total), Light: fairshare.Light(l.demand.Rates(now)), Suspects: l.repeatedSuspects(now), Slowness: l.medianSlowness(),
 		HotParts:     l.partRates.Hot(now, hotTargetShare*l.nominalRate/float64(max(1, len(total)))),
 		SuspectParts: parts.Parts, SuspectTargets: parts.Targets, Quarantined: parts.Quarantined,
-		Limits: limits,
+		Limits: limits, Partial: l.isAdopting(now),
 	}}
 }
 
--- a/control/core/loads_test.go
+++ b/control/core/loads_test.go
@@ -9,6 +9,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
 )
 
 // TestDigestHasMedianSlowness guards against a digest from which a router cannot tell its own
@@ -30,6 +31,46 @@
 
 // TestDigestKeepsReportsOfManyRouters guards against a digest that leaves out most reports
 // because so many routers report less often than reports are kept.
+// Guards against a request that crashes targets and is let through again after each change of the
+// leader, which counted the crashes (review, case 5).
+func TestSuspectsOutliveTheLeader(t *testing.T) {
+	convey.Convey("A request that crashed three targets is refused while the leader changes, again and again", t, func() {
+		now := time.Unix(1_700_000_000, 0)
+		s := newCrashSim(t, 1, 3, 6)
+		call := placement.Call{
+			Request: "r-1", Route: s.route, Customer: "majori", Content: "deadly", ArrivedAt: now, Deadline: now.Add(time.Hour),
+		}
+		sent := 0
+		ask := func(router int) {
+			call.ID++
+			effects := s.routers[router].Reduce(s.now, placement.CallArrived{Call: call})
+			if send, ok := effects[0].(placement.Send); ok {
+				sent++
+				s.routers[router].Reduce(s.now, placement.AttemptEnded{Call: call.ID, Attempt: send.Attempt, Outcome: placement.Broken})
+			}
+		}
+		s.at(0, s.exchange)
+		for i := range 30 {
+			if i == 10 || i == 20 {
+				s.replaceLeader()
+				// A digest of the new leader arrives before any report has reached it.
+				d := s.collector.makeDigest(s.now, minReportMaxAge)
+				for _, r := range s.routers {
+					r.Reduce(s.now, placement.DigestReceived{LoadDigest: d.LoadDigest})
+				}
+			}
+			ask(i % len(s.routers))
+			s.run(time.Second)
+		}
+		convey.So(sent, convey.ShouldEqual, 3)
+		convey.Convey("and is let through once the crashes are forgotten", func() {
+			s.run(suspectRetention + time.Second)
+			ask(0)
+			convey.So(sent, convey.ShouldEqual, 4)
+		})
+	})
+}
+
 func TestDigestKeepsReportsOfManyRouters(t *testing.T) {
 	for _, routers := range []int{10, 300, 1000} {
 		convey.Convey(fmt.Sprintf("The digest has the loads of all %d routers, also if each missed a report", routers), t, func() {
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -310,8 +310,10 @@
 	BegunOutcomes PartOutcomes `json:",omitzero"`
 	// AnsweredTargets has the suspect targets that have begun an answer since the last report.
 	AnsweredTargets []TargetID `json:",omitempty"`
-	// Quarantined has the quarantines that the router enforces, for a new leader.
-	Quarantined []QuarantinedPart `json:",omitempty"`
+	// Quarantined has the quarantines that the router enforces, KnownSuspects the crashes that the
+	// newest digests named, both for a new leader.
+	Quarantined   []QuarantinedPart `json:",omitempty"`
+	KnownSuspects []SuspectCount    `json:",omitempty"`
 	// Parts has the work for shared parts of prompts.
 	Parts []PartWork `json:",omitempty"`
 	// Slowness has the services whose answers the router measured in the last seconds.
@@ -387,6 +389,9 @@
 	SuspectParts   []PartID          `json:",omitempty"`
 	SuspectTargets []TargetID        `json:",omitempty"`
 	Quarantined    []QuarantinedPart `json:",omitempty"`
+	// Partial is true while the leader may not have what all routers know yet. Suspects and
+	// Quarantined then add to those that the receiver knows, instead of replacing them.
+	Partial bool `json:",omitempty"`
 	// Slowness is the median of all routers' measurements.
 	Slowness []ServiceSlowness `json:",omitempty"`
 	// Limits has the newest statement of each target that had a limit in the last seconds.
--- a/fleet/placement/quarantine.go
+++ b/fleet/placement/quarantine.go
@@ -110,7 +110,8 @@
 	return false
 }
 
-// applyDigest replaces suspects and quarantines by those of a digest.
+// applyDigest replaces suspects and quarantines by those of a digest. A partial one adds
+// quarantines.
 func (s *partsState) applyDigest(now time.Time, d *fleet.LoadDigest) {
 	s.suspects = map[PartID]bool{}
 	for _, id := range d.SuspectParts {
@@ -120,7 +121,9 @@
 	for _, id := range d.SuspectTargets {
 		s.suspectTargets[id] = true
 	}
-	s.quarantined = map[PartID]time.Time{}
+	if !d.Partial {
+		s.quarantined = map[PartID]time.Time{}
+	}
 	for _, q := range d.Quarantined {
 		s.quarantined[q.Part] = now.Add(q.Remaining)
 	}
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -149,7 +149,12 @@
 	for c, n := range s.suspects {
 		out.Suspects = append(out.Suspects, fleet.SuspectCount{Content: c, Crashes: n})
 	}
-	slices.SortFunc(out.Suspects, func(a, b fleet.SuspectCount) int { return cmp.Compare(a.Content, b.Content) })
+	for c, n := range s.fleetCrashes {
+		out.KnownSuspects = append(out.KnownSuspects, fleet.SuspectCount{Content: c, Crashes: n})
+	}
+	for _, counts := range [][]fleet.SuspectCount{out.Suspects, out.KnownSuspects} {
+		slices.SortFunc(counts, func(a, b fleet.SuspectCount) int { return cmp.Compare(a.Content, b.Content) })
+	}
 	for part, tokens := range s.partWork {
 		out.Parts = append(out.Parts, fleet.PartWork{Part: part, Tokens: tokens})
 	}
@@ -182,9 +187,11 @@
 	for _, h := range d.HotParts {
 		r.hotParts[h.Part] = h.TokensPerSecond
 	}
-	r.report.fleetCrashes = map[fleet.ContentHash]int{}
+	if !d.Partial {
+		r.report.fleetCrashes = map[fleet.ContentHash]int{}
+	}
 	for _, s := range d.Suspects {
-		r.report.fleetCrashes[s.Content] = s.Crashes
+		r.report.fleetCrashes[s.Content] = max(r.report.fleetCrashes[s.Content], s.Crashes)
 	}
 	r.admission.setShares(d.Shares)
 	r.admission.light = make(map[fleet.CustomerName]bool, len(d.Light))
