Control: a fleet without reports does not count as a change of leader

A request that crashed targets once would be refused for as long as the fleet stayed quiet in between, beyond the retention of 60 s.

Change: adoption begins when a host becomes the leader, and lasts until 3 s after the first report that it gets then.

Before: the new part of TestSuspectsOutliveTheLeader (no router reports meanwhile) was written with the change. After: it passes.

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -76,9 +76,9 @@
 	// parts tracks the parts of prompts that crash targets.
 	parts  partTrackers
 	limits *ratelimit.Collector
-	// collectingSince and lastReport are the times of the first and the newest report since
-	// this host became the leader.
-	collectingSince, lastReport time.Time
+	// collectingSince is the time of the first report since this host became the leader; zero
+	// before.
+	collectingSince time.Time
 }
 
 // report is the newest load report of a router.
@@ -137,10 +137,9 @@
 	for _, c := range r.Suspects {
 		l.addCrashes(now, c)
 	}
-	if now.Sub(l.lastReport) > minReportMaxAge {
+	if l.collectingSince.IsZero() {
 		l.collectingSince = now
 	}
-	l.lastReport = now
 	l.addParts(now, &r)
 	if l.isAdopting(now) {
 		l.adoptSuspects(now, r.KnownSuspects)
@@ -160,7 +159,14 @@
 // isAdopting reports whether this host has become the leader so lately that it has no reports yet,
 // or adopts what routers know.
 func (l *loadCollector) isAdopting(now time.Time) bool {
-	return now.Sub(l.lastReport) > minReportMaxAge || now.Sub(l.collectingSince) < adoptionTime
+	return l.collectingSince.IsZero() || now.Sub(l.collectingSince) < adoptionTime
+}
+
+// beginLeading is called when this host has become the leader.
+func (l *loadCollector) beginLeading() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.collectingSince = time.Time{}
 }
 
 // adoptSuspects takes over the crashes that the former leader had counted.
@@ -305,6 +311,7 @@
 
 // sendDigests periodically sends each router the loads of all while this host is the leader.
 func (c *Core) sendDigests() {
+	wasLeader := false
 	for {
 		busy := c.hub.busyRouters()
 		interval := fleet.ReportInterval(busy)
@@ -318,6 +325,10 @@
 		c.mu.Lock()
 		leads := c.leader == c.host
 		c.mu.Unlock()
+		if leads && !wasLeader {
+			c.loads.beginLeading()
+		}
+		wasLeader = leads
 		if leads {
 			d := c.loads.makeDigest(c.cfg.Clock.Now(), reportMaxAge(interval))
 			d.BusyRouters = busy
--- a/control/core/loads_test.go
+++ b/control/core/loads_test.go
@@ -68,6 +68,18 @@
 			ask(0)
 			convey.So(sent, convey.ShouldEqual, 4)
 		})
+		convey.Convey("and is forgotten even if no router reports meanwhile", func() {
+			d := s.collector.makeDigest(s.now.Add(suspectRetention+time.Second), minReportMaxAge)
+			convey.So(d.Suspects, convey.ShouldBeEmpty)
+			convey.So(d.Partial, convey.ShouldBeFalse)
+		})
+		convey.Convey("and by a former leader that leads again", func() {
+			s.collector.beginLeading()
+			s.collector.suspects = map[fleet.ContentHash]*suspect{}
+			s.run(time.Second)
+			ask(0)
+			convey.So(sent, convey.ShouldEqual, 3)
+		})
 	})
 }
 
