Control: Inspect returns only once its function can't run any more

Callers saw nothing: only a stopping process is concerned.

Cause: Shell.Inspect returned at the stop while its function could still run; runHousekeeping then read what that writes.

Change: Inspect waits for its function or for the end of the event loop.

--- a/control/shell/shell.go
+++ b/control/shell/shell.go
@@ -63,7 +63,9 @@
 	events chan fleet.Event
 	writer *writer
 	stop   chan struct{}
-	wg     sync.WaitGroup
+	// finished is closed once no more events are handled.
+	finished chan struct{}
+	wg       sync.WaitGroup
 	// startTime is the base of the reducer's time, which is startTime plus the time elapsed on
 	// the monotonic clock. It is passed on without a monotonic reading, which the event log
 	// could not record.
@@ -96,8 +98,8 @@
 	cfg.Quorum.Records = records
 	s := &Shell{
 		cfg: cfg, startTime: cfg.Clock.Now(),
-		events:  make(chan fleet.Event, eventQueueLength),
-		stop:    make(chan struct{}),
+		events: make(chan fleet.Event, eventQueueLength),
+		stop:   make(chan struct{}), finished: make(chan struct{}),
 		pending: map[registry.CallID]chan registry.Answer{},
 	}
 	s.writer = newWriter(cfg.Storage, cfg.SyncEachRecord, s.onDurable, s.waitToRetryWrite)
@@ -186,7 +188,8 @@
 func (s *Shell) Deliver(m quorum.Message) { s.post(quorum.Received{Message: m}) }
 
 // Inspect calls f with the reducer between two events and waits until f returns. f must not
-// keep the reducer. After Stop, f may not be called.
+// keep the reducer. After Stop, f may not be called; it does not run any more once Inspect has
+// returned.
 func (s *Shell) Inspect(f func(*registry.Server)) {
 	done := make(chan struct{})
 	if !s.post(inspectEvent(func(server *registry.Server) { f(server); close(done) })) {
@@ -194,7 +197,7 @@
 	}
 	select {
 	case <-done:
-	case <-s.stop:
+	case <-s.finished:
 	}
 }
 
@@ -212,6 +215,7 @@
 // run handles events until Stop.
 func (s *Shell) run() {
 	defer s.wg.Done()
+	defer close(s.finished)
 	for {
 		select {
 		case <-s.stop:
