Router: logs tell how late it is, and why it lost a control host

Why: logs and metrics could not tell the hypotheses apart. Whether a router has processor time left was known from its CPU time alone, as a mean of half a second; not how late its work is, how old a choice is when the request is written, how old the state of the targets is, what is done with new connections, or why a control host was lost. No decision rests on them yet. Scheduling latencies are read once a sample, so that they cost no wake-up.

--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -39,6 +39,7 @@
 	FollowerJoined    Event = "FollowerJoined"    // a process follows this control host
 	CallersSpread     Event = "CallersSpread"     // the router started or stopped redirecting callers because of its load
 	LoadUnknown       Event = "LoadUnknown"       // the router's CPU time can't be read
+	ProcessorDelayed  Event = "ProcessorDelayed"  // work waited for the processor
 	FollowerLeft      Event = "FollowerLeft"
 	NotifyFailed      Event = "NotifyFailed"     // a notification to a follower failed
 	MessagePanicked   Event = "MessagePanicked"  // the handling of a message panicked
@@ -128,6 +129,10 @@
 	FieldElapsed = "elapsedMs"
 	// FieldFirstByte is the time from sending the request to the first byte of the response, in ms.
 	FieldFirstByte = "firstByteMs"
+	// FieldSendDelay is the time from the choice of the target to the writing of the request, in ms.
+	FieldSendDelay = "sendDelayMs"
+	// FieldTargetsAge is the time since the router last received the state of the targets, in ms.
+	FieldTargetsAge = "targetsAgeMs"
 	// FieldExpectedFirstByte is the expected time to the first byte of the response, in ms.
 	FieldExpectedFirstByte = "expectedMs"
 	// FieldQueueDelay is the part of FieldExpectedFirstByte that is due to other requests, in ms.
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -261,6 +261,8 @@
 	Slowness float64
 	// DigestAge is the age of the load that the other routers reported.
 	DigestAge time.Duration
+	// TargetsAge is the time since the state of the targets was last received.
+	TargetsAge time.Duration
 	// Limit is the limit that the target stated, LimitQuota the number of requests that this
 	// router may still send it in the present window. Both are 0 if it stated none.
 	Limit      fleet.RequestRate
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -31,10 +31,12 @@
 	dataCentresOut map[fleet.DataCentreName]bool
 	returnedAt     map[fleet.DataCentreName]time.Time
 	directory      *targets.Directory
-	targets        map[fleet.TargetID]*target
-	services       map[fleet.ServiceName][]*target
-	peers          peers
-	listening      bool
+	// noticeAt is when the state of the targets was last received.
+	noticeAt  time.Time
+	targets   map[fleet.TargetID]*target
+	services  map[fleet.ServiceName][]*target
+	peers     peers
+	listening bool
 
 	calls           map[CallID]*call
 	budgets         map[fleet.ServiceName]*retryBudget
@@ -142,6 +144,7 @@
 
 // applyNotice updates the targets from announcements.
 func (r *Router) applyNotice(n *fleet.TargetsNotice) {
+	r.noticeAt = r.now
 	for _, h := range n.Announced {
 		if r.directory.Announce(r.now.Add(-h.Age), h.Announcement) != targets.Ignored {
 			r.resetRestarted(h.Target, h.Incarnation)
--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -21,8 +21,8 @@
 	Handler Handler
 	// OnConnect, if set, is called after each new connection.
 	OnConnect func(peer fleet.Caller)
-	// OnDisconnect, if set, is called when no connection is left.
-	OnDisconnect func()
+	// OnDisconnect, if set, is called when no connection is left, with the cause.
+	OnDisconnect func(cause error)
 	// Traffic counts the bytes of the connections; it may be nil.
 	Traffic *Traffic
 	// Uncompressed disables compression, which needs 1.24 MB of memory per connection. Client
@@ -97,34 +97,35 @@
 // run connects, and reconnects whenever the connection is lost, until Stop.
 func (c *Client) run() {
 	defer c.wg.Done()
+	var cause error
 	for c.ctx.Err() == nil {
 		p, err := c.dial()
 		if err != nil {
-			c.setCurrent(nil)
+			c.setCurrent(nil, cause)
 			sleep(c.ctx, RedialInterval)
 			continue
 		}
-		c.setCurrent(p)
+		c.setCurrent(p, nil)
 		if c.cfg.OnConnect != nil {
 			c.cfg.OnConnect(p)
 		}
-		c.monitor(p)
+		cause = c.monitor(p)
 		// A peer that no longer answers may keep this connection open. Closing it must not
 		// delay the next one.
 		go p.close()
 	}
-	c.setCurrent(nil)
+	c.setCurrent(nil, c.ctx.Err())
 }
 
 // setCurrent replaces the current connection. If p is nil and there was a connection, it
-// calls OnDisconnect.
-func (c *Client) setCurrent(p *peer) {
+// calls OnDisconnect with the cause of its end.
+func (c *Client) setCurrent(p *peer, cause error) {
 	c.mu.Lock()
 	disconnected := c.current != nil && p == nil
 	c.current = p
 	c.mu.Unlock()
 	if disconnected && c.cfg.OnDisconnect != nil {
-		c.cfg.OnDisconnect()
+		c.cfg.OnDisconnect(cause)
 	}
 }
 
@@ -147,20 +148,20 @@
 	return p, nil
 }
 
-// monitor sends heartbeats and returns when the connection has ended, a heartbeat was not
-// answered in time, or the client is stopped.
-func (c *Client) monitor(p *peer) {
+// monitor sends heartbeats and returns the cause when the connection has ended, a heartbeat was
+// not answered in time, or the client is stopped.
+func (c *Client) monitor(p *peer) error {
 	ticker := time.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-c.ctx.Done():
-			return
+			return c.ctx.Err()
 		case <-p.conn.DisconnectNotify():
-			return
+			return errClosed
 		case <-ticker.C:
 			if err := p.ping(c.ctx); err != nil {
-				return
+				return errors.Wrap(err, "heartbeat")
 			}
 		}
 	}
--- a/fleet/rpc/clientset.go
+++ b/fleet/rpc/clientset.go
@@ -15,8 +15,8 @@
 	Handler func(addr netip.AddrPort) Handler
 	// OnConnect, if set, is called after each new connection.
 	OnConnect func(addr netip.AddrPort, peer fleet.Caller)
-	// OnDisconnect, if set, is called when no connection to an address is left.
-	OnDisconnect func(addr netip.AddrPort)
+	// OnDisconnect, if set, is called when no connection to an address is left, with the cause.
+	OnDisconnect func(addr netip.AddrPort, cause error)
 	// Traffic counts the bytes of all connections; it may be nil.
 	Traffic *Traffic
 	// Uncompressed disables compression, see ClientConfig.
@@ -68,7 +68,7 @@
 		cfg.OnConnect = func(peer fleet.Caller) { s.cfg.OnConnect(addr, peer) }
 	}
 	if s.cfg.OnDisconnect != nil {
-		cfg.OnDisconnect = func() { s.cfg.OnDisconnect(addr) }
+		cfg.OnDisconnect = func(cause error) { s.cfg.OnDisconnect(addr, cause) }
 	}
 	c := NewClient(cfg)
 	c.Start()
--- a/fleet/rpc/rpc.go
+++ b/fleet/rpc/rpc.go
@@ -84,6 +84,9 @@
 // message was not sent.
 var ErrDisconnected = errors.New("peer is not connected")
 
+// errClosed is the cause of the loss of a connection that the peer closed, or that failed.
+var errClosed = errors.New("connection was closed")
+
 // peer is the other end of one open connection.
 type peer struct {
 	conn *jsonrpc2.Conn
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -100,8 +100,8 @@
 			}), cfg.Log)
 		},
 		OnConnect: f.join,
-		OnDisconnect: func(addr netip.AddrPort) {
-			cfg.Log.Warn(logevent.ControlLost, "control", addr.String())
+		OnDisconnect: func(addr netip.AddrPort, cause error) {
+			cfg.Log.Warn(logevent.ControlLost, "control", addr.String(), logevent.FieldError, cause)
 			f.mu.Lock()
 			delete(f.notices, addr)
 			delete(f.included, addr)
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -51,7 +51,9 @@
 
 	send   placement.Send
 	sentAt time.Time
-	events eventScanner
+	// writtenAt is when the current attempt began to write the request; zero before.
+	writtenAt time.Time
+	events    eventScanner
 	// failed is a target's failure response, which is passed on if no other attempt
 	// follows; nil if there is none.
 	failed *bufferedResponse
@@ -73,7 +75,8 @@
 
 // attempt sends the request to a target and returns the effects that follow.
 func (x *exchange) attempt(s placement.Send) []fleet.Effect {
-	x.send, x.err, x.status, x.firstByte, x.stated = s, nil, 0, time.Time{}, placement.ResponseReceived{}
+	x.send, x.err, x.status, x.stated = s, nil, 0, placement.ResponseReceived{}
+	x.writtenAt, x.firstByte = time.Time{}, time.Time{}
 	x.sentAt = x.forwarder.cfg.Clock.Now()
 	x.forwarder.logSent(x.req, s)
 	outcome := x.runAttempt()
@@ -134,6 +137,7 @@
 	}
 	stop := context.AfterFunc(x.ctx, func() { targetconn.Discard(c) })
 	defer stop()
+	x.writtenAt = x.forwarder.cfg.Clock.Now()
 	written, err := x.writeRequest(c)
 	if err != nil && c.BytesWritten() == 0 {
 		targetconn.Discard(c)
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -33,6 +33,7 @@
 		logevent.FieldIncarnation, uint64(s.Incarnation), logevent.FieldSoftwareVersion, string(s.SoftwareVersion), logevent.FieldResumes, string(req.Call.Resumes), logevent.FieldRank, s.Basis.Rank, logevent.FieldCandidates, s.Basis.Candidates,
 		logevent.FieldQueuedTokens, s.Basis.QueuedTokens, logevent.FieldPrefillTokens, s.Basis.PrefillTokens, logevent.FieldRunning, s.Basis.Running, logevent.FieldSlowness, s.Basis.Slowness,
 		logevent.FieldExpectedFirstByte, s.Basis.ExpectedFirstByte.Milliseconds(), logevent.FieldDigestAge, s.Basis.DigestAge.Milliseconds(),
+		logevent.FieldTargetsAge, s.Basis.TargetsAge.Milliseconds(),
 	}
 	if s.Basis.Limit > 0 {
 		attrs = append(attrs, logevent.FieldLimit, float64(s.Basis.Limit), logevent.FieldLimitQuota, s.Basis.LimitQuota)
@@ -70,6 +71,9 @@
 		predictionErrors.Record(route, (timeToFirstByte - x.send.Basis.ExpectedFirstByte).Abs())
 		attrs = append(attrs, logevent.FieldFirstByte, x.firstByte.Sub(x.sentAt).Milliseconds())
 	}
+	if !x.writtenAt.IsZero() {
+		attrs = append(attrs, logevent.FieldSendDelay, x.writtenAt.Sub(x.sentAt).Milliseconds())
+	}
 	if x.stated.Limit > 0 {
 		attrs = append(attrs, logevent.FieldLimit, float64(x.stated.Limit))
 	}
--- a/router/internal/dispatcher/sessions.go
+++ b/router/internal/dispatcher/sessions.go
@@ -76,7 +76,7 @@
 		Address:      addr,
 		Handler:      rpc.HandlerFunc(s.handle),
 		OnConnect:    func(fleet.Caller) { cfg.Events.Post(routing.DispatcherUp{Peer: name}) },
-		OnDisconnect: func() { cfg.Events.Post(routing.DispatcherDown{Peer: name}) },
+		OnDisconnect: func(error) { cfg.Events.Post(routing.DispatcherDown{Peer: name}) },
 		Traffic:      cfg.Traffic,
 		Log:          cfg.Log,
 	})
--- a/router/overload/listener.go
+++ b/router/overload/listener.go
@@ -38,9 +38,32 @@
 // rejectBuffers holds buffers of rejectBufferSize.
 var rejectBuffers = sync.Pool{New: func() any { return new([rejectBufferSize]byte) }}
 
-// rejections counts the connections above the limit: Admitted ones are served, Answered got a
-// response, Reset none, and Broken ended before it was sent.
-var rejections = expvar.NewMap("CallerConnections")
+// The outcomes of new connections. Those above the limit are admitted by their first request,
+// answered with a rejection, or reset; broken ones ended before the response was sent.
+const (
+	connectionAccepted = "Accepted"
+	connectionAdmitted = "Admitted"
+	connectionAnswered = "Answered"
+	connectionReset    = "Reset"
+	connectionBroken   = "Broken"
+)
+
+// connectionOutcomes lists all outcomes of new connections.
+var connectionOutcomes = []string{connectionAccepted, connectionAdmitted, connectionAnswered, connectionReset, connectionBroken}
+
+// newConnections counts new connections by outcome.
+var newConnections = expvar.NewMap("CallerConnections")
+
+// connectionCounts returns the values of newConnections.
+func connectionCounts() map[string]int64 {
+	counts := map[string]int64{}
+	for _, name := range connectionOutcomes {
+		if n, ok := newConnections.Get(name).(*expvar.Int); ok {
+			counts[name] = n.Value()
+		}
+	}
+	return counts
+}
 
 // Listener accepts connections while ShouldReject returns false. Other connections get a
 // prepared response to their first request, which takes a fraction of the CPU time of
@@ -106,6 +129,7 @@
 			return nil, err
 		}
 		if !l.ShouldReject() {
+			newConnections.Add(connectionAccepted, 1)
 			if tcp, ok := c.(*net.TCPConn); ok {
 				return &limitedConn{TCPConn: tcp}, nil
 			}
@@ -116,7 +140,7 @@
 			go l.handleAboveLimit(c)
 		default:
 			l.OnReject()
-			rejections.Add("Reset", 1)
+			newConnections.Add(connectionReset, 1)
 			reset(c)
 		}
 	}
@@ -139,7 +163,7 @@
 	n, err := readHeader(c, buf)
 	if err == nil && l.Admit != nil && l.Admit(buf[:n]) {
 		<-l.slots
-		rejections.Add("Admitted", 1)
+		newConnections.Add(connectionAdmitted, 1)
 		l.serve(c, bytes.Clone(buf[:n]))
 		return
 	}
@@ -148,11 +172,11 @@
 	if err == nil {
 		linger, err = l.respond(c, buf, n)
 	}
-	outcome := "Answered"
+	outcome := connectionAnswered
 	if err != nil {
-		outcome = "Broken"
+		outcome = connectionBroken
 	}
-	rejections.Add(outcome, 1)
+	newConnections.Add(outcome, 1)
 	time.AfterFunc(linger, func() {
 		_ = c.Close()
 		<-l.slots
--- a/router/overload/monitor.go
+++ b/router/overload/monitor.go
@@ -19,6 +19,9 @@
 // second or more.
 const sampleInterval = 500 * time.Millisecond
 
+// loggedDelay is the scheduling latency from which on a sample is logged.
+const loggedDelay = 100 * time.Millisecond
+
 // redirectConfig redirects callers from a utilisation of 70 % on, where requests begin
 // to wait for CPU time. A router at its limit redirects another 9 % of its callers each
 // second.
@@ -37,6 +40,9 @@
 	// CPUTime returns the CPU time that the process has used so far; nil means
 	// ProcessCPUTime.
 	CPUTime func() (time.Duration, error)
+	// Delay returns how long goroutines have waited for the processor since its last call; nil
+	// means that of a DelayMeter.
+	Delay func() time.Duration
 	// Report is called after each sample.
 	Report func(Status)
 	Clock  fleet.Clock
@@ -51,6 +57,8 @@
 	sampledAt     time.Time
 	cpuTime       time.Duration
 	redirectShare float64
+	// counts has the counts of new connections at the last sample, by outcome.
+	counts map[string]int64
 
 	mu     sync.Mutex
 	status Status
@@ -68,6 +76,8 @@
 	RedirectShare float64
 	// Connections is the number of open connections of callers.
 	Connections int64
+	// Delay is how long goroutines waited for the processor.
+	Delay time.Duration
 }
 
 // New returns a Monitor; Start runs it.
@@ -75,6 +85,9 @@
 	if cfg.CPUTime == nil {
 		cfg.CPUTime = ProcessCPUTime
 	}
+	if cfg.Delay == nil {
+		cfg.Delay = new(DelayMeter).Measure
+	}
 	return &Monitor{cfg: cfg, shedder: shedding.New(redirectConfig), stop: make(chan struct{})}
 }
 
@@ -110,13 +123,28 @@
 		m.cfg.Log.Info(logevent.CallersSpread, "away", redirectShare, "load", utilisation, "connections", m.cfg.Connections())
 	}
 	m.redirectShare = redirectShare
-	status := Status{Utilisation: utilisation, RedirectShare: redirectShare, Connections: m.cfg.Connections()}
+	status := Status{Utilisation: utilisation, RedirectShare: redirectShare, Connections: m.cfg.Connections(), Delay: m.cfg.Delay()}
+	m.logDelay(status)
 	m.mu.Lock()
 	m.status = status
 	m.mu.Unlock()
 	m.cfg.Report(status)
 }
 
+// logDelay logs a sample in which goroutines waited for longer than loggedDelay, with what was
+// done with new connections since the sample before.
+func (m *Monitor) logDelay(s Status) {
+	counts := connectionCounts()
+	if s.Delay >= loggedDelay {
+		attrs := []any{"delayMs", s.Delay.Milliseconds(), "load", s.Utilisation, "connections", s.Connections}
+		for _, name := range connectionOutcomes {
+			attrs = append(attrs, name, counts[name]-m.counts[name])
+		}
+		m.cfg.Log.Warn(logevent.ProcessorDelayed, attrs...)
+	}
+	m.counts = counts
+}
+
 // Status returns the result of the last sample.
 func (m *Monitor) Status() Status {
 	m.mu.Lock()
