--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -150,12 +150,21 @@
 }
 
 func newFixture(kind deployment.RouteKind, attempts int, resumable bool, targets ...*fakeTarget) *fixture {
-	return newFixtureWith(nil, kind, attempts, resumable, targets...)
+	return newFixtureWith(fixtureOptions{}, kind, attempts, resumable, targets...)
 }
 
-// newFixtureWith returns a fixture whose forwarder finds out the origins of streams, all of whose
-// targets run version v1.
-func newFixtureWith(origins fleet.StreamOrigins, kind deployment.RouteKind, attempts int, resumable bool, targets ...*fakeTarget) *fixture {
+// fixtureOptions are the parts of a fixture that few tests set.
+type fixtureOptions struct {
+	// origins finds out the origins of streams.
+	origins fleet.StreamOrigins
+	log     slog.Handler
+}
+
+// newFixtureWith returns a fixture all of whose targets run version v1.
+func newFixtureWith(opts fixtureOptions, kind deployment.RouteKind, attempts int, resumable bool, targets ...*fakeTarget) *fixture {
+	if opts.log == nil {
+		opts.log = slog.DiscardHandler
+	}
 	cfg, err := deployment.New(deployment.Configuration{
 		Number: 1, Services: []deployment.Service{{Name: "desk"}},
 		Routes: []deployment.Route{{
@@ -165,7 +174,7 @@
 	})
 	convey.So(err, convey.ShouldBeNil)
 	forwarder := forward.New(forward.Config{
-		Headers: headerNames, Origins: origins, Clock: fleet.SystemClock{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Headers: headerNames, Origins: opts.origins, Clock: fleet.SystemClock{}, Log: slog.New(opts.log),
 		Placement: placement.Config{
 			Self: "router-1", SilentAfter: time.Minute, Policy: placement.DefaultPolicy,
 			Retries: placement.RetryLimits{Ratio: 1, Extra: 10, Window: 10 * time.Second},
@@ -679,7 +688,7 @@
 	for version, want := range map[soleVersion]int{"": http.StatusServiceUnavailable, "v1": http.StatusOK, "v2": http.StatusServiceUnavailable} {
 		convey.Convey(fmt.Sprintf("A stream that is not named, and its service has had version %q alone, is answered %d", version, want), t, func() {
 			target := newFakeTarget(respond("200 OK", eventStreamHeaders, chunk("id: 2\ndata: b\n\n")+"0\r\n\r\n"))
-			f := newFixtureWith(version, deployment.KindStream, 1, true, target)
+			f := newFixtureWith(fixtureOptions{origins: version}, deployment.KindStream, 1, true, target)
 			req, err := http.NewRequest(http.MethodPost, f.server.URL, nil)
 			convey.So(err, convey.ShouldBeNil)
 			req.Header.Set("Request-Id", "id-1")
