Router: rejecting connections leaves the processor to other work

Cause: callers open connections faster than a router can reject them, and the accept loop has always one more to take: with one processor nothing else ran for up to 4.5 s, neither requests that had been accepted nor the feed of the control hosts. Above 2,048 rejections at a time it reset connections, whose callers came back at once. Class: an overflow path without a bound on what it takes from the work that was admitted. Change: the loop yields after each rejected connection, so that all that is ready runs between two of them, and waits for the end of a rejection instead of resetting. Connections that are not accepted wait in the kernel's queue, which takes no processor time.

--- a/router/overload/listener.go
+++ b/router/overload/listener.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"time"
@@ -15,7 +16,8 @@
 
 const (
 	// maxConcurrentRejections bounds the connections that are being rejected at the same
-	// time; further ones are reset, whose callers come back at once.
+	// time; further ones are not accepted meanwhile. A reset would bring their callers back at
+	// once.
 	maxConcurrentRejections = 2048
 	// rejectTimeout bounds the wait for the header of a rejected request, and for the
 	// response to be sent.
@@ -38,18 +40,17 @@
 // rejectBuffers holds buffers of rejectBufferSize.
 var rejectBuffers = sync.Pool{New: func() any { return new([rejectBufferSize]byte) }}
 
-// The outcomes of new connections. Those above the limit are admitted by their first request,
-// answered with a rejection, or reset; broken ones ended before the response was sent.
+// The outcomes of new connections. Those above the limit are admitted by their first request or
+// answered with a rejection; broken ones ended before the response was sent.
 const (
 	connectionAccepted = "Accepted"
 	connectionAdmitted = "Admitted"
 	connectionAnswered = "Answered"
-	connectionReset    = "Reset"
 	connectionBroken   = "Broken"
 )
 
 // connectionOutcomes lists all outcomes of new connections.
-var connectionOutcomes = []string{connectionAccepted, connectionAdmitted, connectionAnswered, connectionReset, connectionBroken}
+var connectionOutcomes = []string{connectionAccepted, connectionAdmitted, connectionAnswered, connectionBroken}
 
 // newConnections counts new connections by outcome.
 var newConnections = expvar.NewMap("CallerConnections")
@@ -138,23 +139,16 @@
 		select {
 		case l.slots <- struct{}{}:
 			go l.handleAboveLimit(c)
-		default:
-			l.OnReject()
-			newConnections.Add(connectionReset, 1)
-			reset(c)
+		case <-l.closed:
+			_ = c.Close()
+			return nil, net.ErrClosed
 		}
+		// Callers may open connections faster than they can be rejected. Without this, nothing else
+		// gets the processor while connections wait to be accepted.
+		runtime.Gosched()
 	}
 }
 
-// reset closes a connection with a TCP reset.
-func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		// If this fails, closing merely takes longer.
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
 // handleAboveLimit admits a connection above the limit, or responds to its first request and closes
 // it a while later.
 func (l *Listener) handleAboveLimit(c net.Conn) {
