Router: no keep-alive probes on connections that are rejected

Cause: Go enables keep-alive on each accepted connection, four of the about thirteen system calls of a rejection; of the processor time of rejections in a test on loopback, 76 % are system calls.

--- a/router/overload/listener_test.go
+++ b/router/overload/listener_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"github.com/fuchsiashed/fuchsiashed/router/overload"
 )
@@ -213,3 +217,37 @@
 		convey.So(err, convey.ShouldNotBeNil)
 	})
 }
+
+// keepAliveEnabled reports whether a connection sends keep-alive probes.
+func keepAliveEnabled(c net.Conn) bool {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	convey.So(err, convey.ShouldBeNil)
+	enabled := 0
+	var sockErr error
+	err = raw.Control(func(fd uintptr) {
+		enabled, sockErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+	})
+	convey.So(err, convey.ShouldBeNil)
+	convey.So(sockErr, convey.ShouldBeNil)
+	return enabled != 0
+}
+
+// TestKeepAlive guards against callers that vanish and hold a connection of the limit for good, and
+// against the system calls of keep-alive on connections that are rejected.
+func TestKeepAlive(t *testing.T) {
+	convey.Convey("Only connections that are served have keep-alive probes", t, func() {
+		inner, err := overload.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
+		convey.So(err, convey.ShouldBeNil)
+		serving := overload.NewListener(inner, func() bool { return false }, nil, nil)
+		defer serving.Close()
+		for ln, want := range map[net.Listener]bool{inner: false, serving: true} {
+			c, err := net.Dial("tcp", inner.Addr().String())
+			convey.So(err, convey.ShouldBeNil)
+			defer c.Close()
+			accepted, err := ln.Accept()
+			convey.So(err, convey.ShouldBeNil)
+			defer accepted.Close()
+			convey.So(keepAliveEnabled(accepted), convey.ShouldEqual, want)
+		}
+	})
+}
