Router: the choice of a target is checked again before the request is written

Class: a decision that is carried out without a check that it still holds. The project's rule for grants (the clock is read again before the effect) was not applied to this path; the dispatcher's grants end with Until. Change: a SendDue event before the write; a target that has left, ended, restarted, declined until later or whose data centre is out gives a Withdraw effect. The attempt has not run, counts neither as a retry nor as a failure of the target, and the call is placed anew.

--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -145,6 +145,18 @@
 // EventName implements fleet.Event.
 func (ResponseReceived) EventName() string { return "ResponseReceived" }
 
+// SendDue reports that an attempt is about to be written to its target. The effect is a Withdraw if
+// the target would not be chosen any more: at a router short of processor time, seconds may have
+// passed since.
+type SendDue struct {
+	Call CallID
+	// Attempt is as in Send.
+	Attempt int
+}
+
+// EventName implements fleet.Event.
+func (SendDue) EventName() string { return "SendDue" }
+
 // AnswerBegun reports that the answer to an attempt has begun.
 type AnswerBegun struct {
 	Call CallID
@@ -194,6 +206,8 @@
 	Answered Outcome = "Answered"
 	// Unreached means that no byte of the request left this router.
 	Unreached Outcome = "Unreached"
+	// Withdrawn means that the attempt was not written because of a Withdraw effect.
+	Withdrawn Outcome = "Withdrawn"
 	// Declined means that the target refused the request and did not run it.
 	Declined Outcome = "Declined"
 	// Misdirected means that another target at the address refused the request.
@@ -214,7 +228,9 @@
 )
 
 // NotRun reports whether an attempt with this outcome certainly did not run.
-func (o Outcome) NotRun() bool { return o == Unreached || o == Declined || o == Misdirected }
+func (o Outcome) NotRun() bool {
+	return o == Unreached || o == Withdrawn || o == Declined || o == Misdirected
+}
 
 // Send is the effect of sending a call to a target.
 type Send struct {
@@ -235,6 +251,15 @@
 // EffectName implements fleet.Effect.
 func (Send) EffectName() string { return "Send" }
 
+// Withdraw is the effect of not writing an attempt. Its outcome is Withdrawn.
+type Withdraw struct {
+	Call    CallID
+	Attempt int
+}
+
+// EffectName implements fleet.Effect.
+func (Withdraw) EffectName() string { return "Withdraw" }
+
 // Basis is the data that a placement was based on. The state that it describes is the one
 // before the request was sent.
 type Basis struct {
--- a/fleet/placement/returning.go
+++ b/fleet/placement/returning.go
@@ -32,6 +32,11 @@
 	return s.at.IsZero() || !now.Before(s.at) && s.probe == nil
 }
 
+// acceptsCall reports whether the target takes a call that was chosen for it before.
+func (s *returnState) acceptsCall(k *call, now time.Time) bool {
+	return s.at.IsZero() || !now.Before(s.at) && (s.probe == nil || s.probe == k)
+}
+
 // addCall records a request to the target.
 func (s *returnState) addCall(k *call) {
 	if !s.at.IsZero() {
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -62,6 +62,8 @@
 	current      *target
 	// currentVersion is the software version that current had when the call was sent.
 	currentVersion fleet.SoftwareVersion
+	// currentIncarnation is the incarnation that current had when it was chosen.
+	currentIncarnation fleet.Incarnation
 	// origin is set once the call belongs to a stream that has begun.
 	origin      *fleet.StreamOrigin
 	answerBegun bool
@@ -111,6 +113,8 @@
 		r.emit(Report{RouterLoad: r.makeReport()})
 	case CallArrived:
 		r.callArrived(ev.Call)
+	case SendDue:
+		r.sendDue(ev)
 	case ResponseReceived:
 		r.responseReceived(ev)
 	case AnswerBegun:
@@ -268,7 +272,7 @@
 func (r *Router) send(k *call, t *target, basis Basis) {
 	k.sends++
 	k.attempts++
-	k.current, k.currentVersion, k.sentAt = t, t.entry.SoftwareVersion, r.now
+	k.current, k.currentVersion, k.currentIncarnation, k.sentAt = t, t.entry.SoftwareVersion, t.incarnation, r.now
 	k.answerBegun, k.answerSustained = false, false
 	k.triedTargets = append(k.triedTargets, t.id)
 	k.expectedFirstByte = basis.ExpectedFirstByte
@@ -288,6 +292,23 @@
 	})
 }
 
+// sendDue withdraws an attempt whose target has stopped taking requests since it was chosen.
+func (r *Router) sendDue(ev SendDue) {
+	k := r.calls[ev.Call]
+	if k == nil || k.sends != ev.Attempt {
+		return
+	}
+	if !r.mayWrite(k, k.current) {
+		r.emit(Withdraw(ev))
+	}
+}
+
+// mayWrite reports whether a call may still be written to the target chosen for it.
+func (r *Router) mayWrite(k *call, t *target) bool {
+	return t.entry != nil && t.isServing() && t.incarnation == k.currentIncarnation &&
+		!r.dataCentresOut[t.entry.DataCentre] && t.returns.acceptsCall(k, r.now)
+}
+
 // idleConnections returns the number of idle connections to keep to a target: half of the
 // connections that its service allows, divided by the number of routers.
 func (r *Router) idleConnections(service fleet.ServiceName) int {
@@ -361,7 +382,7 @@
 		return fleet.ReasonQuarantined
 	}
 	// An attempt that reached no target does not count towards the retry limit.
-	if o != Unreached && !r.budget(k.service).tryRetry(r.now, r.retryShare()) {
+	if o != Unreached && o != Withdrawn && !r.budget(k.service).tryRetry(r.now, r.retryShare()) {
 		return fleet.ReasonRetryBudget
 	}
 	return ""
@@ -371,6 +392,8 @@
 	switch o {
 	case Unreached:
 		return fleet.ReasonTargetConnect
+	case Withdrawn:
+		return fleet.ReasonNoTarget
 	case Declined, Misdirected:
 		return fleet.ReasonTargetRefused
 	case FailedAnswer:
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -135,6 +136,10 @@
 		x.forwarder.pool.Put(c, x.forwarder.cfg.Clock.Now().Add(defaultIdleTime), x.send.MaxIdle)
 		return placement.CallerGone
 	}
+	if x.isWithdrawn() {
+		x.forwarder.pool.Put(c, x.forwarder.cfg.Clock.Now().Add(defaultIdleTime), x.send.MaxIdle)
+		return placement.Withdrawn
+	}
 	stop := context.AfterFunc(x.ctx, func() { targetconn.Discard(c) })
 	defer stop()
 	x.writtenAt = x.forwarder.cfg.Clock.Now()
@@ -156,6 +161,15 @@
 	return outcome
 }
 
+// isWithdrawn reports whether the current attempt must not be written any more.
+func (x *exchange) isWithdrawn() bool {
+	effects := x.forwarder.Reduce(placement.SendDue{Call: x.req.Call.ID, Attempt: x.send.Attempt})
+	return slices.ContainsFunc(effects, func(e fleet.Effect) bool {
+		_, ok := e.(placement.Withdraw)
+		return ok
+	})
+}
+
 func (x *exchange) connect() (*targetconn.Conn, error) {
 	if c := x.forwarder.pool.Get(x.send.Address, x.forwarder.cfg.Clock.Now()); c != nil {
 		return c, nil
