TestSoleVersionOfAService: announce the target within the time that is asked for

Seen on this arm64 machine: 6 of 6 runs fail on the unchanged code without -race, some with it. Cause, a fault of the test: it asks for the versions since 1 ms after the start of the host, but announces the target right after the start, here less than 1 ms later, so that the host rightly does not know it within that time.

--- a/control/core/origins_test.go
+++ b/control/core/origins_test.go
@@ -61,6 +61,8 @@
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(c.Start(), convey.ShouldBeNil)
 		convey.Reset(func() { convey.So(c.Stop(), convey.ShouldBeNil) })
+		// The target must be announced within the time that is asked for at the end.
+		time.Sleep(10 * time.Millisecond)
 		c.mergeNotice(fleet.TargetsNotice{Announced: []fleet.AgedAnnouncement{{Announcement: simAnnouncement("t-1", 1)}}})
 		convey.So(c.soleVersion(&fleet.SoleVersionRequest{Service: "pool", Age: time.Hour}).Sole, convey.ShouldBeFalse)
 		for end := time.Now().Add(5 * time.Second); !c.HasQuorumContact() && time.Now().Before(end); {
