Placement: a router's delay before the write is not its targets'

Cause: the time to the first byte counted from the choice of the target. A router short of processor time writes up to seconds later, took that time for the target's slowness, and a target whose requests were not even written for hung. Change: the time counts from the SendDue event, right before the write. What is noticed late after the answer has come is left as it was (the median of all routers bounds it). Evidence: TestDelayBeforeTheWrite failed: slowness 3.96 after 40 answers that were as fast as expected from the write on, and the next request refused for one that was written 2 s late.

--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -70,7 +70,9 @@
 	// answerSustained is true once the answer has shown that the request does not crash the
 	// current target.
 	answerSustained bool
-	sentAt          time.Time
+	// sentAt is when the call was written to the current target, or when the target was chosen
+	// until then.
+	sentAt time.Time
 	// prefillTokens is the number of prompt tokens that the current target has to process.
 	prefillTokens     int
 	expectedFirstByte time.Duration
@@ -292,7 +294,8 @@
 	})
 }
 
-// sendDue withdraws an attempt whose target has stopped taking requests since it was chosen.
+// sendDue withdraws an attempt whose target has stopped taking requests since it was chosen. The
+// target's time starts with the write: what passed before is this router's own delay.
 func (r *Router) sendDue(ev SendDue) {
 	k := r.calls[ev.Call]
 	if k == nil || k.sends != ev.Attempt {
@@ -300,7 +303,9 @@
 	}
 	if !r.mayWrite(k, k.current) {
 		r.emit(Withdraw(ev))
+		return
 	}
+	k.sentAt = r.now
 }
 
 // mayWrite reports whether a call may still be written to the target chosen for it.
--- a/fleet/placement/slowness_test.go
+++ b/fleet/placement/slowness_test.go
@@ -117,3 +117,29 @@
 		convey.So(f.slowness(), convey.ShouldBeLessThan, 0.5*slow)
 	})
 }
+
+// TestDelayBeforeTheWrite guards against a router short of processor time that writes requests late,
+// counts that time as their targets', and then refuses what idle targets would serve (FAIR at crowded
+// routers).
+func TestDelayBeforeTheWrite(t *testing.T) {
+	const delay = 2 * time.Second
+	// delayed sends requests that are written after the delay.
+	delayed := func(f *fixture, n int) []placement.Send {
+		sent := f.burst(n)
+		f.now = f.now.Add(delay)
+		for _, s := range sent {
+			convey.So(f.apply(placement.SendDue{Call: s.Call, Attempt: s.Attempt}), convey.ShouldBeNil)
+		}
+		return sent
+	}
+	convey.Convey("Answers that are as fast as expected from the write on do not make the target slow", t, func() {
+		f := newFixture(t, "router-0", 1, announcements(drafterService, 1)...)
+		f.begunAfter(delayed(f, 40), 1, false)
+		convey.So(f.slowness(), convey.ShouldBeBetween, 0.9, 1.1)
+	})
+	convey.Convey("A target does not count as hung because of requests that it has not got for long", t, func() {
+		f := newFixture(t, "router-0", 1, announcements(drafterService, 1)...)
+		delayed(f, 1)
+		convey.So(sendOf(f.ask("/plan/", prompt(1, 100))).Basis.QueueDelay, convey.ShouldBeLessThan, time.Second)
+	})
+}
