Router: a refusal on a kept connection must name its request

Cause: a refusal without the id of a request was taken for the response to the present one, also on a connection that had carried an earlier request, whose refusal a faulty target may repeat. On this path it was ruled out only where the refusal names its request. Of the same class: of a refusal's or a skipped response's body at most 64 KiB was read and the rest left on the connection, where it was taken for the next response. Change: a response without an id counts only on a connection that has carried no other request; a body is discarded to its end, or the connection is closed. Ruled out: the same request's own refusal, repeated to its second attempt: no target is tried twice for a request.

--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -246,7 +246,8 @@
 }
 
 // readResponse reads the header of the response to this request. A target may respond
-// to an earlier request a second time; such responses are skipped.
+// to an earlier request a second time; such responses are skipped. A refusal may leave out the
+// request, unless it could be a second response to an earlier one.
 func (x *exchange) readResponse(c *targetconn.Conn) (*http.Response, error) {
 	req := &http.Request{Method: x.req.Method}
 	for range maxSkipped {
@@ -255,20 +256,30 @@
 			return nil, err
 		}
 		echo := resp.Header.Get(x.forwarder.cfg.Headers.RequestID)
-		if echo == string(x.req.Call.Request) || echo == "" && isNotRun(resp, &x.forwarder.cfg.Headers) {
+		if echo == string(x.req.Call.Request) || echo == "" && !c.Reused() && isNotRun(resp, &x.forwarder.cfg.Headers) {
 			return resp, nil
 		}
 		if !isFramed(resp) {
 			return nil, errors.Errorf("unframed response belongs to request %q", echo)
 		}
 		skippedResponses.Add(1)
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered)); err != nil {
+		if err := discardBody(resp); err != nil {
 			return nil, errors.Wrapf(err, "skip the response to request %q", echo)
 		}
 	}
 	return nil, errors.Errorf("%d responses belong to other requests", maxSkipped)
 }
 
+// discardBody reads the body of a response to its end. It fails if the body has more than
+// maxBuffered bytes, since the rest would be taken for the next response.
+func discardBody(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered+1))
+	if err == nil && n > maxBuffered {
+		return errors.Errorf("body has more than %d bytes", maxBuffered)
+	}
+	return err
+}
+
 // isNotRun reports whether a target states that it did not run the request.
 func isNotRun(resp *http.Response, names *HeaderNames) bool {
 	return resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -24,7 +24,7 @@
 	names := &x.forwarder.cfg.Headers
 	x.status = resp.StatusCode
 	if isNotRun(resp, names) {
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
+		err := discardBody(resp)
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			return placement.Misdirected, err == nil
 		}
--- a/router/internal/routercmd/faults_test.go
+++ b/router/internal/routercmd/faults_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -238,3 +239,29 @@
 		}
 	})
 }
+
+// TestRepeatedRefusal guards against an earlier refusal that a target writes once more on a kept
+// connection: the later request, which runs, must not be taken for one that has not (REFUSED, TWICE).
+func TestRepeatedRefusal(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	defer f.stop(t)
+	convey.Convey("A request whose response follows a repeated refusal may have run", t, func() {
+		var requests atomic.Int64
+		target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+			if isStreamRequest(r) {
+				notFound(c)
+				return
+			}
+			if requests.Add(1) > 1 {
+				send(c, "HTTP/1.1 503 Busy\r\nFuchsiashed-Not-Run: true\r\nContent-Length: 0\r\n\r\n")
+			}
+			plainAnswer("ran")(t, c, r, body)
+		})
+		f.dispatcher.setTargets("drafter", target.addr)
+		a := f.call("POST", completionsPath, `{}`)
+		convey.So(a.status, convey.ShouldEqual, 200)
+		a = f.call("POST", completionsPath, `{}`, "Fuchsiashed-Deadline", "500ms")
+		convey.So(a.verdict(), convey.ShouldEqual, "MayHaveRun")
+	})
+}
--- a/router/internal/target/receive.go
+++ b/router/internal/target/receive.go
@@ -80,9 +80,10 @@
 // this one.
 func (x *Exchange) forwardResponse(c *targetconn.Conn, resp *http.Response) routing.AttemptEnded {
 	echo := resp.Header.Get(headerRequestID)
-	if echo != "" && echo != string(x.req.ID) {
+	// Connections are kept only to targets that name the request in each response.
+	if echo != string(x.req.ID) && (echo != "" || c.Reused()) {
 		x.closeConn(c)
-		return x.attemptEnded(routing.CauseWrongAnswer, errors.Errorf("answer belongs to request %s", echo))
+		return x.attemptEnded(routing.CauseWrongAnswer, errors.Errorf("answer belongs to request %q", echo))
 	}
 	if cause, refused := x.refusalCause(resp); refused {
 		return x.endRefused(c, resp, cause)
--- a/router/targetconn/conn.go
+++ b/router/targetconn/conn.go
@@ -47,6 +47,7 @@
 	headerBudget int64
 	// idleUntil is when a pooled connection is too old to be reused.
 	idleUntil time.Time
+	reused    bool
 }
 
 // Options are the options of Dial.
@@ -113,6 +114,10 @@
 // ResetBytesWritten sets the count of bytes written to 0.
 func (c *Conn) ResetBytesWritten() { c.bytesWritten.Store(0) }
 
+// Reused reports whether the connection has carried an earlier request. A response on such a
+// connection may be a second one to that request.
+func (c *Conn) Reused() bool { return c.reused }
+
 // WriteRequest sends a request with its body.
 func (c *Conn) WriteRequest(req *http.Request) error {
 	bw := bufio.NewWriterSize(c, BufferSize)
--- a/router/targetconn/pool.go
+++ b/router/targetconn/pool.go
@@ -24,6 +24,7 @@
 		}
 		if now.Before(c.idleUntil) && c.Alive() {
 			c.ResetBytesWritten()
+			c.reused = true
 			return c
 		}
 		Discard(c)
