Router: what resumes a stream must have the stream's type

Cause: a target that is asked for the rest of a stream and answers 200 or 206 with another type of content was taken at its word: its text was passed on, and asked for again until the deadline. Change: a response of another Content-Type than the begun one counts as an unknown stream.

--- a/router/internal/routercmd/stream_test.go
+++ b/router/internal/routercmd/stream_test.go
@@ -241,3 +241,31 @@
 		convey.So(target.runs(), convey.ShouldEqual, 1)
 	})
 }
+
+// TestErrorAfterBrokenStream guards against the text of an error in the middle of a stream that a
+// target was to resume (ORDER, MIXED).
+func TestErrorAfterBrokenStream(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	defer f.stop(t)
+	for _, head := range []string{
+		"500 Internal Server Error\r\nContent-Type: text/plain", "503 Busy\r\nFuchsiashed-Not-Run: true", "404 Not Found\r\nContent-Type: text/event-stream",
+		"200 OK\r\nContent-Type: application/json", "206 Partial Content\r\nContent-Type: text/plain", "200 OK",
+	} {
+		convey.Convey("The caller gets no text of "+head, t, func() {
+			e := newEngineStream(50)
+			e.breakAt = []int{300}
+			target := newFakeTarget(t, func(t *fakeTarget, c net.Conn, r *http.Request, body string) {
+				if isStreamRequest(r) {
+					send(c, "HTTP/1.1 %s\r\nFuchsiashed-Request-Id: %s\r\nContent-Length: 9\r\n\r\nno stream", head, strings.TrimPrefix(r.URL.Path, "/v1/streams/"))
+					return
+				}
+				e.script(t, c, r, body)
+			})
+			f.dispatcher.setTargets("drafter", target.addr)
+			a := f.call("POST", completionsPath, `{"stream":true}`, "Fuchsiashed-Deadline", "1s")
+			convey.So(a.err, convey.ShouldNotBeNil)
+			convey.So(strings.Count(a.body, "no stream"), convey.ShouldEqual, 0)
+		})
+	}
+}
--- a/router/internal/target/receive.go
+++ b/router/internal/target/receive.go
@@ -306,7 +306,9 @@
 	// A model that resumes every response as a stream cannot resume one that was not a
 	// stream.
 	unrequestedStream := !x.response.begun && !x.req.Stream && isEventStream(resp)
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusPartialContent || anonymous || unrequestedStream {
+	// An error that a target reports with a success status has another type than the stream.
+	otherType := x.response.begun && resp.Header.Get("Content-Type") != x.response.contentType
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusPartialContent || anonymous || unrequestedStream || otherType {
 		x.closeConn(c)
 		return x.attemptEnded(routing.CauseUnknownStream, errors.Errorf("target does not resume the answer: %s", resp.Status))
 	}
