Router: tests for heads of responses that break off

Report of another operator: a target stopped in the head of its answer and closed; callers got a 200 with an empty or short body. The head is read by net/http, which fails at an end of the connection before the empty line, and nothing is passed on before.

--- a/router/internal/routercmd/faults_test.go
+++ b/router/internal/routercmd/faults_test.go
@@ -71,6 +71,10 @@
 		time.Sleep(20 * time.Millisecond)
 		reset(c)
 	}, true, false, fleet.ReasonTargetReset},
+	{"closed within the header", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
+		send(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r")
+		_ = c.Close()
+	}, true, false, fleet.ReasonTargetReset},
 	{"closed before the answer", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) { _ = c.Close() }, true, false, fleet.ReasonTargetReset},
 	{"not HTTP", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) { send(c, "hello\r\n\r\n"); _ = c.Close() }, true, false, fleet.ReasonTargetReset},
 	{"short body", func(_ *fakeTarget, c net.Conn, _ *http.Request, _ string) {
