--- a/router/overload/conn.go
+++ b/router/overload/conn.go
@@ -23,14 +23,6 @@
 	unread []byte
 }
 
-// newLimitedConn returns an accepted connection of which some bytes have been read. It enables
-// keep-alive probes.
-func newLimitedConn(c *net.TCPConn, unread []byte) *limitedConn {
-	// The call fails only if the connection has ended, which reading from it reports.
-	_ = c.SetKeepAliveConfig(callerKeepAlive)
-	return &limitedConn{TCPConn: c, unread: unread}
-}
-
 // Read implements net.Conn. It returns no bytes of a connection that was evicted while they
 // arrived, so that their request is not served without a connection for the response.
 func (c *limitedConn) Read(b []byte) (int, error) {
--- a/router/overload/listener.go
+++ b/router/overload/listener.go
@@ -2,12 +2,10 @@
 
 import (
 	"bytes"
-	"context"
 	"expvar"
 	"fmt"
 	"net"
 	"net/http"
-	"net/netip"
 	"runtime"
 	"strconv"
 	"sync"
@@ -68,17 +66,6 @@
 	return counts
 }
 
-// callerKeepAlive detects callers that have vanished while a connection carries no data.
-var callerKeepAlive = net.KeepAliveConfig{Enable: true}
-
-// Listen listens for callers on a TCP address. Its connections have no keep-alive probes: a
-// Listener enables them on those that it accepts, which saves the system calls on rejected ones.
-func Listen(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
-	cfg := net.ListenConfig{KeepAlive: -1}
-	ln, err := cfg.Listen(ctx, "tcp", addr.String())
-	return ln, errors.Wrapf(err, "listen on %s", addr)
-}
-
 // Listener accepts connections while ShouldReject returns false. Other connections get a
 // prepared response to their first request, which takes a fraction of the CPU time of
 // serving it.
@@ -145,7 +132,7 @@
 		if !l.ShouldReject() {
 			newConnections.Add(connectionAccepted, 1)
 			if tcp, ok := c.(*net.TCPConn); ok {
-				return newLimitedConn(tcp, nil), nil
+				return &limitedConn{TCPConn: tcp}, nil
 			}
 			return c, nil
 		}
@@ -198,7 +185,7 @@
 		return
 	}
 	select {
-	case l.admitted <- newLimitedConn(tcp, read):
+	case l.admitted <- &limitedConn{TCPConn: tcp, unread: read}:
 	case <-l.closed:
 		_ = c.Close()
 	}
