--- a/router/targetconn/conn.go
+++ b/router/targetconn/conn.go
@@ -114,7 +114,7 @@
 // ResetBytesWritten sets the count of bytes written to 0.
 func (c *Conn) ResetBytesWritten() { c.bytesWritten.Store(0) }
 
-// Reused reports whether the connection has carried an earlier request. A response on such a
+// Reused reports whether the connection may have carried an earlier request. A response on such a
 // connection may be a second one to that request.
 func (c *Conn) Reused() bool { return c.reused }
 
