--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -294,26 +294,6 @@
 	})
 }
 
-// sendDue withdraws an attempt whose target has stopped taking requests since it was chosen. The
-// target's time starts with the write: what passed before is this router's own delay.
-func (r *Router) sendDue(ev SendDue) {
-	k := r.calls[ev.Call]
-	if k == nil || k.sends != ev.Attempt {
-		return
-	}
-	if !r.mayWrite(k, k.current) {
-		r.emit(Withdraw(ev))
-		return
-	}
-	k.sentAt = r.now
-}
-
-// mayWrite reports whether a call may still be written to the target chosen for it.
-func (r *Router) mayWrite(k *call, t *target) bool {
-	return t.entry != nil && t.isServing() && t.incarnation == k.currentIncarnation &&
-		!r.dataCentresOut[t.entry.DataCentre] && t.returns.acceptsCall(k, r.now)
-}
-
 // idleConnections returns the number of idle connections to keep to a target: half of the
 // connections that its service allows, divided by the number of routers.
 func (r *Router) idleConnections(service fleet.ServiceName) int {
--- /dev/null
+++ b/fleet/placement/withdraw.go
@@ -0,0 +1,21 @@
+package placement
+
+// sendDue withdraws an attempt whose target has stopped taking requests since it was chosen. The
+// target's time starts with the write: what passed before is this router's own delay.
+func (r *Router) sendDue(ev SendDue) {
+	k := r.calls[ev.Call]
+	if k == nil || k.sends != ev.Attempt {
+		return
+	}
+	if !r.mayWrite(k, k.current) {
+		r.emit(Withdraw(ev))
+		return
+	}
+	k.sentAt = r.now
+}
+
+// mayWrite reports whether a call may still be written to the target chosen for it.
+func (r *Router) mayWrite(k *call, t *target) bool {
+	return t.entry != nil && t.isServing() && t.incarnation == k.currentIncarnation &&
+		!r.dataCentresOut[t.entry.DataCentre] && t.returns.acceptsCall(k, r.now)
+}
--- a/router/overload/listen.go
+++ b/router/overload/listen.go
@@ -10,8 +10,7 @@
 )
 
 // acceptQueueLength is the number of connections that may wait to be accepted; further ones are not
-// opened. An overloaded router accepts some hundred connections a second, and callers leave after
-// a second: in a longer queue, requests would be read after their callers have left.
+// opened. An overloaded router would read what waits in a longer queue after the callers have left.
 const acceptQueueLength = 256
 
 // Listen listens for callers on a TCP address, with a queue of acceptQueueLength connections.
