--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -108,10 +108,19 @@
 	// SameRouters is true if Routers is left out because it has not changed since the previous
 	// Notice on this connection.
 	SameRouters bool `json:",omitempty"`
+	// Rollouts lists the newest roll-out of each service that had one.
+	Rollouts []Rollout `json:",omitempty"`
 }
 
 // Check implements Checker.
-func (*Notice) Check() error { return nil }
+func (n *Notice) Check() error {
+	for i := range n.Rollouts {
+		if err := n.Rollouts[i].Check(); err != nil {
+			return errors.Wrapf(err, "Rollouts[%d]", i)
+		}
+	}
+	return nil
+}
 
 // TargetEnd reports that a target has stopped.
 type TargetEnd struct {
@@ -322,6 +331,8 @@
 	Calls int `json:",omitempty"`
 	// Limits has what targets with a limit stated to this router since the last report.
 	Limits []StatedLimit `json:",omitempty"`
+	// Rollouts has the outcomes of the requests to services with an active roll-out.
+	Rollouts []VersionOutcomes `json:",omitempty"`
 	// Stopping is true once the router accepts no new callers.
 	Stopping bool `json:",omitempty"`
 	// Utilisation is the fraction of its capacity that the router uses; it may exceed 1.
@@ -346,6 +357,11 @@
 	if err := checkLimits(r.Limits); err != nil {
 		return err
 	}
+	for i := range r.Rollouts {
+		if err := r.Rollouts[i].Check(); err != nil {
+			return errors.Wrapf(err, "Rollouts[%d]", i)
+		}
+	}
 	if r.Utilisation < 0 {
 		return errors.Errorf("Utilisation is %g; it must not be negative", r.Utilisation)
 	}
