Configuration of cache transfers between targets

The configuration of a service's engine states the size of a cached token (kvBytes) and the rate of transfers (linkMbps). Engines that state both can fetch cached parts of prompts from each other; a value of 0 or less counts as not stated, so that a configuration is not refused for it.

Nothing uses these yet.

--- a/fleet/deployment/deployment.go
+++ b/fleet/deployment/deployment.go
@@ -105,8 +105,17 @@
 	// CacheTokens is the capacity of an engine's KV cache in tokens, for running requests
 	// and cached prompt parts together.
 	CacheTokens int
+	// CacheBytesPerToken is the size of one cached prompt token, in bytes; 0 means unknown.
+	CacheBytesPerToken float64
+	// LinkMbps is the rate at which an engine sends cached parts to others, in Mbit/s; 0 means
+	// unknown.
+	LinkMbps float64
 }
 
+// CopiesParts reports whether engines can fetch cached parts of prompts from each other. Both the
+// size of a token and the rate must be known.
+func (e *Engine) CopiesParts() bool { return e != nil && e.CacheBytesPerToken > 0 && e.LinkMbps > 0 }
+
 // Service describes a service and the load that each of its targets can take.
 type Service struct {
 	Name fleet.ServiceName
--- a/fleet/placement/policy.go
+++ b/fleet/placement/policy.go
@@ -26,6 +26,9 @@
 	// DeclinedRetryDelay is the Retry-After of a call that failed at its last target, for
 	// example because the target was full.
 	DeclinedRetryDelay time.Duration
+	// CopyParts enables the transfer of cached parts between the targets of services whose
+	// engines support it.
+	CopyParts bool
 }
 
 // DefaultPolicy is the policy for production; docs/design/platform.md explains its values.
@@ -44,6 +47,7 @@
 	NoTargetRetryDelay: 500 * time.Millisecond,
 	// Several requests of a plain service end in this time.
 	DeclinedRetryDelay: 300 * time.Millisecond,
+	CopyParts:          true,
 }
 
 const (
