Transfers: each request names a target to fetch its shared part from

Placement is unchanged.

Probable holders are the owners in rendezvous order, with the targets that owned the part until they began to leave, and without those that started lately. A holder is not named that is hung, cold, in a data centre out, of another version, can't be reached, or leaves before it can answer. None is named for parts whose prefill takes less than twice as long as the transfer, or if the target has begun to answer a request with the part in the last seconds: within half of the time in which prompts fill its cache, which is the least time that a part stays there. At a router that writes late the source is checked again before the write.

The log line of the request has the source and the tokens expected to be fetched, or the reason why none is named; ForwardCopySources counts both.

--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -151,6 +151,12 @@
 	// FieldPrefillTokens is the number of prompt tokens of this request that the target had to
 	// process, without those in its prefix cache.
 	FieldPrefillTokens = "readTokens"
+	// FieldCopySource is the target from which the target may fetch the shared part of the prompt,
+	// FieldCopiedTokens the number of prompt tokens that it is expected to fetch.
+	FieldCopySource   = "copyFrom"
+	FieldCopiedTokens = "copyTokens"
+	// FieldNoSource is why no such target was named.
+	FieldNoSource = "noSource"
 	// FieldRunning is the number of requests that were running at the target.
 	FieldRunning = "running"
 	// FieldAdmittedShare is the share of the customer's demand that is admitted, from 0 to 1.
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -86,6 +86,7 @@
 // choose returns the best target for a call, or nil if none is available.
 func (r *Router) choose(k *call) (*target, Basis) {
 	present := r.eligible(k)
+	k.source = nil
 	if key, ok := affinityKey(&k.Call); ok {
 		return r.chooseOwner(k, key, rendezvousOrder(key, present))
 	}
@@ -176,6 +177,8 @@
 	basis.QueueDelay = r.queueDelay(t, rate)
 	basis.Slowness = t.slownessAt(r.now) * r.slownessOf(k.service)
 	basis.ExpectedFirstByte = basis.QueueDelay + seconds(float64(k.prefillTokens)/rate*t.slownessAt(r.now))
+	transfer := r.newTransfer(k, key, order, owners, rate)
+	r.nameSource(k, &transfer, t, &basis)
 	return t, basis
 }
 
@@ -200,6 +203,7 @@
 		return owner, ownerBasis
 	}
 	k.prefillTokens = basis.PrefillTokens
+	r.nameSourceForLight(k, best, rate, &basis)
 	return best, basis
 }
 
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -146,8 +146,8 @@
 func (ResponseReceived) EventName() string { return "ResponseReceived" }
 
 // SendDue reports that an attempt is about to be written to its target. The effect is a Withdraw if
-// the target would not be chosen any more: at a router short of processor time, seconds may have
-// passed since.
+// the target would not be chosen any more, or a DropSource if only the source of its cached part
+// would not: at a router short of processor time, seconds may have passed since.
 type SendDue struct {
 	Call CallID
 	// Attempt is as in Send.
@@ -242,6 +242,9 @@
 	// SoftwareVersion is that which the target announced.
 	SoftwareVersion fleet.SoftwareVersion
 	Address         netip.AddrPort
+	// CopyFrom is the address of a target from which this one may fetch the prompt's shared part;
+	// zero for none.
+	CopyFrom netip.AddrPort
 	// MaxIdle is the maximum number of idle connections to keep to the target.
 	MaxIdle int
 	// Basis is logged.
@@ -260,6 +263,15 @@
 // EffectName implements fleet.Effect.
 func (Withdraw) EffectName() string { return "Withdraw" }
 
+// DropSource is the effect of writing an attempt without the source that its Send named.
+type DropSource struct {
+	Call    CallID
+	Attempt int
+}
+
+// EffectName implements fleet.Effect.
+func (DropSource) EffectName() string { return "DropSource" }
+
 // Basis is the data that a placement was based on. The state that it describes is the one
 // before the request was sent.
 type Basis struct {
@@ -279,6 +291,13 @@
 	// PrefillTokens is the number of the request's prompt tokens that are not expected to
 	// be in the target's prefix cache.
 	PrefillTokens int
+	// CopySource is the target that Send.CopyFrom belongs to; empty for none, for the reason
+	// NoSource, which is empty if the service's targets do not fetch parts from each other.
+	CopySource fleet.TargetID
+	NoSource   NoSource
+	// CopiedTokens is the number of the request's prompt tokens that the target is expected to
+	// fetch from the source.
+	CopiedTokens int
 	// Running is the number of requests at the target.
 	Running int
 	// Slowness is the learnt time to the first byte as a multiple of the rated one; 0 if it was
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -73,6 +73,10 @@
 	// sentAt is when the call was written to the current target, or when the target was chosen
 	// until then.
 	sentAt time.Time
+	// source is the target from which the current target is asked to fetch the shared part, in
+	// the incarnation sourceIncarnation; nil for none.
+	source            *target
+	sourceIncarnation fleet.Incarnation
 	// prefillTokens is the number of prompt tokens that the current target has to process.
 	prefillTokens     int
 	expectedFirstByte time.Duration
@@ -185,6 +189,7 @@
 			r.targets[e.Target] = t
 		}
 		t.entry, t.goneAt = e, time.Time{}
+		t.noteState(r.now)
 		seen[e.Target] = true
 		r.services[e.Service] = append(r.services[e.Service], t)
 	}
@@ -201,8 +206,9 @@
 	}
 }
 
-// tick removes targets that no longer announce themselves.
+// tick removes targets that no longer announce themselves, and forgets old cached parts.
 func (r *Router) tick() {
+	r.dropOldParts()
 	if r.listening {
 		since := r.now.Add(-r.cfg.SilentAfter)
 		gone := r.directory.Expire(r.now, since, func(id fleet.TargetID) bool {
@@ -290,7 +296,8 @@
 	t.returns.addCall(k)
 	r.emit(Send{
 		Call: k.ID, Attempt: k.sends, Target: t.id, Incarnation: t.incarnation,
-		SoftwareVersion: k.currentVersion, Address: t.entry.Address, MaxIdle: r.idleConnections(k.service), Basis: basis,
+		SoftwareVersion: k.currentVersion, Address: t.entry.Address, CopyFrom: k.sourceAddress(),
+		MaxIdle: r.idleConnections(k.service), Basis: basis,
 	})
 }
 
@@ -315,6 +322,9 @@
 		r.beginStream(k)
 	}
 	r.parts.addBegin(k)
+	if !ev.Failed {
+		r.noteKeptPart(k)
+	}
 	k.current.begin(k, r.now)
 	// Errors come without the prompt having been processed.
 	if !ev.Failed {
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -56,6 +56,8 @@
 	// leaving is true once this incarnation has stated in a response that it leaves.
 	leaving bool
 	returns returnState
+	// transfers describes the target as a source of cached parts.
+	transfers transferState
 	// goneAt is when the target was last found to be gone; zero while it has an entry.
 	goneAt         time.Time
 	awaitingAnswer map[CallID]*call
@@ -73,7 +75,7 @@
 	t.slowness, t.failureRate, t.pauses = 1, 0, 0
 	t.pausedUntil, t.answeredAt = time.Time{}, time.Time{}
 	t.maybeRestarted = false
-	t.limit, t.leaving, t.returns = rateLimit{}, false, returnState{}
+	t.limit, t.leaving, t.returns, t.transfers = rateLimit{}, false, returnState{}, transferState{}
 }
 
 // isServing reports whether a target that is not gone takes new requests.
@@ -89,6 +91,9 @@
 		r.limitStated(t, ev.Limit)
 	}
 	t.leaving = t.leaving || ev.Leaving
+	if t.entry != nil {
+		t.noteState(r.now)
+	}
 	if ev.RetryAfter > 0 {
 		t.returns.decline(r.now, ev.RetryAfter)
 	}
--- a/fleet/placement/withdraw.go
+++ b/fleet/placement/withdraw.go
@@ -12,6 +12,10 @@
 		return
 	}
 	k.sentAt = r.now
+	if k.source != nil && !r.mayStillCopy(k) {
+		k.source = nil
+		r.emit(DropSource(ev))
+	}
 }
 
 // mayWrite reports whether a call may still be written to the target chosen for it.
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -5,8 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -161,13 +161,19 @@
 	return outcome
 }
 
-// isWithdrawn reports whether the current attempt must not be written any more.
+// isWithdrawn reports whether the current attempt must not be written any more. If only its source
+// must not be named any more, it removes the source.
 func (x *exchange) isWithdrawn() bool {
-	effects := x.forwarder.Reduce(placement.SendDue{Call: x.req.Call.ID, Attempt: x.send.Attempt})
-	return slices.ContainsFunc(effects, func(e fleet.Effect) bool {
-		_, ok := e.(placement.Withdraw)
-		return ok
-	})
+	for _, e := range x.forwarder.Reduce(placement.SendDue{Call: x.req.Call.ID, Attempt: x.send.Attempt}) {
+		switch e.(type) {
+		case placement.Withdraw:
+			return true
+		case placement.DropSource:
+			x.send.CopyFrom = netip.AddrPort{}
+			copySources.Add(sourceDropped, 1)
+		}
+	}
+	return false
 }
 
 func (x *exchange) connect() (*targetconn.Conn, error) {
@@ -226,6 +232,9 @@
 	if x.req.Call.Customer != "" {
 		h.Set(names.Customer, string(x.req.Call.Customer))
 	}
+	if x.send.CopyFrom.IsValid() {
+		h.Set(names.CopyFrom, x.send.CopyFrom.String())
+	}
 	if id := x.events.lastID; id != "" {
 		h.Set(names.LastEventID, id)
 	}
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -43,6 +43,9 @@
 	// Limit carries, in responses, the number of requests a second that the target takes from
 	// all routers together.
 	Limit string
+	// CopyFrom carries, in requests, the address of a target that probably keeps the prompt's
+	// shared part.
+	CopyFrom string
 	// Leaving has the value 1 in the responses of a target that takes no new requests.
 	Leaving string
 }
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -29,7 +29,7 @@
 
 var headerNames = forward.HeaderNames{
 	RequestID: "Request-Id", RemainingMs: "Remaining", ExpectedTarget: "Expected", Customer: "Customer",
-	Ran: "Stamp", NotRun: "Not-Run", LastEventID: "Last-Event-Id", Limit: "Limit", Leaving: "Leaving",
+	Ran: "Stamp", NotRun: "Not-Run", LastEventID: "Last-Event-Id", Limit: "Limit", Leaving: "Leaving", CopyFrom: "Copy-From",
 }
 
 // fakeTarget is a target that gives each request, on any connection, the next scripted
@@ -158,6 +158,8 @@
 	// origins finds out the origins of streams.
 	origins fleet.StreamOrigins
 	log     slog.Handler
+	// engine is what the targets run; with one, requests go to the owners of their shared part.
+	engine *deployment.Engine
 }
 
 // newFixtureWith returns a fixture all of whose targets run version v1.
@@ -166,10 +168,10 @@
 		opts.log = slog.DiscardHandler
 	}
 	cfg, err := deployment.New(deployment.Configuration{
-		Number: 1, Services: []deployment.Service{{Name: "desk"}},
+		Number: 1, Services: []deployment.Service{{Name: "desk", Engine: opts.engine}},
 		Routes: []deployment.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: kind, Split: []deployment.WeightedService{{Service: "desk", Weight: 1}},
-			Timeout: 2 * time.Second, Attempts: attempts, Resumable: resumable,
+			Timeout: 2 * time.Second, Attempts: attempts, Resumable: resumable, Affinity: opts.engine != nil,
 		}},
 	})
 	convey.So(err, convey.ShouldBeNil)
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -17,6 +17,10 @@
 	skippedResponses = expvar.NewInt("ForwardSkippedAnswers")
 	// targetStatements counts the responses in which a target states something about itself.
 	targetStatements = expvar.NewMap("ForwardTargetStatements")
+	// copySources counts the attempts sent to engines that support transfers of cached parts: those
+	// that named a source, those that did not, by placement.NoSource, and those whose source was
+	// dropped before they were written.
+	copySources = expvar.NewMap("ForwardCopySources")
 	// responseTimes holds, by route, the time from the start of an attempt to the first
 	// byte of its response, and from the request's arrival to the end of the attempt.
 	// predictionErrors holds, by route, the absolute difference between the expected
@@ -25,6 +29,26 @@
 	predictionErrors = latency.Publish("ForwardExpectedOff")
 )
 
+// The keys of copySources besides the values of placement.NoSource.
+const (
+	sourceNamed   = "Named"
+	sourceDropped = "Dropped"
+)
+
+// copyAttrs counts whether a request names a source of cached parts, and returns the fields for the
+// log.
+func copyAttrs(b *placement.Basis) []any {
+	switch {
+	case b.CopySource != "":
+		copySources.Add(sourceNamed, 1)
+		return []any{logevent.FieldCopySource, string(b.CopySource), logevent.FieldCopiedTokens, b.CopiedTokens}
+	case b.NoSource != "":
+		copySources.Add(string(b.NoSource), 1)
+		return []any{logevent.FieldNoSource, string(b.NoSource)}
+	}
+	return nil
+}
+
 // logSent logs the chosen target and what the choice was based on.
 func (f *Forwarder) logSent(req *Request, s placement.Send) {
 	attrs := []any{
@@ -38,7 +62,7 @@
 	if s.Basis.Limit > 0 {
 		attrs = append(attrs, logevent.FieldLimit, float64(s.Basis.Limit), logevent.FieldLimitQuota, s.Basis.LimitQuota)
 	}
-	f.cfg.Log.Info(logevent.RequestSent, attrs...)
+	f.cfg.Log.Info(logevent.RequestSent, append(attrs, copyAttrs(&s.Basis)...)...)
 }
 
 // logRefused counts and logs a refused request.
