Transfers: sources whose answers come late or break off are backed off

A source that hangs delays each target that fetches from it, while it may answer requests itself. If an answer with a source begins more than three times as late as expected and by more than 300 ms, or breaks off before it is sustained, the source is not named for a second, and for twice as long with each further one, up to eight seconds. It is not named either while such an answer is late, so that a hung source gets at most the requests of the first 300 ms from each router. What a router may measure of its own delay is left out, as for the slowness of targets.

Each back-off is logged (SourceBackedOff); ForwardCopies counts answers by outcome.

--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -23,6 +23,7 @@
 	RequestSent       Event = "RequestSent" // an attempt was sent to a target
 	AttemptEnded      Event = "AttemptEnded"
 	RequestRefused    Event = "RequestRefused"
+	SourceBackedOff   Event = "SourceBackedOff"   // answers came late or broke off whose target was asked to fetch a part from this source
 	LedgerBeginFailed Event = "LedgerBeginFailed" // control did not record the start of a run-once call
 	LedgerEndFailed   Event = "LedgerEndFailed"   // control did not record the end of a run-once call
 )
@@ -155,6 +156,10 @@
 	// FieldCopiedTokens the number of prompt tokens that it is expected to fetch.
 	FieldCopySource   = "copyFrom"
 	FieldCopiedTokens = "copyTokens"
+	// FieldBackOff is for how long that target is not named, FieldWaited the time from the writing
+	// of a request to the outcome that caused it; both in ms.
+	FieldBackOff = "backOffMs"
+	FieldWaited  = "waitedMs"
 	// FieldNoSource is why no such target was named.
 	FieldNoSource = "noSource"
 	// FieldRunning is the number of requests that were running at the target.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -288,6 +288,7 @@
 	k.assumedSlowness, k.trust = t.slownessAt(r.now)*state.average, state.trust
 	r.calls[k.ID] = k
 	t.addCall(k)
+	r.beginTransfer(k)
 	r.report.addSent(k)
 	if r.isCold(t) {
 		t.coldSends = append(t.coldSends, r.now)
@@ -325,6 +326,7 @@
 	if !ev.Failed {
 		r.noteKeptPart(k)
 	}
+	r.transferAnswered(k, ev.Failed)
 	k.current.begin(k, r.now)
 	// Errors come without the prompt having been processed.
 	if !ev.Failed {
@@ -349,6 +351,7 @@
 	t := k.current
 	t.removeCall(k)
 	r.recordOutcome(k, t, ev)
+	r.transferAttemptEnded(k, ev.Outcome)
 	if ev.Outcome.NotRun() {
 		k.attempts--
 	}
--- a/fleet/placement/transfer.go
+++ b/fleet/placement/transfer.go
@@ -55,6 +55,12 @@
 	warmAt time.Time
 	// leavingSince is when this router learnt that the target leaves; zero if it does not.
 	leavingSince time.Time
+	// awaited has the calls that name the target as their source and have no answer yet.
+	awaited map[CallID]*call
+	// backedOffUntil is when the target may be named again, backOffs the number of late or broken
+	// answers since the last one in time.
+	backedOffUntil time.Time
+	backOffs       int
 }
 
 // noteState records since when a target leaves, and until when it starts slowly, by its newest
@@ -205,7 +211,7 @@
 // that only declines requests because it is full can.
 func (r *Router) servesTransfers(t *target, after time.Duration) bool {
 	unreachable := r.now.Before(t.pausedUntil) && t.pauses > 0
-	if unreachable || t.maybeRestarted || r.isCold(t) || t.failureRate > maxFailureRate || t.longestWait(r.now) > hungAfter {
+	if unreachable || t.maybeRestarted || r.isCold(t) || t.failureRate > maxFailureRate || t.longestWait(r.now) > hungAfter || r.isBackedOff(t) {
 		return false
 	}
 	if t.isServing() {
--- a/fleet/placement/transfer_test.go
+++ b/fleet/placement/transfer_test.go
@@ -154,3 +154,43 @@
 		convey.So(s.Basis.CopiedTokens, convey.ShouldEqual, 10_000)
 	})
 }
+
+// TestSourceThatHangs guards against requests that wait for a source which does not answer fetching
+// targets, though it may answer requests: each of them would be late.
+func TestSourceThatHangs(t *testing.T) {
+	two := ownersInOrder(t, announcements(drafterService, 2))
+	// Without a known size of the cache no part counts as kept.
+	engine := copyEngine
+	engine.CacheTokens = 0
+	isNamed := func(f *fixture) bool {
+		s := f.askPart()
+		convey.So(s.Target, convey.ShouldEqual, two[0].Target)
+		f.end(s, placement.CallerGone)
+		return s.CopyFrom.IsValid()
+	}
+	convey.Convey("A source is not named while an answer with it is late, nor for a time after it that doubles", t, func() {
+		f := newCopyFixture(t, engine, two...)
+		for _, backOff := range []time.Duration{time.Second, 2 * time.Second} {
+			s := f.askPart()
+			convey.So(s.CopyFrom, convey.ShouldEqual, two[1].Address)
+			f.now = f.now.Add(s.Basis.ExpectedFirstByte + 290*time.Millisecond)
+			convey.So(isNamed(f), convey.ShouldBeTrue)
+			f.now = f.now.Add(500 * time.Millisecond)
+			convey.So(isNamed(f), convey.ShouldBeFalse)
+			f.begin(s)
+			f.end(s, placement.Answered)
+			f.now = f.now.Add(backOff - time.Millisecond)
+			convey.So(isNamed(f), convey.ShouldBeFalse)
+			f.now = f.now.Add(time.Millisecond)
+			convey.So(isNamed(f), convey.ShouldBeTrue)
+		}
+	})
+	convey.Convey("A source is not named for a second after an answer with it broke off before it was sustained", t, func() {
+		f := newCopyFixture(t, engine, two...)
+		s := f.askPart()
+		f.begin(s)
+		effects := f.Reduce(f.now, placement.AttemptEnded{Call: s.Call, Attempt: s.Attempt, Outcome: placement.Truncated})
+		convey.So(effects[0].(placement.TransferEnded).BackOff, convey.ShouldEqual, time.Second)
+		convey.So(isNamed(f), convey.ShouldBeFalse)
+	})
+}
--- a/fleet/placement/withdraw.go
+++ b/fleet/placement/withdraw.go
@@ -13,6 +13,7 @@
 	}
 	k.sentAt = r.now
 	if k.source != nil && !r.mayStillCopy(k) {
+		delete(k.source.transfers.awaited, k.ID)
 		k.source = nil
 		r.emit(DropSource(ev))
 	}
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -125,11 +126,19 @@
 	}
 }
 
-// Reduce passes an event to the placement reducer and returns its effects.
+// Reduce passes an event to the placement reducer and returns its effects, except for
+// TransferEnded, which it performs.
 func (f *Forwarder) Reduce(ev fleet.Event) []fleet.Effect {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.router.Reduce(f.cfg.Clock.Now(), ev)
+	effects := f.router.Reduce(f.cfg.Clock.Now(), ev)
+	f.mu.Unlock()
+	return slices.DeleteFunc(effects, func(e fleet.Effect) bool {
+		ended, ok := e.(placement.TransferEnded)
+		if ok {
+			f.logTransferEnded(ended)
+		}
+		return ok
+	})
 }
 
 // TargetCounts returns the number of targets in each state, according to this router.
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -21,6 +21,8 @@
 	// that named a source, those that did not, by placement.NoSource, and those whose source was
 	// dropped before they were written.
 	copySources = expvar.NewMap("ForwardCopySources")
+	// copies counts the answers of targets that were asked to fetch a part, by outcome.
+	copies = expvar.NewMap("ForwardCopies")
 	// responseTimes holds, by route, the time from the start of an attempt to the first
 	// byte of its response, and from the request's arrival to the end of the attempt.
 	// predictionErrors holds, by route, the absolute difference between the expected
@@ -49,6 +51,15 @@
 	return nil
 }
 
+// logTransferEnded counts a transfer, and logs that its source is not named for a time.
+func (f *Forwarder) logTransferEnded(e placement.TransferEnded) {
+	copies.Add(string(e.Outcome), 1)
+	if e.BackOff > 0 {
+		f.cfg.Log.Warn(logevent.SourceBackedOff, logevent.FieldCopySource, string(e.Source), logevent.FieldTarget, string(e.Target), logevent.FieldOutcome, string(e.Outcome),
+			logevent.FieldBackOff, e.BackOff.Milliseconds(), logevent.FieldWaited, e.Waited.Milliseconds(), logevent.FieldExpectedFirstByte, e.Expected.Milliseconds())
+	}
+}
+
 // logSent logs the chosen target and what the choice was based on.
 func (f *Forwarder) logSent(req *Request, s placement.Send) {
 	attrs := []any{
