--- a/fleet/placement/withdraw.go
+++ b/fleet/placement/withdraw.go
@@ -12,6 +12,11 @@
 		return
 	}
 	k.sentAt = r.now
+	if k.source != nil && !r.mayStillCopy(k) {
+		delete(k.source.transfers.awaited, k.ID)
+		k.source = nil
+		r.emit(DropSource(ev))
+	}
 }
 
 // mayWrite reports whether a call may still be written to the target chosen for it.
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -43,6 +44,9 @@
 	// Limit carries, in responses, the number of requests a second that the target takes from
 	// all routers together.
 	Limit string
+	// CopyFrom carries, in requests, the address of a target that probably keeps the prompt's
+	// shared part.
+	CopyFrom string
 	// Leaving has the value 1 in the responses of a target that takes no new requests.
 	Leaving string
 }
@@ -122,11 +126,19 @@
 	}
 }
 
-// Reduce passes an event to the placement reducer and returns its effects.
+// Reduce passes an event to the placement reducer and returns its effects, except for
+// TransferEnded, which it performs.
 func (f *Forwarder) Reduce(ev fleet.Event) []fleet.Effect {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.router.Reduce(f.cfg.Clock.Now(), ev)
+	effects := f.router.Reduce(f.cfg.Clock.Now(), ev)
+	f.mu.Unlock()
+	return slices.DeleteFunc(effects, func(e fleet.Effect) bool {
+		ended, ok := e.(placement.TransferEnded)
+		if ok {
+			f.logTransferEnded(ended)
+		}
+		return ok
+	})
 }
 
 // TargetCounts returns the number of targets in each state, according to this router.
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -17,6 +17,12 @@
 	skippedResponses = expvar.NewInt("ForwardSkippedAnswers")
 	// targetStatements counts the responses in which a target states something about itself.
 	targetStatements = expvar.NewMap("ForwardTargetStatements")
+	// copySources counts the attempts sent to engines that support transfers of cached parts: those
+	// that named a source, those that did not, by placement.NoSource, and those whose source was
+	// dropped before they were written.
+	copySources = expvar.NewMap("ForwardCopySources")
+	// copies counts the answers of targets that were asked to fetch a part, by outcome.
+	copies = expvar.NewMap("ForwardCopies")
 	// responseTimes holds, by route, the time from the start of an attempt to the first
 	// byte of its response, and from the request's arrival to the end of the attempt.
 	// predictionErrors holds, by route, the absolute difference between the expected
@@ -25,6 +31,35 @@
 	predictionErrors = latency.Publish("ForwardExpectedOff")
 )
 
+// The keys of copySources besides the values of placement.NoSource.
+const (
+	sourceNamed   = "Named"
+	sourceDropped = "Dropped"
+)
+
+// copyAttrs counts whether a request names a source of cached parts, and returns the fields for the
+// log.
+func copyAttrs(b *placement.Basis) []any {
+	switch {
+	case b.CopySource != "":
+		copySources.Add(sourceNamed, 1)
+		return []any{logevent.FieldCopySource, string(b.CopySource), logevent.FieldCopiedTokens, b.CopiedTokens}
+	case b.NoSource != "":
+		copySources.Add(string(b.NoSource), 1)
+		return []any{logevent.FieldNoSource, string(b.NoSource)}
+	}
+	return nil
+}
+
+// logTransferEnded counts a transfer, and logs that its source is not named for a time.
+func (f *Forwarder) logTransferEnded(e placement.TransferEnded) {
+	copies.Add(string(e.Outcome), 1)
+	if e.BackOff > 0 {
+		f.cfg.Log.Warn(logevent.SourceBackedOff, logevent.FieldCopySource, string(e.Source), logevent.FieldTarget, string(e.Target), logevent.FieldOutcome, string(e.Outcome),
+			logevent.FieldBackOff, e.BackOff.Milliseconds(), logevent.FieldWaited, e.Waited.Milliseconds(), logevent.FieldExpectedFirstByte, e.Expected.Milliseconds())
+	}
+}
+
 // logSent logs the chosen target and what the choice was based on.
 func (f *Forwarder) logSent(req *Request, s placement.Send) {
 	attrs := []any{
@@ -38,7 +73,7 @@
 	if s.Basis.Limit > 0 {
 		attrs = append(attrs, logevent.FieldLimit, float64(s.Basis.Limit), logevent.FieldLimitQuota, s.Basis.LimitQuota)
 	}
-	f.cfg.Log.Info(logevent.RequestSent, attrs...)
+	f.cfg.Log.Info(logevent.RequestSent, append(attrs, copyAttrs(&s.Basis)...)...)
 }
 
 // logRefused counts and logs a refused request.
