Routers report their capacity for callers

RouterLoad.Room has the connections that a router takes, those open, its processor share and the fraction of callers that it gives up. Check refuses values out of range; a report of an earlier release has no room.

Callers saw: with routers of 0.144 and 0.48 core the directory names both to as many callers, since it does not know their sizes.

TestRoomIsChecked guards against a report out of range.

--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -339,6 +339,8 @@
 	Utilisation float64 `json:",omitempty"`
 	// Away is the fraction of the router's callers that should use other routers, 0 to 1.
 	Away float64 `json:",omitempty"`
+	// Room is the router's capacity for callers.
+	Room Room `json:",omitzero"`
 }
 
 // Check implements Checker.
@@ -365,6 +367,9 @@
 	if r.Utilisation < 0 {
 		return errors.Errorf("Utilisation is %g; it must not be negative", r.Utilisation)
 	}
+	if err := r.Room.Check(); err != nil {
+		return errors.Wrap(err, "Room")
+	}
 	return CheckName("Host", string(r.Host))
 }
 
--- a/fleet/feed_test.go
+++ b/fleet/feed_test.go
@@ -33,3 +33,18 @@
 		convey.So(n.Alive, convey.ShouldHaveLength, 1)
 	})
 }
+
+// Guards against a router whose report of its capacity, out of range, takes all callers or none.
+func TestRoomIsChecked(t *testing.T) {
+	convey.Convey("A report with a room out of range is refused, one of an earlier release without a room is taken", t, func() {
+		var r fleet.RouterLoad
+		for _, room := range []string{`{"C":-1}`, `{"O":-1}`, `{"O":9999999}`, `{"P":-0.1}`, `{"P":1e9}`, `{"R":1.1}`, `{"R":-0.1}`} {
+			convey.So(fleet.Decode([]byte(`{"Host":"r","Room":`+room+`}`), &r), convey.ShouldNotBeNil)
+		}
+		convey.So(fleet.Decode([]byte(`{"Host":"r","Room":{"C":139,"O":150,"P":0.144,"R":0.25,"Later":1}}`), &r), convey.ShouldBeNil)
+		convey.So(r.Room, convey.ShouldResemble, fleet.Room{Connections: 139, Open: 150, Cores: 0.144, Reduction: 0.25})
+		var old fleet.RouterLoad
+		convey.So(fleet.Decode([]byte(`{"Host":"r"}`), &old), convey.ShouldBeNil)
+		convey.So(old.Room, convey.ShouldBeZeroValue)
+	})
+}
