The directory follows router capacity

Callers saw: with routers of unequal size, small ones refuse connections while large ones have room, since the directory counts routers as equal.

The capacity in use is counted by processor share instead of routers. Config.EqualRouters switches it off: answers are then as before.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -81,6 +81,8 @@
 	DataFolder string
 	// ToleratedLosses is the number of control hosts that may be lost at the same time.
 	ToleratedLosses int
+	// EqualRouters names all routers to callers as if their capacities were equal.
+	EqualRouters bool
 	// DemandWindow is the time over which customers are to receive their fair shares.
 	DemandWindow time.Duration
 	Clock        fleet.Clock
@@ -131,6 +133,7 @@
 		cfg: cfg, host: HostIDOf(cfg.Self), startTime: cfg.Clock.Now(), seeds: cfg.Seeds, targets: targets.New(), stop: make(chan struct{}),
 	}
 	c.hub = newHub(c, cfg.Clock, cfg.Log)
+	c.hub.rooms.disabled = cfg.EqualRouters
 	c.origins = newOriginStore(cfg.Clock)
 	c.loads = newLoadCollector(cfg.DemandWindow/demandWindowParts, cfg.Log)
 	c.feed = rpc.Recovering(rpc.HandlerFunc(c.handleFeed), cfg.Log)
--- a/control/core/directory.go
+++ b/control/core/directory.go
@@ -1,21 +1,24 @@
 package core
 
 import (
-	"cmp"
 	"expvar"
 	"math"
 	"net/netip"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
+	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/shedding"
 	"github.com/fuchsiashed/fuchsiashed/fleet/subset"
+	"github.com/fuchsiashed/fuchsiashed/fleet/weighting"
 )
 
-// diversions counts, by router, the lists for callers that omit it because it sheds them.
-var diversions = expvar.NewMap("RouterDiversions")
+var (
+	// diversions counts, by router, the lists for callers that omit it because it sheds them.
+	diversions = expvar.NewMap("RouterDiversions")
+	// omissions counts, by router in use, the lists for callers that omit it because of its weight.
+	omissions = expvar.NewMap("RouterOmissions")
+)
 
 // RouterAddress is the address at which callers reach a router.
 type RouterAddress struct {
@@ -24,7 +27,8 @@
 }
 
 // Routers returns the routers that a caller may use: of the data centre near as many as its load
-// needs, and those of others if it has too few.
+// needs, and those of others if it has too few. Each is named to a part of the callers that follows
+// its capacity.
 // caller is a string that identifies the caller permanently. An overloaded router is left
 // out for the fraction of callers that it sheds, which are always the same callers.
 //
@@ -41,23 +45,46 @@
 
 // listRouters returns the routers that accept the caller, those of near first.
 func (c *Core) listRouters(near fleet.DataCentreName, caller string) []RouterAddress {
-	now := c.cfg.Clock.Now()
 	c.hub.mu.Lock()
 	defer c.hub.mu.Unlock()
-	var all, live []RouterAddress
-	seen, diverted := map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
-	for _, f := range c.hub.followers {
+	routers := c.hub.routersFor(caller)
+	answer := weighting.Pick(routers, weighting.Query{Near: near, Caller: caller, InUse: c.hub.capacityInUse(near)})
+	for _, r := range routers {
+		if r.Diverted {
+			diversions.Add(r.Name, 1)
+			c.hub.lastLeftOut[r.Address] = caller
+		}
+	}
+	for _, r := range answer.Omitted {
+		omissions.Add(r.Name, 1)
+		c.hub.lastLeftOut[r.Address] = caller
+	}
+	out := make([]RouterAddress, len(answer.Routers))
+	for i, r := range answer.Routers {
+		out[i] = RouterAddress{Address: r.Address, DataCentre: r.DataCentre}
+	}
+	return out
+}
+
+// routersFor returns the routers that are live, with those marked that divert the caller. If these
+// are most of them, none is marked. The caller holds mu.
+func (h *hub) routersFor(caller string) []weighting.Router {
+	now := h.clock.Now()
+	var all, live []weighting.Router
+	seen := map[netip.AddrPort]bool{}
+	diverted := 0
+	for _, f := range h.followers {
 		if f.Role != fleet.RoleRouter || f.Stopping || seen[f.Address] {
 			continue
 		}
 		seen[f.Address] = true
-		a := RouterAddress{Address: f.Address, DataCentre: f.DataCentre}
-		all = append(all, a)
-		if shedding.Sheds(f.shedShare, f.Address.String(), caller) {
-			diverted[f.Address] = true
+		r := h.weighed(now, f)
+		if r.Diverted = shedding.Sheds(f.shedShare, r.Name, caller); r.Diverted {
+			diverted++
 		}
+		all = append(all, r)
 		if now.Sub(f.lastReport) <= routerTimeout {
-			live = append(live, a)
+			live = append(live, r)
 		}
 	}
 	out := live
@@ -66,76 +93,66 @@
 		// reports. The first router that reports again must not get all callers.
 		out = all
 	}
-	if 2*len(diverted) <= len(out) {
-		for a := range diverted {
-			diversions.Add(a.String(), 1)
+	if 2*diverted > len(out) {
+		for i := range out {
+			out[i].Diverted = false
 		}
-		out = slices.DeleteFunc(out, func(a RouterAddress) bool { return diverted[a.Address] })
 	}
-	return pickRouters(out, near, c.hub.routersInUse(near))
+	return out
 }
 
-// pickRouters returns the first n routers of the data centre near, in an order that is the same
-// at all control hosts, or all of its routers and then the others if it has fewer.
-func pickRouters(routers []RouterAddress, near fleet.DataCentreName, n int) []RouterAddress {
-	type ordered struct {
-		RouterAddress
-		weight uint64
-	}
-	var local, others []ordered
-	for _, r := range routers {
-		o := ordered{RouterAddress: r, weight: xxhash.Sum64String(string(near) + " " + r.Address.String())}
-		if r.DataCentre == near {
-			local = append(local, o)
-		} else {
-			others = append(others, o)
-		}
-	}
-	byWeight := func(a, b ordered) int { return cmp.Compare(a.weight, b.weight) }
-	slices.SortFunc(local, byWeight)
-	if len(local) >= n {
-		local, others = local[:n], nil
-	}
-	slices.SortFunc(others, byWeight)
-	out := make([]RouterAddress, 0, len(local)+len(others))
-	for _, o := range append(local, others...) {
-		out = append(out, o.RouterAddress)
+// weighed returns a router with what it reported of its capacity. The caller holds mu.
+func (h *hub) weighed(now time.Time, f *follower) weighting.Router {
+	return weighting.Router{
+		Address: f.Address, DataCentre: f.DataCentre, Name: f.Address.String(), Room: h.rooms.get(now, f.Address),
 	}
-	return out
 }
 
-// minRoutersInUse is the least number of routers that the callers of a data centre use: they use
-// those of others as well if it has fewer.
-const minRoutersInUse = 8
-
-// subsetConfig leaves a router in use two thirds of its capacity for bursts.
-var subsetConfig = subset.Config{Utilisation: 0.3, Min: minRoutersInUse, ShrinkRate: 0.2}
+// subsetConfig leaves a router in use two thirds of its capacity for bursts. The callers of a data
+// centre use the capacity of weighting.MinRouters routers at least.
+var subsetConfig = subset.Config{Utilisation: 0.3, Min: weighting.MinRouters, ShrinkRate: 0.2}
 
-// resizeSubsets updates the number of routers in use in each data centre by their utilisations.
+// resizeSubsets updates the capacity in use in each data centre by the utilisations of its routers.
 func (h *hub) resizeSubsets() {
 	now := h.clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	available, utilisation := map[fleet.DataCentreName]int{}, map[fleet.DataCentreName]float64{}
+	h.rooms.expire(now)
+	available, utilisations := map[fleet.DataCentreName][]weighting.Router{}, map[fleet.DataCentreName][]float64{}
 	for _, f := range h.followers {
 		if f.Role == fleet.RoleRouter && !f.Stopping && now.Sub(f.lastReport) <= routerTimeout {
-			available[f.DataCentre]++
-			utilisation[f.DataCentre] += f.utilisation
+			available[f.DataCentre] = append(available[f.DataCentre], h.weighed(now, f))
+			utilisations[f.DataCentre] = append(utilisations[f.DataCentre], f.utilisation)
 		}
 	}
-	for dc, n := range available {
+	for dc, routers := range available {
+		used := weighting.Capacity(0)
+		for i, c := range weighting.Capacities(routers) {
+			used += c * weighting.Capacity(utilisations[dc][i])
+		}
 		if h.sizers[dc] == nil {
 			h.sizers[dc] = subset.NewSizer(subsetConfig)
 		}
-		h.inUse[dc] = h.sizers[dc].Update(now, n, utilisation[dc])
+		h.setCapacityInUse(dc, h.sizers[dc].Update(now, weighting.Capacity(len(routers)), used), used, len(routers))
+	}
+}
+
+// setCapacityInUse stores the capacity that the callers of a data centre are to use, and logs it if
+// it differs by more than an eighth from what was logged last. The caller holds mu.
+func (h *hub) setCapacityInUse(dc fleet.DataCentreName, size, used weighting.Capacity, routers int) {
+	h.inUse[dc] = size
+	if logged := h.loggedInUse[dc]; math.Abs(float64(size-logged)) <= float64(logged)/8 {
+		return
 	}
+	h.loggedInUse[dc] = size
+	h.log.Info(logevent.RoutersInUse, "datacentre", string(dc), "inUse", float64(size), "used", float64(used), "routers", routers)
 }
 
-// routersInUse returns the number of a data centre's routers that its callers are to use, or
-// the maximum if it is not known. The caller holds mu.
-func (h *hub) routersInUse(dc fleet.DataCentreName) int {
-	if n, ok := h.inUse[dc]; ok {
-		return max(n, minRoutersInUse)
+// capacityInUse returns the capacity of a data centre's routers that its callers are to use, or
+// weighting.All if it is not known. The caller holds mu.
+func (h *hub) capacityInUse(dc fleet.DataCentreName) weighting.Capacity {
+	if size, ok := h.inUse[dc]; ok {
+		return size
 	}
-	return math.MaxInt
+	return weighting.All
 }
--- a/control/core/hub.go
+++ b/control/core/hub.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/subset"
 	"github.com/fuchsiashed/fuchsiashed/fleet/targets"
+	"github.com/fuchsiashed/fuchsiashed/fleet/weighting"
 )
 
 const (
@@ -51,9 +53,14 @@
 	// maxRouters is the maximum number of routers that have been connected at once.
 	maxRouters int
 	pending    pendingChanges
-	// sizers compute inUse, the number of routers that callers use in each data centre.
-	sizers map[fleet.DataCentreName]*subset.Sizer
-	inUse  map[fleet.DataCentreName]int
+	// rooms has what routers report of their capacities.
+	rooms *roomTable
+	// sizers compute inUse, the capacity of the routers that callers use in each data centre, of
+	// which loggedInUse was logged last.
+	sizers             map[fleet.DataCentreName]*subset.Sizer
+	inUse, loggedInUse map[fleet.DataCentreName]weighting.Capacity
+	// lastLeftOut has, by router, the last caller whose list omitted it.
+	lastLeftOut map[netip.AddrPort]string
 	// publications counts the publications so far.
 	publications uint64
 	// publishedRouters is the list of routers in the newest notice.
@@ -89,7 +96,8 @@
 func newHub(source feedSource, clock fleet.Clock, log *slog.Logger) *hub {
 	return &hub{
 		source: source, clock: clock, log: log, followers: map[fleet.Caller]*follower{},
-		sizers: map[fleet.DataCentreName]*subset.Sizer{}, inUse: map[fleet.DataCentreName]int{},
+		rooms: newRoomTable(log), sizers: map[fleet.DataCentreName]*subset.Sizer{}, lastLeftOut: map[netip.AddrPort]string{},
+		inUse: map[fleet.DataCentreName]weighting.Capacity{}, loggedInUse: map[fleet.DataCentreName]weighting.Capacity{},
 		pending: newPendingChanges(), publishSoon: make(chan struct{}, 1), quit: make(chan struct{}),
 	}
 }
@@ -157,6 +165,7 @@
 		h.log.Info(logevent.FollowerLeft, "follower", string(f.Host), "role", string(f.Role))
 		close(f.quit)
 		delete(h.followers, peer)
+		delete(h.lastLeftOut, f.Address)
 	}
 }
 
@@ -179,6 +188,7 @@
 	if f := h.followers[peer]; f != nil {
 		f.lastReport, f.Stopping = h.clock.Now(), r.Stopping
 		f.shedShare, f.utilisation = r.Away, r.Utilisation
+		h.rooms.set(f.lastReport, f.Address, r.Room)
 		if r.HasWork() {
 			f.lastWork = f.lastReport
 		}
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -41,6 +41,8 @@
 	LoadUnknown       Event = "LoadUnknown"       // the router's CPU time can't be read
 	ProcessorDelayed  Event = "ProcessorDelayed"  // work waited for the processor
 	FollowerLeft      Event = "FollowerLeft"
+	RouterReduced     Event = "RouterReduced"    // a router began or ended to give up callers because its connections run out
+	RoutersInUse      Event = "RoutersInUse"     // the capacity in use of a data centre's routers changed
 	NotifyFailed      Event = "NotifyFailed"     // a notification to a follower failed
 	MessagePanicked   Event = "MessagePanicked"  // the handling of a message panicked
 	ReportFailed      Event = "ReportFailed"     // a report to a control host failed
--- a/fleet/subset/subset.go
+++ b/fleet/subset/subset.go
@@ -1,46 +1,48 @@
-// Package subset decides how many routers of a data centre its callers use. Fewer routers with
-// more requests each reuse their connections to targets more often, and learn faster how fast
-// the targets are; more routers leave each a larger reserve.
+// Package subset decides how much of the capacity of a data centre's routers its callers use. Fewer
+// routers with more requests each reuse their connections to targets more often, and learn faster
+// how fast the targets are; more routers leave each a larger reserve.
 package subset
 
 import (
 	"math"
 	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet/weighting"
 )
 
 // Config configures a Sizer.
 type Config struct {
 	// Utilisation is the fraction of their capacity that the routers in use should use.
 	Utilisation float64
-	// Min is the minimum number of routers in use.
-	Min int
-	// ShrinkRate is the fraction of the routers in use that may be taken out of use in a second.
+	// Min is the minimum capacity in use.
+	Min weighting.Capacity
+	// ShrinkRate is the fraction of the capacity in use that may be taken out of use in a second.
 	ShrinkRate float64
 }
 
-// Sizer computes the number of routers in use. The number grows at once with the load and
-// shrinks slowly, since the load of a second ago may return.
+// Sizer computes the capacity in use. It grows at once with the load and shrinks slowly, since the
+// load of a second ago may return.
 type Sizer struct {
 	cfg Config
-	// size is the present number; 0 before the first Update.
-	size      float64
+	// size is the present capacity; 0 before the first Update.
+	size      weighting.Capacity
 	updatedAt time.Time
 }
 
 // NewSizer returns a Sizer that first uses all routers.
 func NewSizer(cfg Config) *Sizer { return &Sizer{cfg: cfg} }
 
-// Update takes the number of routers that are available and the sum of their utilisations,
-// each a fraction of a router's capacity, and returns the number to use.
-func (s *Sizer) Update(now time.Time, available int, utilisation float64) int {
-	wanted := max(math.Ceil(utilisation/s.cfg.Utilisation), float64(s.cfg.Min))
+// Update takes the capacity of the routers that are available and the part of it that is used, and
+// returns the capacity to use.
+func (s *Sizer) Update(now time.Time, available, used weighting.Capacity) weighting.Capacity {
+	wanted := max(weighting.Capacity(math.Ceil(float64(used)/s.cfg.Utilisation)), s.cfg.Min)
 	if s.updatedAt.IsZero() {
-		s.size = float64(available)
+		s.size = available
 	} else {
-		least := s.size * (1 - s.cfg.ShrinkRate*now.Sub(s.updatedAt).Seconds())
+		least := s.size * weighting.Capacity(1-s.cfg.ShrinkRate*now.Sub(s.updatedAt).Seconds())
 		s.size = max(wanted, least)
 	}
-	s.size = min(s.size, float64(available))
+	s.size = min(s.size, available)
 	s.updatedAt = now
-	return int(math.Ceil(s.size))
+	return s.size
 }
