--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -56,7 +56,9 @@
 	cfg     Config
 	clients *rpc.ClientSet
 	stop    chan struct{}
-	wg      sync.WaitGroup
+	// early wakes the sending of heartbeats.
+	early chan struct{}
+	wg    sync.WaitGroup
 
 	mu      sync.Mutex
 	seeds   []netip.AddrPort
@@ -69,8 +71,9 @@
 	fetching bool
 	// redirectShare is the share of callers that should use other routers, from 0 to 1.
 	redirectShare float64
-	// utilisation is the used fraction of the router's capacity.
+	// utilisation is the used fraction of the router's capacity for callers, room.
 	utilisation float64
+	room        fleet.Room
 	stopping    bool
 	routers     []fleet.HostID
 	// busyRouters is the number of routers with requests in the newest digest, lastWork the time
@@ -91,7 +94,7 @@
 
 // New returns a Follower; Start connects it.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, seeds: cfg.Seeds, notices: map[netip.AddrPort]receivedNotice{}, included: map[netip.AddrPort]fleet.ReportIncluded{}, stop: make(chan struct{})}
+	f := &Follower{cfg: cfg, seeds: cfg.Seeds, notices: map[netip.AddrPort]receivedNotice{}, included: map[netip.AddrPort]fleet.ReportIncluded{}, stop: make(chan struct{}), early: make(chan struct{}, 1)}
 	f.clients = rpc.NewClientSet(rpc.ClientSetConfig{
 		Uncompressed: true,
 		Handler: func(addr netip.AddrPort) rpc.Handler {
@@ -136,13 +139,21 @@
 	f.updateConnections()
 }
 
-// SetLoad sets the used fraction of the router's capacity, and the share of callers, from 0 to
-// 1, that should use other routers. Both are sent to control hosts with the next heartbeat or
-// load report.
-func (f *Follower) SetLoad(utilisation, redirectShare float64) {
+// SetLoad sets the used fraction of the router's capacity, the share of callers, from 0 to 1, that
+// should use other routers, and the capacity for callers. All are sent to control hosts with the
+// next heartbeat or load report.
+func (f *Follower) SetLoad(utilisation, redirectShare float64, room fleet.Room) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.utilisation, f.redirectShare = utilisation, redirectShare
+	f.utilisation, f.redirectShare, f.room = utilisation, redirectShare, room
+}
+
+// ReportEarly sends the load to all control hosts without waiting for the next heartbeat.
+func (f *Follower) ReportEarly() {
+	select {
+	case f.early <- struct{}{}:
+	default:
+	}
 }
 
 // SetStopping reports to all control hosts that the router takes no new callers.
--- a/router/feed/report.go
+++ b/router/feed/report.go
@@ -80,7 +80,7 @@
 		return
 	}
 	f.mu.Lock()
-	load.Stopping, load.Away, load.Utilisation = f.stopping, f.redirectShare, f.utilisation
+	load.Stopping, load.Away, load.Utilisation, load.Room = f.stopping, f.redirectShare, f.utilisation, f.room
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -89,7 +89,7 @@
 	}
 }
 
-// runHeartbeats sends heartbeats to all control hosts until Stop. It also updates the
+// runHeartbeats sends heartbeats to all control hosts until Stop, early ones too. It also updates the
 // list of routers as notices expire, and retries fetching a newer configuration.
 func (f *Follower) runHeartbeats() {
 	ticker := time.NewTicker(heartbeatInterval)
@@ -98,6 +98,9 @@
 		select {
 		case <-f.stop:
 			return
+		case <-f.early:
+			f.sendHeartbeats(f.clients.Connected())
+			continue
 		case <-ticker.C:
 		}
 		f.sendHeartbeats(f.clients.Connected())
--- a/router/overload/limiter.go
+++ b/router/overload/limiter.go
@@ -66,6 +66,18 @@
 	return int64(len(n.open))
 }
 
+// Occupied returns the number of open connections that ShouldReject does not close for new ones.
+func (n *ConnectionLimiter) Occupied() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	evictable := 0
+	now := n.Clock.Now()
+	for e := n.idle.Front(); e != nil && now.Sub(e.Value.(idleConn).since) >= minEvictIdle; e = e.Next() {
+		evictable++
+	}
+	return int64(len(n.open) - evictable)
+}
+
 // ShouldReject reports whether a new connection is to be rejected. At the limit it
 // closes the connection that has been idle longest and reports false, if that one has
 // been idle for minEvictIdle.
--- a/router/overload/listener_test.go
+++ b/router/overload/listener_test.go
@@ -162,7 +162,10 @@
 		limiter.Track(oldest, http.StateIdle)
 		clk.now = clk.now.Add(time.Second)
 		convey.So(limiter.ShouldReject(), convey.ShouldBeTrue)
+		convey.So(limiter.Occupied(), convey.ShouldEqual, 2)
 		clk.now = clk.now.Add(5 * time.Second)
+		// The capacity that the router reports includes what it would make room for.
+		convey.So(limiter.Occupied(), convey.ShouldEqual, 1)
 		convey.So(limiter.ShouldReject(), convey.ShouldBeFalse)
 		convey.So(limiter.Count(), convey.ShouldEqual, 1)
 		_, err := oldestPeer.Read(make([]byte, 1))
--- a/router/overload/monitor.go
+++ b/router/overload/monitor.go
@@ -13,12 +13,21 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/shedding"
+	"github.com/fuchsiashed/fuchsiashed/fleet/weighting"
 )
 
 // sampleInterval is the time between two samples. Callers follow a redirect after a
 // second or more.
 const sampleInterval = 500 * time.Millisecond
 
+// watchInterval is the time between two looks at the number of connections, which a crowd may use up
+// within a second.
+const watchInterval = 100 * time.Millisecond
+
+// earlyReduction is the rise of the reduction since the last report from which on a report is sent
+// early.
+const earlyReduction = 0.125
+
 // loggedDelay is the scheduling latency from which on a sample is logged.
 const loggedDelay = 100 * time.Millisecond
 
@@ -35,15 +44,17 @@
 	// MaxConnections is the number of callers' connections at which the process counts
 	// as fully utilised; 0 means that connections do not count.
 	MaxConnections int64
-	// Connections returns the number of open connections of callers.
+	// Connections returns the number of open connections of callers, Occupied the number of those
+	// that are not closed for new ones; nil means Connections.
 	Connections func() int64
+	Occupied    func() int64
 	// CPUTime returns the CPU time that the process has used so far; nil means
 	// ProcessCPUTime.
 	CPUTime func() (time.Duration, error)
 	// Delay returns how long goroutines have waited for the processor since its last call; nil
 	// means that of a DelayMeter.
 	Delay func() time.Duration
-	// Report is called after each sample.
+	// Report is called after each sample, and between samples with Status.Early set.
 	Report func(Status)
 	Clock  fleet.Clock
 	Log    *slog.Logger
@@ -54,6 +65,8 @@
 type Monitor struct {
 	cfg           Config
 	shedder       *shedding.Shedder
+	gauge         *weighting.Gauge
+	reduction     float64
 	sampledAt     time.Time
 	cpuTime       time.Duration
 	redirectShare float64
@@ -76,6 +89,10 @@
 	RedirectShare float64
 	// Connections is the number of open connections of callers.
 	Connections int64
+	// Room is the capacity for callers.
+	Room fleet.Room
+	// Early is true if the control hosts should know Room at once.
+	Early bool
 	// Delay is how long goroutines waited for the processor.
 	Delay time.Duration
 }
@@ -85,23 +102,29 @@
 	if cfg.CPUTime == nil {
 		cfg.CPUTime = ProcessCPUTime
 	}
+	if cfg.Occupied == nil {
+		cfg.Occupied = cfg.Connections
+	}
 	if cfg.Delay == nil {
 		cfg.Delay = new(DelayMeter).Measure
 	}
-	return &Monitor{cfg: cfg, shedder: shedding.New(redirectConfig), stop: make(chan struct{})}
+	return &Monitor{cfg: cfg, shedder: shedding.New(redirectConfig), gauge: weighting.NewGauge(weighting.DefaultGauge), stop: make(chan struct{})}
 }
 
 // Start begins to sample in the background.
 func (m *Monitor) Start() {
 	m.wg.Go(func() {
-		ticker := time.NewTicker(sampleInterval)
-		defer ticker.Stop()
+		samples, looks := time.NewTicker(sampleInterval), time.NewTicker(watchInterval)
+		defer samples.Stop()
+		defer looks.Stop()
 		for {
 			select {
 			case <-m.stop:
 				return
-			case <-ticker.C:
+			case <-samples.C:
 				m.Sample()
+			case <-looks.C:
+				m.Watch()
 			}
 		}
 	})
@@ -123,12 +146,42 @@
 		m.cfg.Log.Info(logevent.CallersSpread, "away", redirectShare, "load", utilisation, "connections", m.cfg.Connections())
 	}
 	m.redirectShare = redirectShare
-	status := Status{Utilisation: utilisation, RedirectShare: redirectShare, Connections: m.cfg.Connections(), Delay: m.cfg.Delay()}
+	status := Status{Utilisation: utilisation, RedirectShare: redirectShare, Connections: m.cfg.Connections(), Room: m.room(now), Delay: m.cfg.Delay()}
 	m.logDelay(status)
+	m.report(status)
+}
+
+// Watch looks at the number of connections, and reports their reduction early if it has risen. It
+// must not run at the same time as Sample.
+func (m *Monitor) Watch() {
+	status := m.Status()
+	reported := status.Room.Reduction
+	status.Room, status.Early = m.room(m.cfg.Clock.Now()), true
+	if status.Room.Reduction < reported+earlyReduction {
+		return
+	}
+	status.Connections, status.Utilisation = m.cfg.Connections(), max(status.Utilisation, m.connectionsUsed())
+	m.report(status)
+}
+
+// report stores a status and reports it.
+func (m *Monitor) report(s Status) {
 	m.mu.Lock()
-	m.status = status
+	m.status = s
 	m.mu.Unlock()
-	m.cfg.Report(status)
+	m.cfg.Report(s)
+}
+
+// room returns the present capacity for callers. It logs when the router begins or ends to give up
+// callers because its connections run out.
+func (m *Monitor) room(now time.Time) fleet.Room {
+	open, limit := int(m.cfg.Occupied()), int(m.cfg.MaxConnections)
+	reduction := m.gauge.Update(now, open, limit)
+	if (reduction > 0) != (m.reduction > 0) {
+		m.cfg.Log.Info(logevent.RouterReduced, "reduction", reduction, "open", open, "limit", limit, "growthPerS", m.gauge.Growth(), "cores", m.cfg.CPUShare)
+	}
+	m.reduction = reduction
+	return fleet.Room{Connections: limit, Open: max(open, 0), Cores: fleet.Cores(m.cfg.CPUShare), Reduction: reduction}
 }
 
 // logDelay logs a sample in which goroutines waited for longer than loggedDelay, with what was
@@ -155,10 +208,7 @@
 // utilisation returns the used fraction of the CPU time or of the connections, whichever
 // is larger. The CPU time counts from the second call on.
 func (m *Monitor) utilisation(now time.Time) float64 {
-	load := 0.0
-	if m.cfg.MaxConnections > 0 {
-		load = float64(m.cfg.Connections()) / float64(m.cfg.MaxConnections)
-	}
+	load := m.connectionsUsed()
 	used, err := m.cfg.CPUTime()
 	if err != nil {
 		m.cfg.Log.Warn(logevent.LoadUnknown, logevent.FieldError, err)
@@ -172,6 +222,14 @@
 	return load
 }
 
+// connectionsUsed returns the used fraction of the connections.
+func (m *Monitor) connectionsUsed() float64 {
+	if m.cfg.MaxConnections == 0 {
+		return 0
+	}
+	return float64(m.cfg.Occupied()) / float64(m.cfg.MaxConnections)
+}
+
 // ProcessCPUTime returns the user and system CPU time that this process has used.
 func ProcessCPUTime() (time.Duration, error) {
 	var u unix.Rusage
--- a/router/overload/monitor_test.go
+++ b/router/overload/monitor_test.go
@@ -48,3 +48,37 @@
 		convey.So(used, convey.ShouldBeGreaterThan, 0)
 	})
 }
+
+// TestConnectionsThatFillFast guards against a crowd that uses up a router's connections between two
+// reports, so that the directory names the router until it rejects callers.
+func TestConnectionsThatFillFast(t *testing.T) {
+	convey.Convey("Three times the callers within a second are reported early, and no more often than the reduction rises by an eighth", t, func() {
+		clk := &clock{now: time.Unix(1_700_000_000, 0)}
+		open := int64(40)
+		var reports []overload.Status
+		w := overload.New(overload.Config{
+			CPUShare: 0.144, MaxConnections: 139, Connections: func() int64 { return 500 }, Occupied: func() int64 { return open },
+			CPUTime: func() (time.Duration, error) { return 0, nil },
+			Report:  func(s overload.Status) { reports = append(reports, s) }, Clock: clk, Log: slog.New(slog.DiscardHandler),
+		})
+		watch := func(steps int, growth int64) {
+			for range steps {
+				clk.now = clk.now.Add(100 * time.Millisecond)
+				open += growth
+				w.Watch()
+			}
+		}
+		w.Sample()
+		convey.So(reports, convey.ShouldHaveLength, 1)
+		convey.So(reports[0].Room, convey.ShouldResemble, fleet.Room{Connections: 139, Open: 40, Cores: 0.144})
+		convey.So(reports[0].Utilisation, convey.ShouldAlmostEqual, 40.0/139)
+		watch(50, 0)
+		convey.So(reports, convey.ShouldHaveLength, 1)
+		watch(5, 12)
+		convey.So(len(reports), convey.ShouldBeBetween, 1, 5)
+		convey.So(reports[1].Early, convey.ShouldBeTrue)
+		convey.So(reports[1].Room.Reduction, convey.ShouldBeGreaterThanOrEqualTo, 0.125)
+		convey.So(reports[1].Room.Open, convey.ShouldBeLessThan, 100)
+		convey.So(reports[1].Utilisation, convey.ShouldAlmostEqual, float64(reports[1].Room.Open)/139)
+	})
+}
