Routers that know targets before their first configuration do not fail

Cause: the periodic clean-up of kept parts looked up the engine of a service without a configuration. TestTargetsBeforeTheConfiguration failed with a nil dereference before.

--- a/fleet/placement/transfer.go
+++ b/fleet/placement/transfer.go
@@ -78,8 +78,11 @@
 }
 
 // transferEngine returns the engine of a service whose targets fetch cached parts from each
-// other, or nil if they don't.
+// other, or nil if they don't or the router has no configuration.
 func (r *Router) transferEngine(service fleet.ServiceName) *deployment.Engine {
+	if r.config == nil {
+		return nil
+	}
 	if s := r.config.Service(service); r.cfg.Policy.CopyParts && s != nil && s.Engine.CopiesParts() {
 		return s.Engine
 	}
--- a/fleet/placement/transfer_test.go
+++ b/fleet/placement/transfer_test.go
@@ -194,3 +194,14 @@
 		convey.So(isNamed(f), convey.ShouldBeFalse)
 	})
 }
+
+// TestTargetsBeforeTheConfiguration guards against a router that fails at its start: it may know
+// targets before it has a configuration.
+func TestTargetsBeforeTheConfiguration(t *testing.T) {
+	convey.Convey("A router without a configuration accepts announcements and ticks", t, func() {
+		r := placement.New(placement.Config{Self: "router-0", Policy: placement.DefaultPolicy})
+		notice := fleet.TargetsNotice{Announced: announcements("drafter", 1)}
+		r.Reduce(time.Unix(1, 0), placement.TargetsNoticeReceived{TargetsNotice: notice})
+		convey.So(r.Reduce(time.Unix(2, 0), placement.Tick{}), convey.ShouldBeEmpty)
+	})
+}
