Crowded routers: a limit of connections that follows the processor, and callers that move

Cause: such callers move only when their router says that it is not ready; the directory does not reach them, and since it keeps other callers away all 384 connections of the router are in use. Change: the limit of connections falls while goroutines wait for the processor; a router that rejects a fifth of its callers for 1.5 s reports it, and the leader names up to an eighth of the routers that are not ready for 10 s, if the others have room.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/crowding"
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
@@ -81,6 +82,8 @@
 	DataFolder string
 	// ToleratedLosses is the number of control hosts that may be lost at the same time.
 	ToleratedLosses int
+	// MoveCrowds lets crowded routers tell the platform that they are not ready.
+	MoveCrowds bool
 	// EqualRouters names all routers to callers as if their capacities were equal.
 	EqualRouters bool
 	// DemandWindow is the time over which customers are to receive their fair shares.
@@ -100,7 +103,10 @@
 	server    *rpc.Server
 	hub       *hub
 	loads     *loadCollector
-	clients   *clients.Handler
+	crowds    *crowding.Granter
+	// unready has the routers that the last digest named as not ready. Only sendDigests uses it.
+	unready []fleet.HostID
+	clients *clients.Handler
 	// feed handles the messages of the feed.
 	feed      rpc.Handler
 	stop      chan struct{}
@@ -135,6 +141,7 @@
 	c.hub = newHub(c, cfg.Clock, cfg.Log)
 	c.hub.rooms.disabled = cfg.EqualRouters
 	c.origins = newOriginStore(cfg.Clock)
+	c.crowds = crowding.NewGranter(crowding.DefaultConfig)
 	c.loads = newLoadCollector(cfg.DemandWindow/demandWindowParts, cfg.Log)
 	c.feed = rpc.Recovering(rpc.HandlerFunc(c.handleFeed), cfg.Log)
 	c.clientSet = rpc.NewClientSet(rpc.ClientSetConfig{
--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -332,6 +332,7 @@
 		if leads {
 			d := c.loads.makeDigest(c.cfg.Clock.Now(), reportMaxAge(interval))
 			d.BusyRouters = busy
+			d.Unready = c.unreadyRouters()
 			c.hub.queueDigest(d)
 		}
 	}
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -395,6 +395,9 @@
 type LoadDigest struct {
 	// BusyRouters is the number of routers that have requests.
 	BusyRouters int `json:",omitempty"`
+	// Unready lists the routers that are to tell the platform that they are not ready, so that
+	// their callers move to others.
+	Unready []HostID `json:",omitempty"`
 	// Targets has the load of each target from all routers, the receiver included.
 	Targets []TargetLoad `json:",omitempty"`
 	// Shares lists the customers whose demand exceeds their fair share.
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -43,6 +43,8 @@
 	ProcessorDelayed  Event = "ProcessorDelayed"  // work waited for the processor
 	FollowerLeft      Event = "FollowerLeft"
 	RouterReduced     Event = "RouterReduced"    // a router began or ended to give up callers because its connections run out
+	CrowdMoved        Event = "CrowdMoved"       // a router began or ended to be not ready so that its callers move
+	CrowdsMoved       Event = "CrowdsMoved"      // the routers that are not ready because of their callers changed
 	RoutersInUse      Event = "RoutersInUse"     // the capacity in use of a data centre's routers changed
 	NotifyFailed      Event = "NotifyFailed"     // a notification to a follower failed
 	MessagePanicked   Event = "MessagePanicked"  // the handling of a message panicked
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -24,6 +24,8 @@
 	// Reduction is the fraction of the router's usual callers that should use other routers because
 	// its connections run out, 0 to 1.
 	Reduction float64 `json:"R,omitempty"`
+	// Crowded is true while the router rejects many of its callers.
+	Crowded bool `json:"K,omitempty"`
 }
 
 // Check implements Checker.
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -79,7 +79,9 @@
 	// busyRouters is the number of routers with requests in the newest digest, lastWork the time
 	// of the last report of this router that had some.
 	busyRouters int
-	lastWork    time.Time
+	// unreadyAt is when a digest last named this router as one that is to be not ready.
+	unreadyAt time.Time
+	lastWork  time.Time
 	// routersFrom are the control hosts whose lists routers unites, and routersChanged is true
 	// if one of these lists has changed since.
 	routersFrom    []netip.AddrPort
@@ -171,11 +173,33 @@
 	return f.config
 }
 
-// Ready reports whether the router has a configuration and is not stopping.
+// unreadyValidity is the age of a digest up to which a router that it names is not ready.
+const unreadyValidity = 2 * time.Second
+
+// Ready reports whether the router has a configuration, is not stopping, and is not to move its
+// callers to other routers.
 func (f *Follower) Ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.config != nil && !f.stopping
+	return f.config != nil && !f.stopping && !f.isUnready()
+}
+
+// isUnready reports whether a digest named this router as one that is to be not ready. The caller
+// holds mu.
+func (f *Follower) isUnready() bool {
+	return !f.unreadyAt.IsZero() && f.cfg.Clock.Now().Sub(f.unreadyAt) < unreadyValidity
+}
+
+// setUnready records whether the newest digest names this router as one that is to be not ready. The
+// caller holds mu.
+func (f *Follower) setUnready(unready bool) {
+	if unready != f.isUnready() {
+		f.cfg.Log.Warn(logevent.CrowdMoved, "unready", unready, "load", f.utilisation, "connections", f.room.Open)
+	}
+	f.unreadyAt = time.Time{}
+	if unready {
+		f.unreadyAt = f.cfg.Clock.Now()
+	}
 }
 
 // updateConnections connects to the seeds and to the control hosts named in notices.
@@ -246,6 +270,7 @@
 		f.mu.Lock()
 		included := f.included[addr]
 		f.busyRouters = d.BusyRouters
+		f.setUnready(slices.Contains(d.Unready, f.cfg.Self))
 		f.mu.Unlock()
 		f.cfg.Reduce(placement.DigestReceived{LoadDigest: d, ReportIncluded: included})
 	default:
--- a/router/overload/limiter.go
+++ b/router/overload/limiter.go
@@ -22,8 +22,12 @@
 	// limit.
 	Max   int
 	Clock fleet.Clock
+	// Adaptive, if it is not nil, lowers the limit while requests wait for the processor.
+	Adaptive *AdaptiveLimit
 
 	mu sync.Mutex
+	// limit is the present limit with Adaptive; 0 before the first Adapt.
+	limit int
 	// open has the open connections, with their elements of idle; nil for those in use.
 	open map[net.Conn]*list.Element
 	// idle has an idleConn for each connection that is not in use, longest idle first.
@@ -66,6 +70,31 @@
 	return int64(len(n.open))
 }
 
+// currentLimit returns the present limit. The caller holds mu.
+func (n *ConnectionLimiter) currentLimit() int {
+	if n.Adaptive == nil || n.limit == 0 {
+		return n.Max
+	}
+	return n.limit
+}
+
+// Limit returns the number of connections from which new ones are rejected now; 0 means no limit.
+func (n *ConnectionLimiter) Limit() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.currentLimit()
+}
+
+// Adapt updates the limit by the time that goroutines wait for the processor. It has no effect
+// without Adaptive.
+func (n *ConnectionLimiter) Adapt(delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.Adaptive != nil {
+		n.limit = n.Adaptive.Update(delay, len(n.open), n.Max)
+	}
+}
+
 // Occupied returns the number of open connections that ShouldReject does not close for new ones.
 func (n *ConnectionLimiter) Occupied() int64 {
 	n.mu.Lock()
@@ -84,7 +113,7 @@
 func (n *ConnectionLimiter) ShouldReject() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.Max == 0 || len(n.open) < n.Max {
+	if n.Max == 0 || len(n.open) < n.currentLimit() {
 		return false
 	}
 	e := n.idle.Front()
--- a/router/overload/monitor.go
+++ b/router/overload/monitor.go
@@ -54,6 +54,8 @@
 	// Delay returns how long goroutines have waited for the processor since its last call; nil
 	// means that of a DelayMeter.
 	Delay func() time.Duration
+	// Adapt is called with the scheduling latency each watchInterval; nil for none.
+	Adapt func(delay time.Duration)
 	// Report is called after each sample, and between samples with Status.Early set.
 	Report func(Status)
 	Clock  fleet.Clock
@@ -63,10 +65,14 @@
 // Monitor samples the utilisation of its process and decides what share of the callers
 // should use other routers.
 type Monitor struct {
-	cfg           Config
-	shedder       *shedding.Shedder
-	gauge         *weighting.Gauge
-	reduction     float64
+	cfg       Config
+	shedder   *shedding.Shedder
+	gauge     *weighting.Gauge
+	reduction float64
+	crowd     CrowdDetector
+	crowded   bool
+	// recentDelay measures the scheduling latency for Adapt.
+	recentDelay   DelayMeter
 	sampledAt     time.Time
 	cpuTime       time.Duration
 	redirectShare float64
@@ -146,14 +152,26 @@
 		m.cfg.Log.Info(logevent.CallersSpread, "away", redirectShare, "load", utilisation, "connections", m.cfg.Connections())
 	}
 	m.redirectShare = redirectShare
+	counts := connectionCounts()
+	m.detectCrowd(counts)
 	status := Status{Utilisation: utilisation, RedirectShare: redirectShare, Connections: m.cfg.Connections(), Room: m.room(now), Delay: m.cfg.Delay()}
-	m.logDelay(status)
+	m.logDelay(status, counts)
+	m.counts = counts
 	m.report(status)
 }
 
+// detectCrowd updates whether the router has a crowd of callers, given the counts of new connections.
+func (m *Monitor) detectCrowd(counts map[string]int64) {
+	since := func(outcome string) int64 { return counts[outcome] - m.counts[outcome] }
+	m.crowded = m.crowd.Update(since(connectionAccepted)+since(connectionAdmitted), since(connectionAnswered)+since(connectionBroken))
+}
+
 // Watch looks at the number of connections, and reports their reduction early if it has risen. It
 // must not run at the same time as Sample.
 func (m *Monitor) Watch() {
+	if m.cfg.Adapt != nil {
+		m.cfg.Adapt(m.recentDelay.Measure())
+	}
 	status := m.Status()
 	reported := status.Room.Reduction
 	status.Room, status.Early = m.room(m.cfg.Clock.Now()), true
@@ -181,13 +199,12 @@
 		m.cfg.Log.Info(logevent.RouterReduced, "reduction", reduction, "open", open, "limit", limit, "growthPerS", m.gauge.Growth(), "cores", m.cfg.CPUShare)
 	}
 	m.reduction = reduction
-	return fleet.Room{Connections: limit, Open: max(open, 0), Cores: fleet.Cores(m.cfg.CPUShare), Reduction: reduction}
+	return fleet.Room{Connections: limit, Open: max(open, 0), Cores: fleet.Cores(m.cfg.CPUShare), Reduction: reduction, Crowded: m.crowded}
 }
 
 // logDelay logs a sample in which goroutines waited for longer than loggedDelay, with what was
 // done with new connections since the sample before.
-func (m *Monitor) logDelay(s Status) {
-	counts := connectionCounts()
+func (m *Monitor) logDelay(s Status, counts map[string]int64) {
 	if s.Delay >= loggedDelay {
 		attrs := []any{"delayMs", s.Delay.Milliseconds(), "load", s.Utilisation, "connections", s.Connections}
 		for _, name := range connectionOutcomes {
@@ -195,7 +212,6 @@
 		}
 		m.cfg.Log.Warn(logevent.ProcessorDelayed, attrs...)
 	}
-	m.counts = counts
 }
 
 // Status returns the result of the last sample.
