Registry: roll-outs in the replicated log

The log holds the newest roll-out of each service beside the numbered configuration. An order names the number and revision of the roll-out that it follows, a change those of the one that it changes; both have no effect otherwise, so that a delayed order or a former leader's decision changes nothing.

--- a/control/clients/decode.go
+++ b/control/clients/decode.go
@@ -53,6 +53,12 @@
 	case fleet.MethodSetOut:
 		r.SetOut = &fleet.SetOutRequest{}
 		v = r.SetOut
+	case fleet.MethodStartRollout:
+		r.StartRollout = &fleet.StartRolloutRequest{}
+		v = r.StartRollout
+	case fleet.MethodReadRollouts:
+		r.ReadRollouts = &fleet.ReadRolloutsRequest{}
+		v = r.ReadRollouts
 	default:
 		return r, errors.Errorf("method %q does not exist", method)
 	}
--- a/control/shell/counters.go
+++ b/control/shell/counters.go
@@ -37,6 +37,10 @@
 		if !r.Recorded {
 			countRefusal("LedgerEndNotRecorded")
 		}
+	case *fleet.StartRolloutReply:
+		if r.Conflict {
+			countRefusal("RolloutConflict")
+		}
 	case *fleet.ReplaceReply:
 		if !r.Accepted {
 			countRefusal("ReplaceInvalid")
--- a/control/shell/shell.go
+++ b/control/shell/shell.go
@@ -49,6 +49,8 @@
 	WriteRetryDelay time.Duration
 	// OnStateChange, if set, receives each newer committed state of a numbered configuration.
 	OnStateChange func(registry.NumberedState)
+	// OnRolloutsChange, if set, receives the newest committed roll-outs after each change.
+	OnRolloutsChange func([]fleet.Rollout)
 	// OnRoleChange, if set, is called for each change of the replica's role, term or leader.
 	OnRoleChange func(quorum.RoleChanged)
 }
@@ -272,6 +274,10 @@
 		if s.cfg.OnStateChange != nil {
 			s.cfg.OnStateChange(e.NumberedState)
 		}
+	case registry.RolloutsChanged:
+		if s.cfg.OnRolloutsChange != nil {
+			s.cfg.OnRolloutsChange(e.Rollouts)
+		}
 	case registry.Answer:
 		s.deliverAnswer(e)
 	case registry.LeasedAnswer:
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -65,9 +65,17 @@
 const (
 	ConfigAcknowledged     Event = "ConfigAcknowledged"     // a configuration was accepted
 	DataCentreAcknowledged Event = "DataCentreAcknowledged" // a data centre was taken out or brought back
+	RolloutAcknowledged    Event = "RolloutAcknowledged"    // an order of a roll-out was accepted
 	OperatorRefused        Event = "OperatorRefused"        // an operator's call was invalid, or control was unavailable
 )
 
+// Roll-outs.
+const (
+	RolloutChanged      Event = "RolloutChanged"      // another state of a roll-out is committed
+	RolloutDecided      Event = "RolloutDecided"      // the leader proposes to change a roll-out
+	RolloutNotCommitted Event = "RolloutNotCommitted" // a change that the leader proposed was not committed
+)
+
 // Leases of dispatchers.
 const (
 	LeaseAcquired    Event = "LeaseAcquired"
@@ -172,6 +180,10 @@
 	FieldNumber = "number"
 	// FieldRevision is the index of an entry in the replicated log of the control hosts.
 	FieldRevision = "revision"
+	// FieldService is the name of a service.
+	FieldService = "service"
+	// FieldRollout is the number of a roll-out.
+	FieldRollout = "rollout"
 	// FieldLines is the number of log lines dropped since the previous event of this kind.
 	FieldLines = "lines"
 )
--- a/fleet/registry/command.go
+++ b/fleet/registry/command.go
@@ -12,7 +12,7 @@
 // LogTime is the total time that has passed under active leaders since the log began.
 type LogTime time.Duration
 
-// Command is one change of a State; exactly one of its pointers is set.
+// Command is one change of a State; one of its pointers is set, or none to pass on the log time.
 type Command struct {
 	// At is the proposer's wall-clock time, which is recorded in the history.
 	At time.Time
@@ -28,6 +28,9 @@
 
 	PutConfig *fleet.PutConfigRequest `json:",omitempty"`
 	SetOut    *fleet.SetOutRequest    `json:",omitempty"`
+
+	StartRollout  *fleet.StartRolloutRequest `json:",omitempty"`
+	ChangeRollout *ChangeRollout             `json:",omitempty"`
 }
 
 // TextCommand sets a fleet text that the proposer has parsed.
--- a/fleet/registry/event.go
+++ b/fleet/registry/event.go
@@ -25,6 +25,10 @@
 	PutConfig   *fleet.PutConfigRequest   `json:",omitempty"`
 	ReadConfig  *fleet.ReadConfigRequest  `json:",omitempty"`
 	SetOut      *fleet.SetOutRequest      `json:",omitempty"`
+
+	StartRollout  *fleet.StartRolloutRequest `json:",omitempty"`
+	ChangeRollout *ChangeRollout             `json:",omitempty"`
+	ReadRollouts  *fleet.ReadRolloutsRequest `json:",omitempty"`
 }
 
 // RequestReceived delivers a request from another process.
--- a/fleet/registry/housekeeping.go
+++ b/fleet/registry/housekeeping.go
@@ -9,8 +9,8 @@
 // maxExpiredPerEntry bounds the number of ledger records that one log entry drops.
 const maxExpiredPerEntry = 1000
 
-// runHousekeeping removes silent processes, closes the ledger calls of routers that are gone
-// and drops ledger records past their retention, once per housekeepingInterval.
+// runHousekeeping removes silent processes, closes the ledger calls of routers that are gone,
+// drops ledger records past their retention and passes on the log time, once per housekeepingInterval.
 func (s *Server) runHousekeeping() {
 	t := &s.leader
 	if !s.replica.Ready() || !s.replica.LeaseHeld(s.now) || s.now.Before(t.nextHousekeeping) {
@@ -20,6 +20,7 @@
 	t.hosts.removeSilent(s.now)
 	s.abandonCalls()
 	s.expireCalls()
+	s.markTime()
 }
 
 // abandonCalls proposes to close the running calls of each router incarnation that is gone.
--- a/fleet/registry/numbered.go
+++ b/fleet/registry/numbered.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
-	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 )
 
 // readTimeout bounds how long a read waits for a majority. It is
@@ -38,6 +37,8 @@
 	call  CallID
 	known fleet.ConfigNumber
 	since time.Time
+	// rollouts is true for a read of the roll-outs instead of the configuration.
+	rollouts bool
 }
 
 // Numbered returns the committed numbered configuration and data centres out of service.
@@ -109,13 +110,9 @@
 }
 
 // handleReadConfig answers once a majority has confirmed this leader after the request
-// arrived. A lease is not enough, since a suspended host does not notice its expiry.
+// arrived.
 func (s *Server) handleReadConfig(id CallID, r *fleet.ReadConfigRequest) {
-	if !s.requireLease(id) {
-		return
-	}
-	s.pendingReads = append(s.pendingReads, pendingRead{call: id, known: r.Known, since: s.now})
-	s.reduceReplica(quorum.ConfirmLeadership{})
+	s.read(pendingRead{call: id, known: r.Known})
 }
 
 // completeReads answers the confirmed reads and fails those past readTimeout or without a
@@ -125,7 +122,9 @@
 	for _, read := range s.pendingReads {
 		switch {
 		case !s.replica.Ready() || s.now.Sub(read.since) > readTimeout:
-			s.fail(read.call, fleet.CodeUnavailable, "no majority confirmed the newest configuration in time")
+			s.fail(read.call, fleet.CodeUnavailable, "no majority confirmed the newest state in time")
+		case s.replica.ConfirmedSince(read.since) && read.rollouts:
+			s.answerRollouts(read.call)
 		case s.replica.ConfirmedSince(read.since):
 			s.answerRead(read)
 		default:
--- a/fleet/registry/requests.go
+++ b/fleet/registry/requests.go
@@ -17,7 +17,7 @@
 		s.answer(id, &status)
 		return
 	}
-	if s.handleNumbered(id, r) || !s.requireLease(id) {
+	if s.handleNumbered(id, r) || s.handleRollouts(id, r) || !s.requireLease(id) {
 		return
 	}
 	switch {
--- a/fleet/registry/server.go
+++ b/fleet/registry/server.go
@@ -39,6 +39,17 @@
 	pendingReads []pendingRead
 	// announcedRevision is the revision of the last NumberedChanged.
 	announcedRevision fleet.Revision
+	// announcedRollouts is the number of changes of the last RolloutsChanged, rolloutsSeen when
+	// this process learnt of each roll-out.
+	announcedRollouts uint64
+	rolloutsSeen      map[fleet.RolloutNumber]time.Time
+	logTimeSeen       logTimeSeen
+}
+
+// logTimeSeen is the newest committed log time and when this process learnt of it.
+type logTimeSeen struct {
+	now LogTime
+	at  time.Time
 }
 
 // pendingRequest holds what a proposal was made for: a request, or the housekeeping.
@@ -51,6 +62,8 @@
 	abandon fleet.HostID
 	// expire is set when the housekeeping drops ledger records.
 	expire bool
+	// mark is set when the housekeeping passes on the log time.
+	mark bool
 }
 
 // leaderState is the volatile state of a leader, which starts anew in each term.
@@ -62,6 +75,7 @@
 	hosts            hostTable
 	abandonPending   map[fleet.HostID]bool
 	expirePending    bool
+	markPending      bool
 	nextHousekeeping time.Time
 }
 
@@ -112,6 +126,7 @@
 	}
 	s.completeReads()
 	s.announceNumbered()
+	s.announceRollouts()
 	return s.out
 }
 
@@ -184,6 +199,8 @@
 		delete(s.leader.abandonPending, pending.abandon)
 	case pending.expire:
 		s.leader.expirePending = false
+	case pending.mark:
+		s.leader.markPending = false
 	default:
 		s.answer(pending.call, replyOf(e.Result))
 	}
@@ -203,6 +220,10 @@
 		return &r
 	case fleet.SetOutReply:
 		return &r
+	case fleet.StartRolloutReply:
+		return &r
+	case fleet.Rollout:
+		return &r
 	}
 	return &fleet.ReplaceReply{Accepted: true}
 }
--- a/fleet/registry/state.go
+++ b/fleet/registry/state.go
@@ -46,6 +46,11 @@
 	Order      []fleet.OperationID
 	Leases     map[fleet.LeaseName]lease
 	Numbered   NumberedState
+	// Rollouts has the newest roll-out of each service, by service, LastRollout the highest
+	// number, and RolloutChanges counts the changes. Snapshots of earlier releases have none.
+	Rollouts       []rolloutRecord     `json:",omitempty"`
+	LastRollout    fleet.RolloutNumber `json:",omitempty"`
+	RolloutChanges uint64              `json:",omitempty"`
 }
 
 // textVersion is the fleet text in force from a version on.
@@ -94,7 +99,8 @@
 
 // Apply implements quorum.StateMachine. The result is a fleet.ChangeReply, a
 // fleet.LeaseState, a fleet.LedgerBeginReply, a fleet.LedgerEndReply, a
-// fleet.PutConfigReply, a fleet.SetOutReply, superseded or nil.
+// fleet.PutConfigReply, a fleet.SetOutReply, a fleet.StartRolloutReply, a fleet.Rollout,
+// superseded or nil.
 func (s *State) Apply(index fleet.Index, command []byte) any {
 	c, err := DecodeCommand(command)
 	if !invariant.Check(err == nil, "CommandDecoded", "entry %d: %v", index, err) {
@@ -120,6 +126,10 @@
 		return s.applyConfig(c.PutConfig)
 	case c.SetOut != nil:
 		return s.applyOut(c.SetOut)
+	case c.StartRollout != nil:
+		return s.applyStartRollout(c)
+	case c.ChangeRollout != nil:
+		return s.applyChangeRollout(c.ChangeRollout)
 	case c.Begin != nil:
 		return s.ledger.begin(c.Begin)
 	case c.End != nil:
