Control hosts: orders, reads and decisions of roll-outs

Any control host takes an order: it reads the newest roll-out, confirmed by a majority, and proposes the order on top of it. Notices carry the newest roll-out of each service, at once after a change and in each regular one.

The leader passes the routers' outcomes of its own term to package rollout every 100 ms, with the serving targets of both versions in the data centres in service, and proposes what that decides. Each decision is logged with its counts and their age, and counted in RolloutDecisions by state and reason.

Three hosts and a router over the feed: a roll-out of 6 s is completed in time, a bad one reverted, also when the leader stops after each step.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -22,6 +22,7 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
+	"github.com/fuchsiashed/fuchsiashed/fleet/rollout"
 	"github.com/fuchsiashed/fuchsiashed/fleet/rpc"
 	"github.com/fuchsiashed/fuchsiashed/fleet/targets"
 
@@ -83,8 +84,13 @@
 	ToleratedLosses int
 	// DemandWindow is the time over which customers are to receive their fair shares.
 	DemandWindow time.Duration
-	Clock        fleet.Clock
-	Log          *slog.Logger
+	// Services returns the services of a configuration, from its text. Without it, the services are
+	// not known, and orders for any are taken.
+	Services func(text []byte) ([]fleet.ServiceName, error)
+	// Rollouts are the limits of roll-outs.
+	Rollouts rollout.Limits
+	Clock    fleet.Clock
+	Log      *slog.Logger
 }
 
 // Core is a control host. It is safe for concurrent use.
@@ -98,6 +104,9 @@
 	server    *rpc.Server
 	hub       *hub
 	loads     *loadCollector
+	board     rolloutBoard
+	rollouts  rolloutLeader
+	services  serviceCache
 	clients   *clients.Handler
 	// feed handles the messages of the feed.
 	feed      rpc.Handler
@@ -133,6 +142,7 @@
 	c.hub = newHub(c, cfg.Clock, cfg.Log)
 	c.origins = newOriginStore(cfg.Clock)
 	c.loads = newLoadCollector(cfg.DemandWindow/demandWindowParts, cfg.Log)
+	c.rollouts.limits = cfg.Rollouts
 	c.feed = rpc.Recovering(rpc.HandlerFunc(c.handleFeed), cfg.Log)
 	c.clientSet = rpc.NewClientSet(rpc.ClientSetConfig{
 		Uncompressed: true, OnConnect: c.followPeer,
@@ -184,7 +194,7 @@
 			},
 		},
 		Storage: storage, Sender: c.transport, Clock: c.cfg.Clock, Log: c.cfg.Log,
-		WriteRetryDelay: writeRetryDelay, OnStateChange: c.onStateChange, OnRoleChange: c.onRoleChange,
+		WriteRetryDelay: writeRetryDelay, OnStateChange: c.onStateChange, OnRolloutsChange: c.onRolloutsChange, OnRoleChange: c.onRoleChange,
 		OnStorageFailure: func(error) {},
 	})
 	c.clients = &clients.Handler{Replica: c.shell}
@@ -201,6 +211,7 @@
 	c.updateConnections()
 	c.wg.Go(c.runHousekeeping)
 	c.wg.Go(c.sendDigests)
+	c.wg.Go(c.runRollouts)
 	return nil
 }
 
@@ -339,7 +350,7 @@
 
 // notice returns this host's view of the deployment without the targets.
 func (c *Core) notice() fleet.Notice {
-	n := fleet.Notice{Confirmed: c.HasQuorumContact(), Routers: c.hub.liveRouters()}
+	n := fleet.Notice{Confirmed: c.HasQuorumContact(), Routers: c.hub.liveRouters(), Rollouts: c.board.list(c.cfg.Clock.Now())}
 	controls := map[fleet.HostID]bool{c.host: true}
 	c.mu.Lock()
 	n.Revision, n.Number, n.Out, n.Leader = c.state.Revision, c.state.Config.Number, c.state.Out, c.leader
--- a/control/core/feed.go
+++ b/control/core/feed.go
@@ -28,6 +28,11 @@
 	if fleet.IsFeedMethod(method) {
 		return c.feed.Handle(ctx, peer, method, params)
 	}
+	if method == fleet.MethodStartRollout {
+		if reply, handled, err := c.handleOrder(ctx, params); handled {
+			return reply, err
+		}
+	}
 	return c.clients.Handle(ctx, peer, method, params)
 }
 
@@ -51,7 +56,9 @@
 			return nil, rpc.NewError(fleet.CodeInvalid, err.Error(), nil)
 		}
 		c.hub.recordReport(peer, &r)
-		c.loads.addReport(c.cfg.Clock.Now(), r)
+		now := c.cfg.Clock.Now()
+		c.rollouts.addReport(now, &r)
+		c.loads.addReport(now, r)
 		return nil, nil
 	case fleet.MethodTargets:
 		n, invalid, err := fleet.DecodeTargetsNotice(params)
--- a/control/core/requests.go
+++ b/control/core/requests.go
@@ -90,8 +90,8 @@
 	return retry(ctx, method, func(ctx context.Context) error { return c.submitOnce(ctx, method, r, params, reply) })
 }
 
-// retry calls attempt until it succeeds, the request is refused as invalid, or requestTimeout
-// has passed.
+// retry calls attempt until it succeeds, the request is refused as invalid or for an unknown
+// service, or requestTimeout has passed.
 func retry(ctx context.Context, method string, attempt func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
@@ -99,7 +99,7 @@
 	for {
 		err := attempt(ctx)
 		var refused *rpc.Error
-		if err == nil || errors.As(err, &refused) && refused.Code == fleet.CodeInvalid {
+		if err == nil || errors.Is(err, ErrUnknownService) || errors.As(err, &refused) && refused.Code == fleet.CodeInvalid {
 			return err
 		}
 		if ctx.Err() == nil || lastErr == nil {
@@ -159,6 +159,16 @@
 			*to = *r
 			return nil
 		}
+	case *fleet.StartRolloutReply:
+		if r, ok := from.(*fleet.StartRolloutReply); ok {
+			*to = *r
+			return nil
+		}
+	case *fleet.ReadRolloutsReply:
+		if r, ok := from.(*fleet.ReadRolloutsReply); ok {
+			*to = *r
+			return nil
+		}
 	}
 	return errors.Errorf("reply is a %T", from)
 }
