Roll-outs: a version without others begins with all requests

An order of the version that a service has already moved to, later than it counts as resent, would begin with a share of 0, and requests would be refused since there are no targets of another version. Such a roll-out begins with a share of 1, or gets it from the leader once no other version was there for 15 s.

--- a/control/core/orders.go
+++ b/control/core/orders.go
@@ -134,10 +134,20 @@
 		return reply, err
 	}
 	order.Base = &fleet.RolloutBase{Number: newest.Number, Revision: newest.Revision}
+	order.Share = 0
+	if c.isAlone(order.Service, order.To) || c.hasMoved(&newest, order.To) {
+		order.Share = 1
+	}
 	err = c.submitOnce(ctx, fleet.MethodStartRollout, registry.Request{StartRollout: &order}, &order, &reply)
 	return reply, err
 }
 
+// hasMoved reports whether a service has moved to a version completely, and has no other targets.
+func (c *Core) hasMoved(newest *fleet.Rollout, to fleet.SoftwareVersion) bool {
+	newTargets, oldTargets := c.countVersions(newest)
+	return newest.State == fleet.RolloutCompleted && newest.To == to && newTargets > 0 && oldTargets == 0
+}
+
 // ReadRollouts returns the newest roll-out of each service, at least as new as all that was
 // acknowledged or returned before the call (a linearizable read). It fails with ErrUnavailable.
 func (c *Core) ReadRollouts(ctx context.Context) (fleet.ReadRolloutsReply, error) {
--- a/control/core/rollouts.go
+++ b/control/core/rollouts.go
@@ -19,6 +19,10 @@
 // report as often at most.
 const reviewInterval = 100 * time.Millisecond
 
+// aloneFor is the time without targets of other versions after which a service has none. Targets
+// that crash are back sooner.
+const aloneFor = 15 * time.Second
+
 // rolloutDecisions counts the leader's decisions on roll-outs by the state that they lead to and the
 // reason, and those that were not committed.
 var rolloutDecisions = expvar.NewMap("RolloutDecisions")
@@ -210,6 +214,7 @@
 		active[r.Number] = true
 		ev := rollout.Reviewed{Rollout: r.Rollout, Left: r.Due, Dropped: !c.hasService(r.Service)}
 		ev.NewTargets, ev.OldTargets = c.countVersions(&r.Rollout)
+		ev.Alone = c.isAlone(r.Service, r.To)
 		if d := c.rollouts.review(c.cfg.Clock.Now(), term, &ev); d != nil {
 			c.wg.Go(func() { c.propose(term, d) })
 		}
@@ -234,6 +239,19 @@
 	return newTargets, oldTargets
 }
 
+// isAlone reports whether a service has had targets of this version and no other for aloneFor. A host
+// that has started lately does not know.
+func (c *Core) isAlone(service fleet.ServiceName, to fleet.SoftwareVersion) bool {
+	now := c.cfg.Clock.Now()
+	if now.Sub(c.startTime) < aloneFor || !c.HasQuorumContact() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	versions := c.targets.Versions(service, now.Add(-aloneFor))
+	return len(versions) == 1 && versions[0] == to
+}
+
 // propose logs and proposes a decision. It has no effect unless the roll-out is still as it was
 // when the decision was made.
 func (c *Core) propose(term fleet.Term, d *decision) {
--- a/control/core/rollouts_test.go
+++ b/control/core/rollouts_test.go
@@ -217,6 +217,17 @@
 		}
 		convey.So(len(f.states), convey.ShouldBeGreaterThanOrEqualTo, 5)
 		convey.So(f.states[len(f.states)-2].Share, convey.ShouldEqual, 1)
+		convey.Convey("and the same order, long after, leaves all requests at the version", func() {
+			for _, id := range []fleet.TargetID{"t-0", "t-1"} {
+				convey.So(g.cores[2].End(fleet.TargetEnd{Target: id}), convey.ShouldBeNil)
+			}
+			// Within 6 s the order counts as resent.
+			time.Sleep(time.Until(begun.Add(7 * time.Second)))
+			convey.So(g.startRollout(2, "v2", 6*time.Second), convey.ShouldBeNil)
+			r := g.rollout(2)
+			convey.So(r.Number, convey.ShouldEqual, 2)
+			convey.So(r.Share, convey.ShouldEqual, 1)
+		})
 	})
 	convey.Convey("A roll-out of a bad version is reverted, and the routers are told", t, func() {
 		g := startVersions(t)
--- a/fleet/registry/rollouts.go
+++ b/fleet/registry/rollouts.go
@@ -91,7 +91,7 @@
 	s.data.LastRollout++
 	r := rolloutRecord{
 		Service: o.Service, To: o.To, Number: s.data.LastRollout, Revision: 1, State: fleet.RolloutActive,
-		Duration: o.Duration, OrderedAt: c.At, OrderedNow: s.data.Now,
+		Share: o.Share, Duration: o.Duration, OrderedAt: c.At, OrderedNow: s.data.Now,
 	}
 	s.putRollout(i, known, r)
 	return fleet.StartRolloutReply{Rollout: r.rollout()}
--- a/fleet/rollout/controller.go
+++ b/fleet/rollout/controller.go
@@ -97,6 +97,8 @@
 		return nil
 	}
 	c.judge.advance(now)
+	// A router that has been cut off for as long sends nothing to the new version.
+	c.routers.prune(now, c.limits.RollbackTime/2)
 	if r.Rollout.Share != c.seen.Share || c.stepSince.IsZero() {
 		c.stepSince, c.stepAnswers = now, 0
 	}
@@ -138,8 +140,11 @@
 			return &Changed{State: fleet.RolloutReverted, Reason: ReasonDoubt}
 		}
 	}
-	if share >= 1 {
+	switch {
+	case share >= 1:
 		return c.complete(now, r, &s)
+	case r.Alone:
+		return &Changed{State: fleet.RolloutActive, Share: 1, Reason: ReasonAlone}
 	}
 	if !c.stepIsDone(now, share, &s, urgent) {
 		return nil
@@ -223,9 +228,8 @@
 // complete returns the end of a roll-out whose share is 1, once all is moved or the time is up.
 func (c *Controller) complete(now time.Time, r *Reviewed, s *schedule) *Changed {
 	elapsed := now.Sub(c.stepSince)
-	running, follow := c.routers.old(now, r.Rollout.Revision, c.limits.RollbackTime/2)
 	switch {
-	case elapsed >= s.atFull() && running == 0 && follow:
+	case elapsed >= s.atFull() && c.routers.running(oldVersion) == 0 && c.routers.follow(r.Rollout.Revision):
 		return &Changed{State: fleet.RolloutCompleted, Share: 1, Reason: ReasonMoved}
 	case r.Left <= s.margin && elapsed >= s.step/2:
 		return &Changed{State: fleet.RolloutCompleted, Share: 1, Reason: ReasonTimeUp}
--- a/fleet/rollout/controller_test.go
+++ b/fleet/rollout/controller_test.go
@@ -294,6 +294,11 @@
 		convey.So(ch.Reason, convey.ShouldEqual, rollout.ReasonTimeUp)
 		convey.So(ch.Basis.Running, convey.ShouldEqual, 4)
 	})
+	convey.Convey("A version without others gets all requests at once", t, func() {
+		all := reviews(rollout.Reviewed{Rollout: active, Left: active.Duration, NewTargets: 3, Alone: true}, 5)
+		convey.So(all[0].Share, convey.ShouldEqual, 1)
+		convey.So(all[len(all)-1].State, convey.ShouldEqual, fleet.RolloutCompleted)
+	})
 	convey.Convey("A router that does not know the last step yet is waited for", t, func() {
 		c := rollout.New(begin, limits)
 		full := active
--- a/fleet/rollout/event.go
+++ b/fleet/rollout/event.go
@@ -36,6 +36,9 @@
 	Left time.Duration
 	// NewTargets and OldTargets are the numbers of serving targets of the versions.
 	NewTargets, OldTargets int
+	// Alone is true if the service has had targets of no other version for some seconds. Without a share of
+	// 1, all requests would be refused.
+	Alone bool
 	// Dropped is true if the configuration in force does not have the service.
 	Dropped bool
 }
@@ -62,6 +65,8 @@
 	// ReasonTrial raises the share up to that of the trial, ReasonMove raises it to 1.
 	ReasonTrial Reason = "Trial"
 	ReasonMove  Reason = "Move"
+	// ReasonAlone raises the share to 1 because there are no other versions.
+	ReasonAlone Reason = "Alone"
 	// ReasonFailures and ReasonSlow revert a version that fails more often, or is slower, than
 	// the old one. ReasonFailing does so at once if a large part of all answers are failures.
 	ReasonFailures Reason = "Failures"
--- a/fleet/rollout/routers.go
+++ b/fleet/rollout/routers.go
@@ -40,19 +40,23 @@
 	return n
 }
 
-// old returns the number of requests that run at the old targets, by the reports that are not older
-// than maxAge, and whether all these routers follow a revision or have no requests.
-func (r routers) old(now time.Time, revision uint64, maxAge time.Duration) (running int, follow bool) {
-	follow = true
+// prune removes the reports that are older than maxAge.
+func (r routers) prune(now time.Time, maxAge time.Duration) {
 	for host, x := range r {
 		if now.Sub(x.at) > maxAge {
 			delete(r, host)
-			continue
 		}
-		running += x.running[oldVersion]
-		follow = follow && (x.revision == 0 || x.revision >= revision)
 	}
-	return running, follow
+}
+
+// follow reports whether all routers follow a revision or have no requests.
+func (r routers) follow(revision uint64) bool {
+	for _, x := range r {
+		if x.revision > 0 && x.revision < revision {
+			return false
+		}
+	}
+	return true
 }
 
 // rateMeter measures the rate of answers over rateTime.
--- a/fleet/rolloutorder.go
+++ b/fleet/rolloutorder.go
@@ -33,6 +33,10 @@
 	// after the order has arrived. The order has no effect if the service's newest roll-out has
 	// changed since, so that an order that was held up on the way does not follow a newer one.
 	Base *RolloutBase `json:",omitempty"`
+	// Share is the share with which the roll-out begins, also set by that control host: 1 if the
+	// service has targets of no other version, since its requests would be refused otherwise,
+	// else 0.
+	Share float64 `json:",omitempty"`
 }
 
 // Check implements Checker.
@@ -46,6 +50,9 @@
 	if r.Duration <= 0 || r.Duration > MaxRolloutDuration {
 		return errors.Errorf("Duration is %s; it must be more than 0 and at most %s", r.Duration, MaxRolloutDuration)
 	}
+	if !(r.Share >= 0 && r.Share <= 1) {
+		return errors.Errorf("Share is %g; it must be from 0 to 1", r.Share)
+	}
 	return CheckName("Service", string(r.Service))
 }
 
