Roll-outs: shorter detection at a high share, and waits for late evidence

- A version whose requests lag behind at a step of the move is not raised further, by the old version's usual time for a request (Little's law) from before the move.
- A version in doubt that has all requests may use half of the margin before the end.
- A leader that has just started does not take targets that it has not heard of for lost.

--- a/fleet/rollout/controller.go
+++ b/fleet/rollout/controller.go
@@ -29,6 +29,9 @@
 	reportTime = 100 * time.Millisecond
 	// rateTime is the time over which the rate of answers is measured.
 	rateTime = 2 * time.Second
+	// announceTime is the time within which a control host that has started learns of all targets, of
+	// which some announcements are lost.
+	announceTime = 4 * time.Second
 	// minSilent is the number of running requests from which a version without answers is silent,
 	// silentTime the time for which it must be so.
 	minSilent  = 12
@@ -54,13 +57,17 @@
 	seen        fleet.Rollout
 	stepSince   time.Time
 	stepAnswers int
+	// usual is the old version's mean time for a request before the move; 0 if it is not known.
+	usual time.Duration
+	// targetsSeen is when the new version last had targets, at first the beginning.
+	targetsSeen time.Time
 	// silentSince is when the new version began not to answer; zero if it answers.
 	silentSince time.Time
 }
 
 // New returns a Controller that has no reports yet.
 func New(now time.Time, limits Limits) *Controller {
-	return &Controller{limits: limits, judge: newJudge(now), routers: routers{}}
+	return &Controller{limits: limits, judge: newJudge(now), routers: routers{}, targetsSeen: now}
 }
 
 // Reduce implements fleet.Reducer. It accepts Reported and Reviewed, and returns at most one
@@ -103,6 +110,12 @@
 		c.stepSince, c.stepAnswers = now, 0
 	}
 	c.seen = r.Rollout
+	if t := c.perRequest(now); t > 0 && (c.usual == 0 || r.Rollout.Share <= maxTrialShare) {
+		c.usual = t
+	}
+	if r.NewTargets > 0 {
+		c.targetsSeen = now
+	}
 	c.checkSilence(now)
 	ch := c.decide(now, r)
 	if ch == nil {
@@ -117,9 +130,14 @@
 
 // decide returns the change to make, or nil.
 func (c *Controller) decide(now time.Time, r *Reviewed) *Changed {
-	s := newSchedule(r.Rollout.Duration, c.perRequest(now))
-	if r.Left <= s.margin && (r.Dropped || r.NewTargets == 0) && c.isWarm(now, r) {
-		return &Changed{State: fleet.RolloutReverted, Reason: targetlessReason(r)}
+	s := newSchedule(r.Rollout.Duration, c.usual)
+	if r.Left <= s.margin && c.isWarm(now, r) {
+		switch {
+		case r.Dropped:
+			return &Changed{State: fleet.RolloutReverted, Reason: ReasonDropped}
+		case c.hasNoTargets(now, r):
+			return &Changed{State: fleet.RolloutReverted, Reason: ReasonNoTargets}
+		}
 	}
 	// Without old targets, a reverted roll-out would leave the service with none.
 	if r.OldTargets > 0 {
@@ -133,7 +151,8 @@
 	share := r.Rollout.Share
 	urgent := s.urgent(share, r.Left)
 	if c.isDoubtful() {
-		if !urgent {
+		// A version in doubt that has all requests may use half of the margin.
+		if !urgent || share >= 1 && r.Left > s.margin/2 {
 			return nil
 		}
 		if c.score() >= endScore && r.OldTargets > 0 {
@@ -166,11 +185,14 @@
 	return nil
 }
 
-func targetlessReason(r *Reviewed) Reason {
-	if r.Dropped {
-		return ReasonDropped
+// hasNoTargets reports whether the new version has had no targets for so long that the leader
+// would know of them. A leader that knows of no targets at all may have just started.
+func (c *Controller) hasNoTargets(now time.Time, r *Reviewed) bool {
+	required := announceTime
+	if r.OldTargets == 0 {
+		required = 2 * announceTime
 	}
-	return ReasonNoTargets
+	return r.NewTargets == 0 && now.Sub(c.targetsSeen) >= required
 }
 
 // fault returns why the new version has to be reverted, or "".
@@ -229,7 +251,7 @@
 func (c *Controller) complete(now time.Time, r *Reviewed, s *schedule) *Changed {
 	elapsed := now.Sub(c.stepSince)
 	switch {
-	case elapsed >= s.atFull() && c.routers.running(oldVersion) == 0 && c.routers.follow(r.Rollout.Revision):
+	case elapsed >= s.atFull() && c.routers.running(oldVersion) == 0 && c.routers.follow(r.Rollout.Revision) && !c.isLagging(now):
 		return &Changed{State: fleet.RolloutCompleted, Share: 1, Reason: ReasonMoved}
 	case r.Left <= s.margin && elapsed >= s.step/2:
 		return &Changed{State: fleet.RolloutCompleted, Share: 1, Reason: ReasonTimeUp}
@@ -253,7 +275,7 @@
 	if c.silentSince.IsZero() || c.judge.totals[oldVersion].answers == 0 {
 		return false
 	}
-	return now.Sub(c.silentSince) >= max(silentTime, silentMultiple*c.perRequest(now))
+	return now.Sub(c.silentSince) >= max(silentTime, silentMultiple*c.usual)
 }
 
 // perRequest returns the mean time that the old version takes for a request (Little's law); 0 if
@@ -272,7 +294,7 @@
 func (c *Controller) isLagging(now time.Time) bool {
 	running := c.routers.running(newVersion)
 	perRequest := float64(running) * float64(now.Sub(c.stepSince)) / float64(max(c.stepAnswers, 1))
-	return running >= minSilent && perRequest > lagMultiple*float64(c.perRequest(now))
+	return c.usual > 0 && running >= minSilent && perRequest > lagMultiple*float64(c.usual)
 }
 
 // basis returns the figures of a decision.
--- a/fleet/rollout/schedule.go
+++ b/fleet/rollout/schedule.go
@@ -7,7 +7,7 @@
 const (
 	// trialExposure is the part of the allowed exposure that the trial may use. The rest is for
 	// the time until a fault is noticed that shows only while the share rises to 1.
-	trialExposure = 0.3
+	trialExposure = 0.25
 	// maxTrialShare bounds the share of the trial.
 	maxTrialShare = 0.5
 	// trialSteps is the number of steps to the share of the trial, each twice the one before.
@@ -71,7 +71,7 @@
 // minRate is the rate of requests a second below which a service counts as having this one.
 const minRate = 0.1
 
-// next returns the share that follows in the trial, or the present one at its end.
+// nextTrialShare returns the share that follows in the trial, or the present one at its end.
 func nextTrialShare(share, limit float64) float64 {
 	first := limit / (1 << (trialSteps - 1))
 	next := max(first, 2*share)
