Placement: share of a roll-out, side of each call, outcomes of both versions

Callers saw a new software version get requests by the number of its targets, with no way to limit them or to take them back. The router now restricts the targets of each call by the roll-out of its service: by a hash of the request ID, or by the version that began a resumed stream.

The capacity of a service is divided by the number of targets of the larger side: counting the targets of both versions would halve the expected rate of each and refuse calls as late. Outcomes are compared with the rated time to the first byte.

--- a/fleet/placement/budget.go
+++ b/fleet/placement/budget.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
 )
 
 // RetryLimits limits the retries of a service at all routers together: in each Window, Ratio
@@ -70,4 +72,18 @@
 	return true
 }
 
+// retryShare returns this router's share of the fleet's retries.
+func (r *Router) retryShare() retryShare {
+	return retryShare{limits: r.cfg.Retries, routers: r.peers.count()}
+}
+
+func (r *Router) budget(s fleet.ServiceName) *retryBudget {
+	b := r.budgets[s]
+	if b == nil {
+		b = newBudget(r.cfg.Retries.Window)
+		r.budgets[s] = b
+	}
+	return b
+}
+
 func hashOf(s string) uint64 { return xxhash.Sum64String(s) }
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -100,9 +100,10 @@
 }
 
 // eligible returns the serving targets of a call's service that fit the call, are not in a data
-// centre that is out and were not tried for this call.
+// centre that is out and were not tried for this call. Of two sides of a roll-out, it returns one.
 func (r *Router) eligible(k *call) []*target {
-	return slices.DeleteFunc(r.suitable(k), func(t *target) bool { return k.isTried(t.id) })
+	untried := slices.DeleteFunc(r.suitable(k), func(t *target) bool { return k.isTried(t.id) })
+	return r.onPreferredSide(k, untried)
 }
 
 // suitable returns the targets that are eligible for a call or were tried for it.
@@ -113,27 +114,32 @@
 			out = append(out, t)
 		}
 	}
-	return out
+	return r.onPermittedSides(k, out)
 }
 
-// available returns those of the targets that are warm, or cold with some quota left, that have no
-// limit, or some quota of it left, and that do not decline requests for a time.
-func (r *Router) available(targets []*target) []*target {
-	var out []*target
-	for _, t := range targets {
-		if (!r.isCold(t) || r.hasColdQuota(t)) && r.hasLimitQuota(t) && t.returns.accepts(r.now) {
-			out = append(out, t)
-		}
-	}
-	return out
+// isAvailable reports whether a target is warm, or cold with some quota left, has no limit, or some
+// quota of it left, and does not decline requests for a time.
+func (r *Router) isAvailable(t *target) bool {
+	return (!r.isCold(t) || r.hasColdQuota(t)) && r.hasLimitQuota(t) && t.returns.accepts(r.now)
 }
 
-// healthy returns those of the available targets that are not paused and whose failure rate
-// is acceptable.
-func (r *Router) healthy(targets []*target) []*target {
+// available returns the available ones of the targets.
+func (r *Router) available(targets []*target) []*target { return filter(targets, r.isAvailable) }
+
+// isHealthy reports whether a target is available and not paused, and its failure rate is
+// acceptable.
+func (r *Router) isHealthy(t *target) bool {
+	return r.isAvailable(t) && !r.now.Before(t.pausedUntil) && t.failureRate <= maxFailureRate
+}
+
+// healthy returns the healthy ones of the targets.
+func (r *Router) healthy(targets []*target) []*target { return filter(targets, r.isHealthy) }
+
+// filter returns the targets for which a condition holds.
+func filter(targets []*target, holds func(*target) bool) []*target {
 	var out []*target
-	for _, t := range r.available(targets) {
-		if !r.now.Before(t.pausedUntil) && t.failureRate <= maxFailureRate {
+	for _, t := range targets {
+		if holds(t) {
 			out = append(out, t)
 		}
 	}
@@ -215,8 +221,9 @@
 
 // ownerCount returns the number of targets over which the requests for a part are spread.
 func (r *Router) ownerCount(k *call, key PartID, rate float64) int {
-	wanted := 1 + int(r.hotParts[key]/(rate*r.cfg.Policy.HotPartShare))
-	limit := len(r.services[k.service]) / hotOwnersDivisor
+	load, targets := r.partLoad(k, key)
+	wanted := 1 + int(load/(rate*r.cfg.Policy.HotPartShare))
+	limit := targets / hotOwnersDivisor
 	return max(r.cfg.Policy.Owners, min(wanted, limit))
 }
 
@@ -280,14 +287,9 @@
 }
 
 // prefillRate returns the rated number of prompt tokens that one target of a service
-// processes in a second: the capacity divided among the serving targets.
+// processes in a second: the capacity divided among the serving targets, see ratedTargets.
 func (r *Router) prefillRate(service fleet.ServiceName) float64 {
-	n := 0
-	for _, t := range r.services[service] {
-		if t.isServing() {
-			n++
-		}
-	}
+	n := r.ratedTargets(service)
 	if r.config.TokensPerSecond == 0 || n == 0 {
 		return defaultPrefillRate
 	}
--- a/fleet/placement/cold.go
+++ b/fleet/placement/cold.go
@@ -28,11 +28,18 @@
 // isCold reports whether a target can take only a reduced load: because it announced so, its
 // data centre has just returned to service, or it may have restarted.
 func (r *Router) isCold(t *target) bool {
+	service := r.config.Service(t.entry.Service)
+	return service != nil && service.ColdRate > 0 && (t.maybeRestarted || r.isWarmingUp(t))
+}
+
+// isWarmingUp reports whether a target announced that it is cold, or its data centre has just
+// returned to service.
+func (r *Router) isWarmingUp(t *target) bool {
 	service := r.config.Service(t.entry.Service)
 	if service == nil || service.ColdRate == 0 {
 		return false
 	}
-	if r.now.Before(t.entry.ColdUntil) || t.maybeRestarted {
+	if r.now.Before(t.entry.ColdUntil) {
 		return true
 	}
 	returned, ok := r.returnedAt[t.entry.DataCentre]
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -292,6 +292,8 @@
 	// router may still send it in the present window. Both are 0 if it stated none.
 	Limit      fleet.RequestRate
 	LimitQuota int
+	// Rollout is what the roll-out of the service decides.
+	Rollout RolloutBasis
 }
 
 // Refuse is the effect of refusing a call that was not sent to any target.
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -130,6 +130,7 @@
 	out.Slowness = r.measuredSlowness()
 	out.Calls, out.Limits = s.calls, r.statedLimits()
 	s.calls = 0
+	out.Rollouts = r.takeRolloutOutcomes()
 	r.parts.fillReport(r.now, &out)
 	if r.config != nil {
 		out.Capacity = r.config.TokensPerSecond
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,7 +19,10 @@
 	// SilentAfter is the time without announcements after which a target is removed, unless
 	// it answered a request within that time.
 	SilentAfter time.Duration
-	Policy      Policy
+	// RollbackTime is the time within which a bad version of a roll-out must get no more requests;
+	// 0 means 5 s.
+	RollbackTime time.Duration
+	Policy       Policy
 }
 
 // Router is the reducer of one router. It implements fleet.Reducer.
@@ -48,6 +52,7 @@
 	report    reportState
 	parts     partsState
 	limits    limitShare
+	rollouts  map[fleet.ServiceName]*rollout
 }
 
 // call is a request that has not ended.
@@ -80,17 +85,20 @@
 	// sent.
 	assumedSlowness float64
 	// trust is the factor by which expectedFirstByte is reduced, see serviceSlowness.
-	trust float64
+	trust   float64
+	rollout callRollout
 }
 
 // New returns a Router without configuration and targets. It refuses calls until it has them.
 func New(cfg Config) *Router {
+	cfg.RollbackTime = cmp.Or(cfg.RollbackTime, defaultRollbackTime)
 	return &Router{
 		cfg: cfg, directory: targets.New(),
 		dataCentresOut: map[fleet.DataCentreName]bool{}, returnedAt: map[fleet.DataCentreName]time.Time{},
 		targets: map[fleet.TargetID]*target{}, services: map[fleet.ServiceName][]*target{},
 		peers: newPeers(), calls: map[CallID]*call{}, budgets: map[fleet.ServiceName]*retryBudget{},
 		serviceSlowness: map[fleet.ServiceName]*serviceSlowness{}, admission: newAdmission(), report: newReportState(), parts: newPartsState(),
+		rollouts: map[fleet.ServiceName]*rollout{},
 	}
 }
 
@@ -109,6 +117,8 @@
 		r.listening = ev.Listening
 	case DigestReceived:
 		r.applyDigest(&ev)
+	case RolloutsNoticed:
+		r.rolloutsNoticed(ev)
 	case Tick:
 		r.tick()
 	case ReportDue:
@@ -164,6 +174,7 @@
 	}
 	if len(n.Announced)+len(n.Ended) > 0 {
 		r.rebuildIndex()
+		r.noteReplacedVersions()
 	}
 }
 
@@ -201,7 +212,7 @@
 	}
 }
 
-// tick removes targets that no longer announce themselves.
+// tick removes targets that no longer announce themselves, and updates the shares of roll-outs.
 func (r *Router) tick() {
 	if r.listening {
 		since := r.now.Add(-r.cfg.SilentAfter)
@@ -213,6 +224,7 @@
 			r.rebuildIndex()
 		}
 	}
+	r.refreshRollouts()
 }
 
 // callArrived admits and places a new call, or refuses it.
@@ -252,7 +264,7 @@
 		r.finish(k)
 		reason, delay := r.noTargetReason(k)
 		if k.sends == 0 {
-			r.emit(Refuse{Call: k.ID, Reason: reason, RetryAfter: delay})
+			r.emit(Refuse{Call: k.ID, Reason: reason, RetryAfter: delay, Basis: Basis{Rollout: r.rolloutBasis(k, nil)}})
 			return
 		}
 		r.emit(GiveUp{Call: k.ID, Reason: reason, NotRun: k.attempts == 0, RetryAfter: delay})
@@ -263,6 +275,7 @@
 		t, basis = r.chooseForLight(k, t, basis)
 		late = r.now.Add(basis.ExpectedFirstByte).After(k.Deadline)
 	}
+	basis.Rollout = r.rolloutBasis(k, t)
 	if late {
 		r.admission.refund(k.Customer, float64(shareTokens(&k.Call)))
 		r.emit(Refuse{Call: k.ID, Reason: fleet.ReasonExpectedLate, RetryAfter: r.lateRetryDelay(k, basis), Basis: basis})
@@ -283,6 +296,7 @@
 	r.calls[k.ID] = k
 	t.addCall(k)
 	r.report.addSent(k)
+	r.countSend(k, t)
 	if r.isCold(t) {
 		t.coldSends = append(t.coldSends, r.now)
 	}
@@ -311,6 +325,7 @@
 		return
 	}
 	k.answerBegun = true
+	r.countBegin(k, ev.Failed)
 	if ev.Stream {
 		r.beginStream(k)
 	}
@@ -338,6 +353,7 @@
 	}
 	t := k.current
 	t.removeCall(k)
+	r.countEnd(k, ev.Outcome)
 	r.recordOutcome(k, t, ev)
 	if ev.Outcome.NotRun() {
 		k.attempts--
@@ -389,19 +405,5 @@
 
 func (r *Router) finish(k *call) { delete(r.calls, k.ID) }
 
-// retryShare returns this router's share of the fleet's retries.
-func (r *Router) retryShare() retryShare {
-	return retryShare{limits: r.cfg.Retries, routers: r.peers.count()}
-}
-
-func (r *Router) budget(s fleet.ServiceName) *retryBudget {
-	b := r.budgets[s]
-	if b == nil {
-		b = newBudget(r.cfg.Retries.Window)
-		r.budgets[s] = b
-	}
-	return b
-}
-
 // isTried reports whether a call was sent to a target before.
 func (k *call) isTried(id fleet.TargetID) bool { return slices.Contains(k.triedTargets, id) }
--- a/fleet/placement/withdraw.go
+++ b/fleet/placement/withdraw.go
@@ -17,5 +17,5 @@
 // mayWrite reports whether a call may still be written to the target chosen for it.
 func (r *Router) mayWrite(k *call, t *target) bool {
 	return t.entry != nil && t.isServing() && t.incarnation == k.currentIncarnation &&
-		!r.dataCentresOut[t.entry.DataCentre] && t.returns.acceptsCall(k, r.now)
+		!r.dataCentresOut[t.entry.DataCentre] && t.returns.acceptsCall(k, r.now) && r.mayUseSide(k, t)
 }
