Router: roll-outs of notices reach the placement and the log

The feed passes the roll-outs of each notice on. It takes no configuration before the first notice of a control host in contact with a majority: until then a router may not know of a roll-out, and must not serve. The log has each change of a roll-out that the router applies, and the side of each request.

--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -33,6 +33,7 @@
 	ConfigUnconfirmed Event = "ConfigUnconfirmed" // control did not confirm the configuration in force
 	ConfigFetchFailed Event = "ConfigFetchFailed" // control announced a configuration, but the router could not fetch it
 	StateNoticed      Event = "StateNoticed"      // control notified the router of a newer revision
+	RolloutApplied    Event = "RolloutApplied"    // the router applies another state of a roll-out
 	ControlJoined     Event = "ControlJoined"     // the router follows a control host
 	ControlLost       Event = "ControlLost"       // the connection to a control host was lost
 	JoinFailed        Event = "JoinFailed"        // a control host did not accept this process as a follower
@@ -168,6 +169,16 @@
 	// FieldLimitQuota is the number of requests that the router may still send to a limited
 	// target in the present window.
 	FieldLimitQuota = "limitQuota"
+	// FieldRollout is the number of a roll-out, FieldRolloutRevision that of its change.
+	FieldRollout         = "rollout"
+	FieldRolloutRevision = "rolloutRevision"
+	// FieldRolloutSide is the side of a roll-out that a request was given.
+	FieldRolloutSide = "rolloutSide"
+	// FieldRolloutShare is the part of the requests, from 0 to 1, that the router gives to the new
+	// version.
+	FieldRolloutShare = "rolloutShare"
+	// FieldRolloutAge is the time since a control host confirmed the state of a roll-out, in ms.
+	FieldRolloutAge = "rolloutAgeMs"
 	// FieldNumber is the number of a configuration.
 	FieldNumber = "number"
 	// FieldRevision is the index of an entry in the replicated log of the control hosts.
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -64,9 +64,11 @@
 	// included has, for each control host, the own report that is part of its next digest.
 	included map[netip.AddrPort]fleet.ReportIncluded
 	revision fleet.Revision
-	config   *deployment.Configuration
-	configAt time.Time
-	fetching bool
+	// confirmed is true once a control host in contact with a majority has sent a notice.
+	confirmed bool
+	config    *deployment.Configuration
+	configAt  time.Time
+	fetching  bool
 	// redirectShare is the share of callers that should use other routers, from 0 to 1.
 	redirectShare float64
 	// utilisation is the used fraction of the router's capacity.
@@ -244,9 +246,14 @@
 }
 
 // handleNotice stores a notice, passes its changes to the placement, and fetches the
-// configuration if the notice names a newer one.
+// configuration if the notice names a newer one. Before the first confirmed notice no configuration
+// is fetched, so that the router serves nothing while it may not know of a roll-out.
 func (f *Follower) handleNotice(addr netip.AddrPort, n fleet.Notice) {
+	if len(n.Rollouts) > 0 {
+		f.cfg.Reduce(placement.RolloutsNoticed{Control: addr, Confirmed: n.Confirmed, Rollouts: n.Rollouts})
+	}
 	f.mu.Lock()
+	f.confirmed = f.confirmed || n.Confirmed
 	if n.SameRouters {
 		n.Routers = f.notices[addr].Routers
 	} else {
@@ -257,7 +264,7 @@
 	if newer {
 		f.revision = n.Revision
 	}
-	fetch := n.Number > 0 && (f.config == nil || n.Number > f.config.Number) && !f.fetching
+	fetch := f.confirmed && n.Number > 0 && (f.config == nil || n.Number > f.config.Number) && !f.fetching
 	if fetch {
 		f.fetching = true
 	}
--- a/router/feed/report.go
+++ b/router/feed/report.go
@@ -119,7 +119,7 @@
 // newerConfig reports whether a control host has a newer configuration, which an
 // earlier attempt failed to fetch, and the address of that host. The caller holds mu.
 func (f *Follower) newerConfig() (bool, netip.AddrPort) {
-	if f.fetching {
+	if f.fetching || !f.confirmed {
 		return false, netip.AddrPort{}
 	}
 	addrs := make([]netip.AddrPort, 0, len(f.notices))
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -122,8 +122,15 @@
 	}
 }
 
-// Reduce passes an event to the placement reducer and returns its effects.
+// Reduce passes an event to the placement reducer and returns its effects. It logs the changes of
+// roll-outs.
 func (f *Forwarder) Reduce(ev fleet.Event) []fleet.Effect {
+	effects := f.reduce(ev)
+	f.logRollouts(effects)
+	return effects
+}
+
+func (f *Forwarder) reduce(ev fleet.Event) []fleet.Effect {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.router.Reduce(f.cfg.Clock.Now(), ev)
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -38,18 +38,22 @@
 	if s.Basis.Limit > 0 {
 		attrs = append(attrs, logevent.FieldLimit, float64(s.Basis.Limit), logevent.FieldLimitQuota, s.Basis.LimitQuota)
 	}
-	f.cfg.Log.Info(logevent.RequestSent, attrs...)
+	countSide(&s.Basis.Rollout)
+	f.cfg.Log.Info(logevent.RequestSent, appendRollout(attrs, &s.Basis.Rollout)...)
 }
 
 // logRefused counts and logs a refused request.
 func (f *Forwarder) logRefused(req *Request, e placement.Refuse) {
 	refusals.Add(string(e.Reason), 1)
-	// A warning, because a refused request has no other line and warnings are dropped
-	// last.
-	f.cfg.Log.Warn(logevent.RequestRefused, logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
+	attrs := []any{
+		logevent.FieldRequest, string(req.Call.Request), logevent.FieldRoute, req.Call.Route.Name,
 		logevent.FieldCustomer, string(req.Call.Customer), logevent.FieldCaller, req.Caller, logevent.FieldResumes, string(req.Call.Resumes), logevent.FieldReason, string(e.Reason), logevent.FieldRetryAfter, e.RetryAfter.Milliseconds(),
 		logevent.FieldExpectedFirstByte, e.Basis.ExpectedFirstByte.Milliseconds(), logevent.FieldQueueDelay, e.Basis.QueueDelay.Milliseconds(), logevent.FieldCandidates, e.Basis.Candidates,
-		logevent.FieldQueuedTokens, e.Basis.QueuedTokens, logevent.FieldSlowness, e.Basis.Slowness, logevent.FieldAdmittedShare, e.Share, logevent.FieldDigestAge, e.Basis.DigestAge.Milliseconds())
+		logevent.FieldQueuedTokens, e.Basis.QueuedTokens, logevent.FieldSlowness, e.Basis.Slowness, logevent.FieldAdmittedShare, e.Share, logevent.FieldDigestAge, e.Basis.DigestAge.Milliseconds(),
+	}
+	// A warning, because a refused request has no other line and warnings are dropped
+	// last.
+	f.cfg.Log.Warn(logevent.RequestRefused, appendRollout(attrs, &e.Basis.Rollout)...)
 }
 
 // logEnded counts and logs the outcome of an attempt.
