--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -66,9 +66,11 @@
 	// included has, for each control host, the own report that is part of its next digest.
 	included map[netip.AddrPort]fleet.ReportIncluded
 	revision fleet.Revision
-	config   *deployment.Configuration
-	configAt time.Time
-	fetching bool
+	// confirmed is true once a control host in contact with a majority has sent a notice.
+	confirmed bool
+	config    *deployment.Configuration
+	configAt  time.Time
+	fetching  bool
 	// redirectShare is the share of callers that should use other routers, from 0 to 1.
 	redirectShare float64
 	// utilisation is the used fraction of the router's capacity for callers, room.
@@ -280,9 +282,14 @@
 }
 
 // handleNotice stores a notice, passes its changes to the placement, and fetches the
-// configuration if the notice names a newer one.
+// configuration if the notice names a newer one. See
+// offersConfig.
 func (f *Follower) handleNotice(addr netip.AddrPort, n fleet.Notice) {
+	if len(n.Rollouts) > 0 {
+		f.cfg.Reduce(placement.RolloutsNoticed{Control: addr, Confirmed: n.Confirmed, Rollouts: n.Rollouts})
+	}
 	f.mu.Lock()
+	f.confirmed = f.confirmed || n.Confirmed
 	if n.SameRouters {
 		n.Routers = f.notices[addr].Routers
 	} else {
@@ -293,7 +300,7 @@
 	if newer {
 		f.revision = n.Revision
 	}
-	fetch := n.Number > 0 && (f.config == nil || n.Number > f.config.Number) && !f.fetching
+	fetch := f.offersConfig(&n) && !f.fetching
 	if fetch {
 		f.fetching = true
 	}
@@ -310,6 +317,13 @@
 	f.updateConnections()
 }
 
+// offersConfig reports whether a notice names a newer configuration that may be fetched. Before the
+// first confirmed notice none is fetched from a host that knows of roll-outs, whose states may be
+// outdated. The caller holds mu.
+func (f *Follower) offersConfig(n *fleet.Notice) bool {
+	return n.Number > 0 && (f.config == nil || n.Number > f.config.Number) && (f.confirmed || len(n.Rollouts) == 0)
+}
+
 // refreshPeers updates the list of routers from all valid notices. The caller holds mu.
 func (f *Follower) refreshPeers() placement.PeersChanged {
 	now := f.cfg.Clock.Now()
--- a/router/feed/report.go
+++ b/router/feed/report.go
@@ -132,7 +132,7 @@
 	slices.SortFunc(addrs, func(a, b netip.AddrPort) int { return cmp.Compare(f.notices[b].Number, f.notices[a].Number) })
 	for _, addr := range addrs {
 		n := f.notices[addr]
-		return n.Number > 0 && (f.config == nil || n.Number > f.config.Number), addr
+		return f.offersConfig(&n.Notice), addr
 	}
 	return false, netip.AddrPort{}
 }
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -127,8 +127,14 @@
 }
 
 // Reduce passes an event to the placement reducer and returns its effects, except for
-// TransferEnded, which it performs.
+// TransferEnded, which it performs. It logs the changes of roll-outs.
 func (f *Forwarder) Reduce(ev fleet.Event) []fleet.Effect {
+	effects := f.reduce(ev)
+	f.logRollouts(effects)
+	return effects
+}
+
+func (f *Forwarder) reduce(ev fleet.Event) []fleet.Effect {
 	f.mu.Lock()
 	effects := f.router.Reduce(f.cfg.Clock.Now(), ev)
 	f.mu.Unlock()
