--- a/router/feed/report.go
+++ b/router/feed/report.go
@@ -132,7 +132,9 @@
 	slices.SortFunc(addrs, func(a, b netip.AddrPort) int { return cmp.Compare(f.notices[b].Number, f.notices[a].Number) })
 	for _, addr := range addrs {
 		n := f.notices[addr]
-		return f.offersConfig(&n.Notice), addr
+		if f.offersConfig(&n.Notice) {
+			return true, addr
+		}
 	}
 	return false, netip.AddrPort{}
 }
