--- a/fleet/rollout/controller.go
+++ b/fleet/rollout/controller.go
@@ -16,7 +16,7 @@
 	doubtScore = 1.8
 	// endScore is the score over all routes and the whole term from which a version is reverted
 	// when there is no time left to wait.
-	endScore = 2.1
+	endScore = 2.4
 	// minStepAnswers is the number of answers of the new version that a step waits for, for up
 	// to twice its time.
 	minStepAnswers = 20
@@ -25,13 +25,13 @@
 	// warmUp is the time from the first report that a leader waits before it raises a share. All
 	// routers with requests report within it.
 	warmUp = 500 * time.Millisecond
-	// reportTime is the shortest time between two reports of a router.
-	reportTime = 100 * time.Millisecond
 	// rateTime is the time over which the rate of answers is measured.
 	rateTime = 2 * time.Second
 	// announceTime is the time within which a control host that has started learns of all targets, of
 	// which some announcements are lost.
 	announceTime = 4 * time.Second
+	// usualReviews is the number of reviews over which the time for a request is averaged.
+	usualReviews = 10
 	// minSilent is the number of running requests from which a version without answers is silent,
 	// silentTime the time for which it must be so.
 	minSilent  = 12
@@ -49,7 +49,8 @@
 	limits  Limits
 	judge   *judge
 	routers routers
-	rate    rateMeter
+	// rate is that of the answers of both versions, oldRate that of the old one.
+	rate, oldRate rateMeter
 	// firstReport and lastReport are the times of the reports; zero before the first.
 	firstReport, lastReport time.Time
 	// seen is the roll-out of the last review, stepSince when its share was first seen, and
@@ -57,7 +58,7 @@
 	seen        fleet.Rollout
 	stepSince   time.Time
 	stepAnswers int
-	// usual is the old version's mean time for a request before the move; 0 if it is not known.
+	// usual is the old version's mean time for a request; 0 if it is not known.
 	usual time.Duration
 	// targetsSeen is when the new version last had targets, at first the beginning.
 	targetsSeen time.Time
@@ -92,6 +93,9 @@
 		o := &r.Outcomes[i]
 		c.judge.add(now, o)
 		c.rate.add(now, o.Answers)
+		if !o.New {
+			c.oldRate.add(now, o.Answers)
+		}
 		if o.New && o.Answers > 0 {
 			c.stepAnswers += o.Answers
 			c.silentSince = time.Time{}
@@ -110,9 +114,7 @@
 		c.stepSince, c.stepAnswers = now, 0
 	}
 	c.seen = r.Rollout
-	if t := c.perRequest(now); t > 0 && (c.usual == 0 || r.Rollout.Share <= maxTrialShare) {
-		c.usual = t
-	}
+	c.updateUsual(now, r.Rollout.Share)
 	if r.NewTargets > 0 {
 		c.targetsSeen = now
 	}
@@ -278,15 +280,18 @@
 	return now.Sub(c.silentSince) >= max(silentTime, silentMultiple*c.usual)
 }
 
-// perRequest returns the mean time that the old version takes for a request (Little's law); 0 if
-// it has not answered yet.
-func (c *Controller) perRequest(now time.Time) time.Duration {
-	answers := c.judge.totals[oldVersion].answers
-	if answers == 0 {
-		return 0
+// updateUsual averages the mean time that the old version takes for a request, by Little's law,
+// while it gets half of the requests or more.
+func (c *Controller) updateUsual(now time.Time, share float64) {
+	rate := c.oldRate.perSecond(now)
+	if rate == 0 || share > 0.5 {
+		return
+	}
+	t := time.Duration(float64(c.routers.running(oldVersion)) / rate * float64(time.Second))
+	if c.usual == 0 {
+		c.usual = t
 	}
-	rate := float64(answers) / max(now.Sub(c.firstReport), reportTime).Seconds()
-	return time.Duration(float64(c.routers.running(oldVersion)) / rate * float64(time.Second))
+	c.usual += (t - c.usual) / usualReviews
 }
 
 // isLagging reports whether the new version takes much longer than the old one for the requests of
--- a/fleet/rollout/schedule.go
+++ b/fleet/rollout/schedule.go
@@ -74,18 +74,20 @@
 // nextTrialShare returns the share that follows in the trial, or the present one at its end.
 func nextTrialShare(share, limit float64) float64 {
 	first := limit / (1 << (trialSteps - 1))
-	next := max(first, 2*share)
-	if next > limit*1.01 {
+	next := min(max(first, 2*share), limit)
+	if next < share*minRaise {
 		return share
 	}
-	return min(next, 1)
+	return next
 }
 
+// minRaise is the least factor by which a step raises the share; less is not worth its time.
+const minRaise = 1.2
+
 // nextMoveShare returns the share that follows in the move.
 func nextMoveShare(share float64) float64 {
 	for _, m := range moveShares {
-		// A step must be worth its time.
-		if m > share*1.2 {
+		if m >= share*minRaise {
 			return m
 		}
 	}
