Placement: a second attempt beside a slow one

What callers saw: of the reads of the exam platform's plain service, 24 in 100 are later than their goal of 150 ms; the median is 81 ms, the 99th percentile 1,160 ms. A target is 2.5 times as slow for 600 ms at a time, and a request that waits there was sent elsewhere only once it had failed.

The reducer gives a Send of a repeatable request without a prompt the time after which it counts as slow (ExtraAfter), and answers ExtraDue with the Send of a second attempt, or with ExtraRefused, which names the obstacle. Events name their attempt, so that two of one call can be open; a call goes on only after both have ended. Config.ExtraRequestRatio limits them over all routers, inside the retry budget; 0 turns them off.

--- a/fleet/placement/fixture_test.go
+++ b/fleet/placement/fixture_test.go
@@ -63,11 +63,18 @@
 // newFixture returns the router self, one of the given number of routers, with the given
 // targets announced.
 func newFixture(t testing.TB, self fleet.HostID, routers int, targets ...fleet.AgedAnnouncement) *fixture {
-	f := &fixture{now: start, config: testConfig(t), Router: placement.New(placement.Config{
+	return newConfiguredFixture(t, self, routers, func(*placement.Config) {}, targets...)
+}
+
+// newConfiguredFixture is newFixture with a configuration that configure changes.
+func newConfiguredFixture(t testing.TB, self fleet.HostID, routers int, configure func(*placement.Config), targets ...fleet.AgedAnnouncement) *fixture {
+	cfg := placement.Config{
 		Self: self, DataCentre: "a", SilentAfter: 6 * time.Second, Policy: placement.DefaultPolicy,
 		Retries: placement.RetryLimits{Ratio: 0.2, Extra: 40, Window: 10 * time.Second},
 		Cold:    placement.ColdLimits{Overshoot: 1.5, Slack: 5},
-	})}
+	}
+	configure(&cfg)
+	f := &fixture{now: start, config: testConfig(t), Router: placement.New(cfg)}
 	f.apply(placement.ConfigChanged{Config: f.config})
 	f.apply(placement.PeersChanged{Routers: hosts(routers), Listening: true})
 	f.apply(placement.TargetsNoticeReceived{TargetsNotice: fleet.TargetsNotice{Announced: targets}})
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -225,6 +225,8 @@
 	CallerGone Outcome = "CallerGone"
 	// Expired means that the deadline passed.
 	Expired Outcome = "Expired"
+	// Superseded means that the attempt was ended because another one of the call was answered first.
+	Superseded Outcome = "Superseded"
 )
 
 // NotRun reports whether an attempt with this outcome certainly did not run.
@@ -244,6 +246,9 @@
 	Address         netip.AddrPort
 	// MaxIdle is the maximum number of idle connections to keep to the target.
 	MaxIdle int
+	// ExtraAfter is the time from the write on after which the forwarder sends ExtraDue if no answer
+	// has begun; 0 if the attempt is not hedged.
+	ExtraAfter time.Duration
 	// Basis is logged.
 	Basis Basis
 }
@@ -292,6 +297,8 @@
 	// router may still send it in the present window. Both are 0 if it stated none.
 	Limit      fleet.RequestRate
 	LimitQuota int
+	// Hedge is set if the attempt is sent beside a slow one.
+	Hedge HedgeBasis
 }
 
 // Refuse is the effect of refusing a call that was not sent to any target.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -14,7 +14,10 @@
 	Self       fleet.HostID
 	DataCentre fleet.DataCentreName
 	Retries    RetryLimits
-	Cold       ColdLimits
+	// ExtraRequestRatio is the fraction of a service's requests in Retries.Window that all routers
+	// together may send to a second target while the first one is still running them, see ExtraDue.
+	ExtraRequestRatio float64
+	Cold              ColdLimits
 	// SilentAfter is the time without announcements after which a target is removed, unless
 	// it answered a request within that time.
 	SilentAfter time.Duration
@@ -48,16 +51,19 @@
 	report    reportState
 	parts     partsState
 	limits    limitShare
+	// firstBytes is empty if Config.ExtraRequestRatio is 0.
+	firstBytes firstByteTimes
 }
 
-// call is a request that has not ended.
+// call is a request that has not ended, with its newest attempt.
 type call struct {
 	Call
 	service fleet.ServiceName
 	// attempts counts the attempts that may have run.
 	attempts int
 	// sends counts all attempts.
-	sends        int
+	sends int
+	hedging
 	triedTargets []fleet.TargetID
 	current      *target
 	// currentVersion is the software version that current had when the call was sent.
@@ -91,6 +97,7 @@
 		targets: map[fleet.TargetID]*target{}, services: map[fleet.ServiceName][]*target{},
 		peers: newPeers(), calls: map[CallID]*call{}, budgets: map[fleet.ServiceName]*retryBudget{},
 		serviceSlowness: map[fleet.ServiceName]*serviceSlowness{}, admission: newAdmission(), report: newReportState(), parts: newPartsState(),
+		firstBytes: newFirstByteTimes(),
 	}
 }
 
@@ -122,9 +129,11 @@
 	case AnswerBegun:
 		r.answerBegun(ev)
 	case AnswerSustained:
-		if k := r.calls[ev.Call]; k != nil && k.sends == ev.Attempt {
+		if k := r.openAttempt(ev.Call, ev.Attempt); k != nil {
 			r.sustain(k)
 		}
+	case ExtraDue:
+		r.extraDue(ev)
 	case AttemptEnded:
 		r.attemptEnded(ev)
 	}
@@ -213,6 +222,7 @@
 			r.rebuildIndex()
 		}
 	}
+	r.firstBytes.prune(r.now)
 }
 
 // callArrived admits and places a new call, or refuses it.
@@ -274,6 +284,7 @@
 func (r *Router) send(k *call, t *target, basis Basis) {
 	k.sends++
 	k.attempts++
+	k.attempt = k.sends
 	k.current, k.currentVersion, k.currentIncarnation, k.sentAt = t, t.entry.SoftwareVersion, t.incarnation, r.now
 	k.answerBegun, k.answerSustained = false, false
 	k.triedTargets = append(k.triedTargets, t.id)
@@ -288,9 +299,11 @@
 	}
 	t.limit.addSend(r.now)
 	t.returns.addCall(k)
+	k.slow = r.slowTimeOf(k)
 	r.emit(Send{
-		Call: k.ID, Attempt: k.sends, Target: t.id, Incarnation: t.incarnation,
-		SoftwareVersion: k.currentVersion, Address: t.entry.Address, MaxIdle: r.idleConnections(k.service), Basis: basis,
+		Call: k.ID, Attempt: k.attempt, Target: t.id, Incarnation: t.incarnation,
+		SoftwareVersion: k.currentVersion, Address: t.entry.Address, MaxIdle: r.idleConnections(k.service),
+		ExtraAfter: k.slow.After, Basis: basis,
 	})
 }
 
@@ -306,8 +319,8 @@
 
 // answerBegun records that the answer to a call has begun.
 func (r *Router) answerBegun(ev AnswerBegun) {
-	k := r.calls[ev.Call]
-	if k == nil || k.sends != ev.Attempt || k.answerBegun {
+	k := r.openAttempt(ev.Call, ev.Attempt)
+	if k == nil || k.answerBegun {
 		return
 	}
 	k.answerBegun = true
@@ -319,6 +332,7 @@
 	// Errors come without the prompt having been processed.
 	if !ev.Failed {
 		r.updateSlowness(k)
+		r.addFirstByteTime(k)
 	}
 }
 
@@ -332,18 +346,18 @@
 
 // attemptEnded records the end of an attempt, and sends the call again if that is permitted.
 func (r *Router) attemptEnded(ev AttemptEnded) {
-	k := r.calls[ev.Call]
-	if k == nil || k.sends != ev.Attempt {
+	k := r.openAttempt(ev.Call, ev.Attempt)
+	if k == nil {
 		return
 	}
 	t := k.current
 	t.removeCall(k)
 	r.recordOutcome(k, t, ev)
-	if ev.Outcome.NotRun() {
-		k.attempts--
+	r.addUnansweredTime(k, ev.Outcome)
+	if k = r.closeAttempt(k, ev.Outcome); k == nil {
+		return
 	}
-	switch ev.Outcome {
-	case Answered, CallerGone, Truncated, Expired:
+	if ev.Outcome.endsCall() || ev.Outcome == Superseded {
 		r.finish(k)
 		return
 	}
@@ -373,35 +387,7 @@
 	return ""
 }
 
-func failureReason(o Outcome) fleet.Reason {
-	switch o {
-	case Unreached:
-		return fleet.ReasonTargetConnect
-	case Withdrawn:
-		return fleet.ReasonNoTarget
-	case Declined, Misdirected:
-		return fleet.ReasonTargetRefused
-	case FailedAnswer:
-		return fleet.ReasonTargetWrongAnswer
-	}
-	return fleet.ReasonTargetReset
-}
-
 func (r *Router) finish(k *call) { delete(r.calls, k.ID) }
 
-// retryShare returns this router's share of the fleet's retries.
-func (r *Router) retryShare() retryShare {
-	return retryShare{limits: r.cfg.Retries, routers: r.peers.count()}
-}
-
-func (r *Router) budget(s fleet.ServiceName) *retryBudget {
-	b := r.budgets[s]
-	if b == nil {
-		b = newBudget(r.cfg.Retries.Window)
-		r.budgets[s] = b
-	}
-	return b
-}
-
 // isTried reports whether a call was sent to a target before.
 func (k *call) isTried(id fleet.TargetID) bool { return slices.Contains(k.triedTargets, id) }
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -147,7 +147,7 @@
 	switch ev.Outcome {
 	case Answered:
 		r.sustain(k)
-	case CallerGone, Withdrawn:
+	case CallerGone, Withdrawn, Superseded:
 		return
 	case Unreached:
 		t.maybeRestarted = true
--- a/fleet/placement/withdraw.go
+++ b/fleet/placement/withdraw.go
@@ -3,8 +3,8 @@
 // sendDue withdraws an attempt whose target has stopped taking requests since it was chosen. The
 // target's time starts with the write: what passed before is this router's own delay.
 func (r *Router) sendDue(ev SendDue) {
-	k := r.calls[ev.Call]
-	if k == nil || k.sends != ev.Attempt {
+	k := r.openAttempt(ev.Call, ev.Attempt)
+	if k == nil {
 		return
 	}
 	if !r.mayWrite(k, k.current) {
