Forward: two attempts at once until one of them is answered

The forwarder fires ExtraDue once an attempt has waited for ExtraAfter from the write on and nothing of an answer has arrived, and runs the second attempt beside the first. The first whole answer, or the first 64 KB of a longer one, is passed on; the other attempt is ended at once and its connection closed. A target's failure does not win while the other attempt runs. The caller's disconnection and the deadline end both.

A router short of processor time fires late, while the answer may only wait to be read; it looks at the socket first.

Traces of requests do not take the attempt that lost for the end.

--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -23,6 +23,8 @@
 	RequestSent       Event = "RequestSent" // an attempt was sent to a target
 	AttemptEnded      Event = "AttemptEnded"
 	RequestRefused    Event = "RequestRefused"
+	HedgeRefused      Event = "HedgeRefused"      // a slow attempt gets no second one beside it
+	HedgeEnded        Event = "HedgeEnded"        // a request with two attempts at once ended
 	LedgerBeginFailed Event = "LedgerBeginFailed" // control did not record the start of a run-once call
 	LedgerEndFailed   Event = "LedgerEndFailed"   // control did not record the end of a run-once call
 )
@@ -168,6 +170,29 @@
 	// FieldLimitQuota is the number of requests that the router may still send to a limited
 	// target in the present window.
 	FieldLimitQuota = "limitQuota"
+	// FieldHedgeOf is the number of the slow attempt beside which an attempt is sent, or would be.
+	FieldHedgeOf = "hedgeOf"
+	// FieldSlowAfter is the time without an answer after which that attempt counted as slow, in ms.
+	FieldSlowAfter = "slowAfterMs"
+	// FieldSlowSource is what FieldSlowAfter was derived from: the times of the route or of the
+	// service at this router, or the route's goal.
+	FieldSlowSource = "slowSource"
+	// FieldSlowAge is the age of the newest of those times, in ms.
+	FieldSlowAge = "slowAgeMs"
+	// FieldWaited is the time that the slow attempt had had no answer, in ms.
+	FieldWaited = "waitedMs"
+	// FieldRemaining is the time that the slow attempt was expected to take from then on, in ms.
+	FieldRemaining = "remainingMs"
+	// FieldHedgesLeft is the number of hedged requests of the service that the router may send in
+	// the present window.
+	FieldHedgesLeft = "hedgesLeft"
+	// FieldRetriesLeft is the number of retries of the service that the router may send in the
+	// present window.
+	FieldRetriesLeft = "retriesLeft"
+	// FieldWinner is the number of the attempt whose answer was passed on, of two at once; 0 for none.
+	FieldWinner = "winner"
+	// FieldLoserTime is the time from the choice of the target to the end of the other attempt, in ms.
+	FieldLoserTime = "loserMs"
 	// FieldNumber is the number of a configuration.
 	FieldNumber = "number"
 	// FieldRevision is the index of an entry in the replicated log of the control hosts.
--- a/fleet/logtrail/logtrail.go
+++ b/fleet/logtrail/logtrail.go
@@ -152,9 +152,9 @@
 // eventOrder returns the position of a line among the lines of one attempt.
 func eventOrder(l Line) int {
 	switch l.Event {
-	case logevent.RequestRefused:
+	case logevent.RequestRefused, logevent.HedgeEnded:
 		return 2
-	case logevent.AttemptEnded:
+	case logevent.AttemptEnded, logevent.HedgeRefused:
 		return 1
 	}
 	return 0
@@ -183,6 +183,9 @@
 	}
 	slices.Sort(missing)
 	last := lines[len(lines)-1]
+	if decisive := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return isAside(lines, &l) }); len(decisive) > 0 {
+		last = decisive[len(decisive)-1]
+	}
 	switch last.Event {
 	case logevent.RequestRefused:
 		return refusalCause(&last), missing
@@ -192,6 +195,21 @@
 	return fmt.Sprintf("the request was sent to target %s, and its end is not logged", last.stringField(logevent.FieldTarget)), missing
 }
 
+// isAside reports whether a line tells nothing of how its request ended: those about a second attempt
+// beside a slow one, and those of the one of two such attempts that lost.
+func isAside(lines []Line, l *Line) bool {
+	if l.Event == logevent.HedgeEnded || l.Event == logevent.HedgeRefused {
+		return true
+	}
+	return slices.ContainsFunc(lines, func(end Line) bool {
+		return end.Event == logevent.AttemptEnded && end.stringField(logevent.FieldOutcome) == supersededOutcome &&
+			end.Host == l.Host && end.numberField(logevent.FieldAttempt) == l.numberField(logevent.FieldAttempt)
+	})
+}
+
+// supersededOutcome is the outcome of an attempt that lost against another one.
+const supersededOutcome = "Superseded"
+
 // refusalCause describes a refusal.
 func refusalCause(l *Line) string {
 	s := "the request was refused without having run: " + l.stringField(logevent.FieldReason)
--- a/fleet/logtrail/logtrail_test.go
+++ b/fleet/logtrail/logtrail_test.go
@@ -49,6 +49,25 @@
 	})
 }
 
+// hedgedRequestLog is the log of a request whose slow first attempt was answered before the second one
+// beside it.
+const hedgedRequestLog = `
+{"time":"2026-06-01T10:00:01.0Z","level":"INFO","msg":"RequestSent","host":"router-1","request":"r","attempt":1,"target":"t-1"}
+{"time":"2026-06-01T10:00:01.1Z","level":"INFO","msg":"RequestSent","host":"router-1","request":"r","attempt":2,"target":"t-2","hedgeOf":1}
+{"time":"2026-06-01T10:00:01.2Z","level":"INFO","msg":"AttemptEnded","host":"router-1","request":"r","attempt":1,"target":"t-1","outcome":"Answered","status":200,"elapsedMs":200}
+{"time":"2026-06-01T10:00:01.2Z","level":"INFO","msg":"AttemptEnded","host":"router-1","request":"r","attempt":2,"target":"t-2","outcome":"Superseded","status":0,"elapsedMs":200}
+{"time":"2026-06-01T10:00:01.2Z","level":"INFO","msg":"HedgeEnded","host":"router-1","request":"r","attempt":2,"winner":1,"target":"t-2","outcome":"Superseded"}
+`
+
+// Guards against an explanation that names the attempt that lost.
+func TestTraceHedgedRequest(t *testing.T) {
+	convey.Convey("Of two attempts at once, the one that was answered is named", t, func() {
+		trace := logtrail.TraceRequest(readLines(hedgedRequestLog), "r")
+		convey.So(trace.Cause, convey.ShouldContainSubstring, "attempt 1 at target t-1 ended as Answered")
+		convey.So(trace.Missing, convey.ShouldBeEmpty)
+	})
+}
+
 // TestRecordedFailures traces twenty failed requests of a recorded log with many failures.
 func TestRecordedFailures(t *testing.T) {
 	convey.Convey("Each of twenty failed requests of a recorded log has a cause", t, func() {
--- a/router/forward/connection.go
+++ b/router/forward/connection.go
@@ -5,6 +5,7 @@
 	"net"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -25,21 +26,33 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	sc, ok := ctx.Value(connKey{}).(syscall.Conn)
+	c, ok := ctx.Value(connKey{}).(net.Conn)
 	if !ok {
 		return false
 	}
+	n, err := peek(c)
+	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
+}
+
+// peek looks for a byte that has arrived on a connection and has not been read. It returns 0 if the
+// peer has closed the connection, and an error if there is neither.
+func peek(c net.Conn) (n int, err error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.New("connection without a descriptor")
+	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	disconnected := false
-	err = raw.Control(func(fd uintptr) {
+	controlErr := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		disconnected = err == nil && n == 0 || err == unix.ECONNRESET
+		n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && disconnected
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
 
 // resetOnClose makes the server reset the caller's connection when it closes it.
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -65,6 +65,8 @@
 	firstByte time.Time
 	// stated is what the response of the current attempt states about the target.
 	stated placement.ResponseReceived
+	// race is nil unless the attempt may be hedged.
+	race *race
 }
 
 // bufferedResponse is a response that has been read in full.
@@ -76,6 +78,15 @@
 
 // attempt sends the request to a target and returns the effects that follow.
 func (x *exchange) attempt(s placement.Send) []fleet.Effect {
+	if s.ExtraAfter > 0 && !x.out.begun {
+		return x.attemptWithHedge(s)
+	}
+	return x.conclude(x.perform(s))
+}
+
+// perform sends the request to a target and reports the outcome to the placement. It returns the
+// outcome and the effects that follow.
+func (x *exchange) perform(s placement.Send) (placement.Outcome, []fleet.Effect) {
 	x.send, x.err, x.status, x.stated = s, nil, 0, placement.ResponseReceived{}
 	x.writtenAt, x.firstByte = time.Time{}, time.Time{}
 	x.sentAt = x.forwarder.cfg.Clock.Now()
@@ -86,6 +97,12 @@
 	}
 	effects := x.forwarder.Reduce(placement.AttemptEnded{Call: x.req.Call.ID, Attempt: s.Attempt, Outcome: outcome})
 	x.forwarder.logEnded(x, outcome)
+	return outcome, effects
+}
+
+// conclude ends the response to the caller if no attempt can follow one with the given outcome.
+// Otherwise it returns the effects that follow.
+func (x *exchange) conclude(outcome placement.Outcome, effects []fleet.Effect) []fleet.Effect {
 	switch outcome {
 	case placement.Expired:
 		x.out.fail(http.StatusGatewayTimeout, x.forwarder.cfg.Headers, x.req.Call.Request, fleet.ReasonDeadline, 0)
@@ -97,8 +114,13 @@
 }
 
 // contextOutcome returns the outcome of an attempt whose context has ended, which is
-// either the deadline of the request or the caller's disconnection.
+// either the deadline of the request, the caller's disconnection, or the beginning of the
+// response to another attempt.
 func (x *exchange) contextOutcome(outcome placement.Outcome) placement.Outcome {
+	if x.race.isLost(x) {
+		x.err = nil
+		return placement.Superseded
+	}
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		if outcome == placement.Unreached {
 			return placement.Unreached
@@ -143,12 +165,14 @@
 	stop := context.AfterFunc(x.ctx, func() { targetconn.Discard(c) })
 	defer stop()
 	x.writtenAt = x.forwarder.cfg.Clock.Now()
+	x.race.writing(x, c)
 	written, err := x.writeRequest(c)
 	if err != nil && c.BytesWritten() == 0 {
 		targetconn.Discard(c)
 		x.err = err
 		return placement.Unreached
 	}
+	x.race.awaitResponse(x, c)
 	resp, err := x.readResponse(c)
 	if err != nil {
 		targetconn.Discard(c)
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -158,6 +158,9 @@
 	// origins finds out the origins of streams.
 	origins fleet.StreamOrigins
 	log     slog.Handler
+	// extraRatio is placement.Config.ExtraRequestRatio, goal that of the route.
+	extraRatio float64
+	goal       time.Duration
 }
 
 // newFixtureWith returns a fixture all of whose targets run version v1.
@@ -169,7 +172,7 @@
 		Number: 1, Services: []deployment.Service{{Name: "desk"}},
 		Routes: []deployment.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: kind, Split: []deployment.WeightedService{{Service: "desk", Weight: 1}},
-			Timeout: 2 * time.Second, Attempts: attempts, Resumable: resumable,
+			Timeout: 2 * time.Second, Goal: opts.goal, Attempts: attempts, Resumable: resumable,
 		}},
 	})
 	convey.So(err, convey.ShouldBeNil)
@@ -177,7 +180,7 @@
 		Headers: headerNames, Origins: opts.origins, Clock: fleet.SystemClock{}, Log: slog.New(opts.log),
 		Placement: placement.Config{
 			Self: "router-1", SilentAfter: time.Minute, Policy: placement.DefaultPolicy,
-			Retries: placement.RetryLimits{Ratio: 1, Extra: 10, Window: 10 * time.Second},
+			Retries: placement.RetryLimits{Ratio: 1, Extra: 10, Window: 10 * time.Second}, ExtraRequestRatio: opts.extraRatio,
 		},
 	})
 	forwarder.Reduce(placement.ConfigChanged{Config: cfg})
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -38,6 +38,9 @@
 	if s.Basis.Limit > 0 {
 		attrs = append(attrs, logevent.FieldLimit, float64(s.Basis.Limit), logevent.FieldLimitQuota, s.Basis.LimitQuota)
 	}
+	if s.Basis.Hedge.Of > 0 {
+		attrs = append(attrs, hedgeAttrs(&s.Basis.Hedge)...)
+	}
 	f.cfg.Log.Info(logevent.RequestSent, attrs...)
 }
 
@@ -86,7 +89,7 @@
 	if x.err != nil {
 		attrs = append(attrs, logevent.FieldError, x.err.Error())
 	}
-	if o != placement.Answered {
+	if o != placement.Answered && o != placement.Superseded {
 		level = slog.LevelWarn
 	}
 	f.cfg.Log.Log(x.ctx, level, logevent.AttemptEnded, attrs...)
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -59,11 +59,19 @@
 		x.err = errors.Wrapf(err, "response ended after %d bytes", n)
 		return placement.Broken, false
 	}
-	x.responseBegun(placement.AnswerBegun{Failed: resp.StatusCode >= http.StatusInternalServerError})
+	failed := resp.StatusCode >= http.StatusInternalServerError
+	if failed && n > maxBuffered && x.race.isOtherRunning(x) {
+		x.err = errors.Errorf("failure response of more than %d bytes", maxBuffered)
+		return placement.FailedAnswer, false
+	}
+	if (!failed || n > maxBuffered) && !x.race.claim(x) {
+		return placement.Superseded, n <= maxBuffered
+	}
+	x.responseBegun(placement.AnswerBegun{Failed: failed})
 	if n > maxBuffered {
 		return x.forwardUnbuffered(resp, &body)
 	}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if failed {
 		x.failed = &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body.Bytes()}
 		return placement.FailedAnswer, true
 	}
@@ -116,6 +124,9 @@
 	var progress streamProgress
 	for {
 		events, err := x.readEvents(resp, *bp)
+		if (len(events) > 0 || errors.Is(err, io.EOF)) && !x.race.claim(x) {
+			return placement.Superseded, false
+		}
 		if len(events) > 0 {
 			x.reportProgress(&progress)
 			x.out.writeHeader(resp.StatusCode, resp.Header, -1)
@@ -171,12 +182,13 @@
 }
 
 // interruptedOutcome returns the outcome of a stream that broke off: Broken if another
-// attempt may start or resume it, Truncated otherwise.
+// attempt may start or resume it, Truncated otherwise. One that won against another attempt is not
+// resumed.
 func (x *exchange) interruptedOutcome() placement.Outcome {
 	if !x.out.begun {
 		return placement.Broken
 	}
-	if x.req.Call.Route.Repeatable() && x.events.lastID != "" {
+	if !x.race.isHedged() && x.req.Call.Route.Repeatable() && x.events.lastID != "" {
 		return placement.Broken
 	}
 	return placement.Truncated
