--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -24,6 +24,8 @@
 	AttemptEnded      Event = "AttemptEnded"
 	RequestRefused    Event = "RequestRefused"
 	SourceBackedOff   Event = "SourceBackedOff"   // answers came late or broke off whose target was asked to fetch a part from this source
+	HedgeRefused      Event = "HedgeRefused"      // a slow attempt gets no second one beside it
+	HedgeEnded        Event = "HedgeEnded"        // a request with two attempts at once ended
 	LedgerBeginFailed Event = "LedgerBeginFailed" // control did not record the start of a run-once call
 	LedgerEndFailed   Event = "LedgerEndFailed"   // control did not record the end of a run-once call
 )
@@ -169,8 +171,8 @@
 	// FieldCopiedTokens the number of prompt tokens that it is expected to fetch.
 	FieldCopySource   = "copyFrom"
 	FieldCopiedTokens = "copyTokens"
-	// FieldBackOff is for how long that target is not named, FieldWaited the time from the writing
-	// of a request to the outcome that caused it; both in ms.
+	// FieldBackOff is for how long that target is not named, in ms. FieldWaited is the time
+	// from the writing of a request to the event, in ms.
 	FieldBackOff = "backOffMs"
 	FieldWaited  = "waitedMs"
 	// FieldNoSource is why no such target was named.
@@ -202,6 +204,27 @@
 	FieldRolloutShare = "rolloutShare"
 	// FieldRolloutAge is the time since a control host confirmed the state of a roll-out, in ms.
 	FieldRolloutAge = "rolloutAgeMs"
+	// FieldHedgeOf is the number of the slow attempt beside which an attempt is sent, or would be.
+	FieldHedgeOf = "hedgeOf"
+	// FieldSlowAfter is the time without an answer after which that attempt counted as slow, in ms.
+	FieldSlowAfter = "slowAfterMs"
+	// FieldSlowSource is what FieldSlowAfter was derived from: the times of the route or of the
+	// service at this router, or the route's goal.
+	FieldSlowSource = "slowSource"
+	// FieldSlowAge is the age of the newest of those times, in ms.
+	FieldSlowAge = "slowAgeMs"
+	// FieldRemaining is the time that the slow attempt was expected to take from then on, in ms.
+	FieldRemaining = "remainingMs"
+	// FieldHedgesLeft is the number of hedged requests of the service that the router may send in
+	// the present window.
+	FieldHedgesLeft = "hedgesLeft"
+	// FieldRetriesLeft is the number of retries of the service that the router may send in the
+	// present window.
+	FieldRetriesLeft = "retriesLeft"
+	// FieldWinner is the number of the attempt whose answer was passed on, of two at once; 0 for none.
+	FieldWinner = "winner"
+	// FieldLoserTime is the time from the choice of the target to the end of the other attempt, in ms.
+	FieldLoserTime = "loserMs"
 	// FieldNumber is the number of a configuration.
 	FieldNumber = "number"
 	// FieldRevision is the index of an entry in the replicated log of the control hosts.
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -225,6 +225,8 @@
 	CallerGone Outcome = "CallerGone"
 	// Expired means that the deadline passed.
 	Expired Outcome = "Expired"
+	// Superseded means that the attempt was ended because another one of the call was answered first.
+	Superseded Outcome = "Superseded"
 )
 
 // NotRun reports whether an attempt with this outcome certainly did not run.
@@ -247,6 +249,9 @@
 	CopyFrom netip.AddrPort
 	// MaxIdle is the maximum number of idle connections to keep to the target.
 	MaxIdle int
+	// ExtraAfter is the time from the write on after which the forwarder sends ExtraDue if no answer
+	// has begun; 0 if the attempt is not hedged.
+	ExtraAfter time.Duration
 	// Basis is logged.
 	Basis Basis
 }
@@ -313,6 +318,8 @@
 	LimitQuota int
 	// Rollout is what the roll-out of the service decides.
 	Rollout RolloutBasis
+	// Hedge is set if the attempt is sent beside a slow one.
+	Hedge HedgeBasis
 }
 
 // Refuse is the effect of refusing a call that was not sent to any target.
--- a/fleet/placement/rollout_outcomes.go
+++ b/fleet/placement/rollout_outcomes.go
@@ -99,11 +99,12 @@
 	}
 }
 
-// countEnd counts the end of an attempt, unless the target did not run it or the caller left. An
+// countEnd counts the end of an attempt, unless the target did not run it, the
+// caller left or another attempt was answered first. An
 // answer that has not begun at the deadline counts as one that begins then.
 func (r *Router) countEnd(k *call, outcome Outcome) {
 	s := r.countedRollout(k)
-	if s == nil || outcome.NotRun() || outcome == CallerGone {
+	if s == nil || outcome.NotRun() || outcome == CallerGone || outcome == Superseded {
 		return
 	}
 	o := s.outcomes.of(k, s.newest.To)
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -74,6 +74,9 @@
 		attrs = append(attrs, logevent.FieldLimit, float64(s.Basis.Limit), logevent.FieldLimitQuota, s.Basis.LimitQuota)
 	}
 	attrs = append(attrs, copyAttrs(&s.Basis)...)
+	if s.Basis.Hedge.Of > 0 {
+		attrs = append(attrs, hedgeAttrs(&s.Basis.Hedge)...)
+	}
 	countSide(&s.Basis.Rollout)
 	f.cfg.Log.Info(logevent.RequestSent, appendRollout(attrs, &s.Basis.Rollout)...)
 }
@@ -126,7 +129,7 @@
 	if x.err != nil {
 		attrs = append(attrs, logevent.FieldError, x.err.Error())
 	}
-	if o != placement.Answered {
+	if o != placement.Answered && o != placement.Superseded {
 		level = slog.LevelWarn
 	}
 	f.cfg.Log.Log(x.ctx, level, logevent.AttemptEnded, attrs...)
