--- a/fleet/bytebudget/pressure.go
+++ b/fleet/bytebudget/pressure.go
@@ -79,8 +79,11 @@
 func (b *Budget) grow(now time.Time, h *Hold, n int64, must bool) (victims []*Hold, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h.ended != nil {
+	switch {
+	case h.ended != nil:
 		return nil, h.ended
+	case h.index < 0:
+		return nil, ErrEnded
 	}
 	for !b.hasRoom(h, n) {
 		if must && h.isLarge() && b.mustWait(h, n) {
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -23,6 +23,7 @@
 	RequestSent       Event = "RequestSent" // an attempt was sent to a target
 	AttemptEnded      Event = "AttemptEnded"
 	RequestRefused    Event = "RequestRefused"
+	ConnectionEnded   Event = "ConnectionEnded"   // the peer of a connection exceeded a limit
 	LedgerBeginFailed Event = "LedgerBeginFailed" // control did not record the start of a run-once call
 	LedgerEndFailed   Event = "LedgerEndFailed"   // control did not record the end of a run-once call
 )
