Router on the platform: what it holds for others counts in one budget

What callers saw: 400 connections that send 4 MB less 64 KB in chunks and stay open take 2,245 MB at MemoryMB = 284, and the host ends the process.

Cause: readBody allocated a buffer for each body with no bound on their sum; bodies of unknown length grew by copies of twice their size. Ruled out: the limit of the garbage collector (the bodies are alive), the limit on requests in flight (4 per MB, each of which may hold 4 MB).

- A quarter of MemoryMB is the byte budget.
Bodies are read in pieces, which are reserved before they are filled, and kept so; parsed headers, responses that are collected, events in parts and large headers of targets count too.
A response for which there is no memory is passed on while it is read.
- A request that is ended, or can't be admitted, is refused with status 503, reason MemoryFull, Retry-After and Verdict NotRun before it was sent anywhere.
The connection is closed if the rest of the body is not read.
A body announced above 4 MB is refused before it is read; improper chunks with status 400.
- While a response is written, its request may be ended if the caller reads nothing for 1 s and others need the memory; a write that makes no progress ends after 10 s (there was no bound).
- Callers, readiness and metrics are served through package intake.
Readiness and metrics take 64 connections, of which the one idle longest gives way.
At most half of the descriptors go to connections that are being rejected; those that send nothing hold no buffer.
- The system keeps at most 64 KB (callers) and 128 KB (targets) in each direction of a connection; it let them grow to 4 MB and more.
- A reset after a broken response to HTTP/1.0 reaches connections that are wrapped; it was lost at the real listener.

--- a/fleet/bytebudget/budget.go
+++ b/fleet/bytebudget/budget.go
@@ -122,7 +122,7 @@
 // no limit.
 type Hold struct {
 	budget   *Budget
-	end      func()
+	end      func(Phase)
 	began    time.Time
 	customer *group
 	address  *group
@@ -138,12 +138,14 @@
 	bytes, moved int64
 	movedAt      time.Time
 	phase        Phase
+	answered     bool
 	ended        *Ended
 }
 
-// Open returns a new hold in the phase Reading. The hold must be closed. If it is ended, end is called
-// once, by another goroutine; it must not block and not use the hold.
-func (b *Budget) Open(now time.Time, o Owner, end func()) *Hold {
+// Open returns a new hold in the phase Reading. The hold must be closed. If it is ended for another one,
+// end is called once with its phase, by the goroutine of the other one; it must not block and not use
+// the hold.
+func (b *Budget) Open(now time.Time, o Owner, end func(Phase)) *Hold {
 	if b == nil {
 		return nil
 	}
@@ -253,8 +255,9 @@
 	h.movedAt = now
 }
 
-// Enter begins a phase, from which the rate counts anew. It fails with an *Ended if the hold was ended
-// before: a request that was ended must not be sent.
+// Enter begins a phase. The rate counts from the first byte of the request, and anew from the first one of
+// the response. It fails with an *Ended if the hold was ended before: a request that was ended must not be
+// sent.
 func (h *Hold) Enter(now time.Time, p Phase) error {
 	if h == nil {
 		return nil
@@ -264,7 +267,10 @@
 	if h.ended != nil {
 		return h.ended
 	}
-	h.phase, h.began, h.movedAt, h.moved = p, now, now, 0
+	if p == Answering && !h.answered {
+		h.answered, h.began, h.moved = true, now, 0
+	}
+	h.phase, h.movedAt = p, now
 	return nil
 }
 
--- a/fleet/bytebudget/pressure.go
+++ b/fleet/bytebudget/pressure.go
@@ -71,7 +71,8 @@
 	h.endMu.Lock()
 	defer h.endMu.Unlock()
 	if !h.closed {
-		h.end()
+		// The phase does not change once the hold is ended.
+		h.end(h.phase)
 	}
 }
 
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -120,6 +120,18 @@
 	FieldReason = "reason"
 	// FieldRetryAfter is the time after which the caller may retry, in ms.
 	FieldRetryAfter = "retryAfterMs"
+	// FieldMemoryReason is why a request was ended to free memory, see package bytebudget.
+	FieldMemoryReason = "memory"
+	// FieldBytes is what the request held, and FieldGroupBytes what its customer or address held.
+	FieldBytes      = "bytes"
+	FieldGroupBytes = "groupBytes"
+	// FieldBytesPerSecond is the rate at which the request was read, and FieldIdle the time since its
+	// last bytes, in ms.
+	FieldBytesPerSecond = "bytesPerS"
+	FieldIdle           = "idleMs"
+	// FieldHeld is what the process held for others, of FieldBudget.
+	FieldHeld   = "held"
+	FieldBudget = "budget"
 	// FieldOutcome is how an attempt ended.
 	FieldOutcome = "outcome"
 	// FieldStatus is the HTTP status, or 0 if there was no response.
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -13,6 +13,7 @@
 	ReasonSlowCaller         Reason = "SlowCaller"
 	ReasonTooManyConnections Reason = "TooManyConnections"
 	ReasonCustomerQueueFull  Reason = "CustomerQueueFull"
+	ReasonMemoryFull         Reason = "MemoryFull"
 	ReasonHostQueueFull      Reason = "HostQueueFull"
 	ReasonQueueTimeout       Reason = "QueueTimeout"
 	ReasonDeadline           Reason = "Deadline"
--- a/router/forward/connection.go
+++ b/router/forward/connection.go
@@ -44,7 +44,8 @@
 
 // resetOnClose makes the server reset the caller's connection when it closes it.
 func resetOnClose(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*net.TCPConn); ok {
+	// The connection may be one that wraps a net.TCPConn.
+	if c, ok := ctx.Value(connKey{}).(interface{ SetLinger(int) error }); ok {
 		// The call fails only if the connection has ended already.
 		_ = c.SetLinger(0)
 	}
--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -55,6 +54,8 @@
 	// writtenAt is when the current attempt began to write the request; zero before.
 	writtenAt time.Time
 	events    eventScanner
+	// reservedEvent is the part of events that counts in the budget.
+	reservedEvent int64
 	// failed is a target's failure response, which is passed on if no other attempt
 	// follows; nil if there is none.
 	failed *bufferedResponse
@@ -116,7 +117,7 @@
 	case x.failed != nil && !x.out.begun:
 		x.out.writeHeader(x.failed.status, x.failed.header, int64(len(x.failed.body)))
 		// The write fails only if the caller has disconnected.
-		_, _ = x.out.w.Write(x.failed.body)
+		_ = x.out.write(x.failed.body, false)
 	case e.NotRun:
 		x.out.refuse(x.forwarder.cfg.Headers, id, e.Reason, e.RetryAfter)
 	default:
@@ -188,7 +189,7 @@
 func (x *exchange) writeRequest(c *targetconn.Conn) (written chan struct{}, err error) {
 	req := x.targetRequest()
 	written = make(chan struct{})
-	if len(x.req.Body) <= maxInlineBody {
+	if x.req.Body.Len() <= maxInlineBody {
 		if err := c.WriteRequest(req); err != nil {
 			return written, err
 		}
@@ -237,10 +238,10 @@
 	r := &http.Request{
 		Method: x.req.Method, Host: x.req.Host, Header: h,
 		URL:           &url.URL{Scheme: "http", Host: x.req.Host, Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(x.req.URI, "?")},
-		ContentLength: int64(len(x.req.Body)), Body: http.NoBody,
+		ContentLength: x.req.Body.Len(), Body: http.NoBody,
 	}
-	if len(x.req.Body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(x.req.Body))
+	if r.ContentLength > 0 {
+		r.Body = io.NopCloser(x.req.Body.Reader())
 	}
 	return r
 }
@@ -252,6 +253,9 @@
 	req := &http.Request{Method: x.req.Method}
 	for range maxSkipped {
 		resp, err := c.ReadResponse(req)
+		if err == nil {
+			err = x.reserveHeader(c.HeaderBytes())
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/bytebudget"
 	"github.com/fuchsiashed/fuchsiashed/fleet/placement"
 
 	"github.com/fuchsiashed/fuchsiashed/router/targetconn"
@@ -71,7 +72,9 @@
 	// Header holds the end-to-end headers. Of those in HeaderNames it has only
 	// LastEventID.
 	Header http.Header
-	Body   []byte
+	Body   Body
+	// Hold counts what the router holds for the request; nil means no limit. Its phase is Sent.
+	Hold *bytebudget.Hold
 	// NoChunks is true for a caller of HTTP/1.0. A response without a length then ends with
 	// the caller's connection, so that only a reset tells that it broke off.
 	NoChunks bool
@@ -150,7 +153,7 @@
 	req.Call.ID = f.nextCallID()
 	ctx, cancel := context.WithDeadline(ctx, req.Call.Deadline)
 	defer cancel()
-	x := &exchange{forwarder: f, req: &req, ctx: ctx, out: &responseWriter{w: w, ctx: ctx, resetOnAbort: req.NoChunks}}
+	x := &exchange{forwarder: f, req: &req, ctx: ctx, out: &responseWriter{w: w, ctx: ctx, resetOnAbort: req.NoChunks, hold: req.Hold, clock: f.cfg.Clock}}
 	f.findOrigin(ctx, &req.Call)
 	effects := f.Reduce(placement.CallArrived{Call: req.Call})
 	for len(effects) > 0 {
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -51,24 +51,23 @@
 
 // forwardBuffered reads a response in full and passes it on. A failure with status 500
 // or above is stored instead, since another target may succeed. A response of more
-// than maxBuffered bytes is passed on while it is read.
+// than maxBuffered bytes is passed on while it is read, also if there is no memory for it.
 func (x *exchange) forwardBuffered(resp *http.Response) (placement.Outcome, bool) {
-	var body bytes.Buffer
-	n, err := io.Copy(&body, io.LimitReader(resp.Body, maxBuffered+1))
+	body, whole, err := x.readBuffered(resp)
 	if err != nil {
-		x.err = errors.Wrapf(err, "response ended after %d bytes", n)
+		x.err = errors.Wrapf(err, "response ended after %d bytes", len(body))
 		return placement.Broken, false
 	}
 	x.responseBegun(placement.AnswerBegun{Failed: resp.StatusCode >= http.StatusInternalServerError})
-	if n > maxBuffered {
-		return x.forwardUnbuffered(resp, &body)
+	if !whole {
+		return x.forwardUnbuffered(resp, bytes.NewReader(body))
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
-		x.failed = &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body.Bytes()}
+		x.failed = &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 		return placement.FailedAnswer, true
 	}
-	x.out.writeHeader(resp.StatusCode, resp.Header, n)
-	if _, err := x.out.w.Write(body.Bytes()); err != nil {
+	x.out.writeHeader(resp.StatusCode, resp.Header, int64(len(body)))
+	if err := x.out.write(body, false); err != nil {
 		x.err = err
 		return placement.CallerGone, true
 	}
@@ -85,7 +84,7 @@
 	for {
 		n, err := source.Read(*bp)
 		if n > 0 {
-			if _, writeErr := x.out.w.Write((*bp)[:n]); writeErr != nil {
+			if writeErr := x.out.write((*bp)[:n], false); writeErr != nil {
 				x.err = writeErr
 				return placement.CallerGone, false
 			}
@@ -119,7 +118,7 @@
 		if len(events) > 0 {
 			x.reportProgress(&progress)
 			x.out.writeHeader(resp.StatusCode, resp.Header, -1)
-			if writeErr := x.out.writeAndFlush(events); writeErr != nil {
+			if writeErr := x.out.write(events, true); writeErr != nil {
 				x.err = writeErr
 				return placement.CallerGone, false
 			}
@@ -157,6 +156,9 @@
 func (x *exchange) readEvents(resp *http.Response, buf []byte) ([]byte, error) {
 	n, err := resp.Body.Read(buf)
 	events, scanErr := x.events.add(buf[:n])
+	if scanErr == nil {
+		scanErr = x.reserveEvent()
+	}
 	if scanErr != nil {
 		return nil, scanErr
 	}
--- a/router/forward/writer.go
+++ b/router/forward/writer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/bytebudget"
 
 	"github.com/fuchsiashed/fuchsiashed/router/targetconn"
 )
@@ -21,6 +22,9 @@
 	resetOnAbort bool
 	// begun reports whether the header has been written.
 	begun bool
+	// hold is that of the request.
+	hold  *bytebudget.Hold
+	clock fleet.Clock
 }
 
 // writeHeader writes the status and the end-to-end headers of a target's response,
@@ -46,14 +50,6 @@
 	rw.w.WriteHeader(status)
 }
 
-// writeAndFlush sends a part of a stream to the caller without delay.
-func (rw *responseWriter) writeAndFlush(p []byte) error {
-	if _, err := rw.w.Write(p); err != nil {
-		return err
-	}
-	return http.NewResponseController(rw.w).Flush()
-}
-
 // abort panics with http.ErrAbortHandler: the server closes the caller's connection, so
 // that a partial response does not look complete.
 func (rw *responseWriter) abort() {
--- a/router/intake/chunks.go
+++ b/router/intake/chunks.go
@@ -15,10 +15,13 @@
 	maxSizeDigits = 15
 )
 
+// ErrBody is wrapped by the errors of reading a body whose chunks are malformed or exceed limits.
+var ErrBody = errors.New("body is not proper")
+
 var (
-	errChunks = errors.New("malformed chunks")
-	errExtra  = errors.Errorf("chunk extensions and trailers have more than %d bytes", maxExtraBytes)
-	errCount  = errors.New("body has too many chunks for its size")
+	errChunks = errors.Wrap(ErrBody, "malformed chunks")
+	errExtra  = errors.Wrapf(ErrBody, "chunk extensions and trailers have more than %d bytes", maxExtraBytes)
+	errCount  = errors.Wrap(ErrBody, "too many chunks for its size")
 )
 
 // chunkState is what a chunkDecoder expects next.
--- a/router/intake/conn.go
+++ b/router/intake/conn.go
@@ -51,6 +51,10 @@
 	head  headScanner
 	// partial is the part of a header that has arrived; nil before the first byte.
 	partial []byte
+	// lead is the first byte of a header if it was passed on alone, which hasLead says. The server reads
+	// one byte to notice the end of a connection while it handles a request.
+	lead    byte
+	hasLead bool
 	// unread has bytes of the peer that were read ahead, ready those that the next Read returns.
 	unread, ready []byte
 	// left is the rest of a body of known length.
@@ -174,10 +178,41 @@
 	if c.partial != nil {
 		return 0, c.readPartial()
 	}
+	if c.hasLead {
+		return c.readAfterLead(p)
+	}
 	n, err := c.source(p)
 	if n == 0 || err != nil {
 		return n, err
 	}
+	if len(p) == 1 && p[0] > ' ' {
+		c.lead, c.hasLead = p[0], true
+		return 1, nil
+	}
+	return c.scanHead(p, n)
+}
+
+// readAfterLead reads the rest of a header whose first byte was passed on.
+func (c *Conn) readAfterLead(p []byte) (int, error) {
+	p[0] = c.lead
+	if len(p) == 1 {
+		return c.scanHead(p, 1)
+	}
+	n, err := c.source(p[1:])
+	if n == 0 || err != nil {
+		return n, err
+	}
+	n, err = c.scanHead(p, n+1)
+	if n > 0 {
+		c.hasLead = false
+		n = copy(p, p[1:n])
+	}
+	return n, err
+}
+
+// scanHead takes the first n bytes of a header, which are the first ones of p, and returns the number of
+// bytes to pass on.
+func (c *Conn) scanHead(p []byte, n int) (int, error) {
 	c.head = headScanner{}
 	switch c.head.scan(p[:n]) {
 	case complete:
@@ -243,6 +278,10 @@
 		c.cfg.count("HeaderTooLarge")
 	default:
 		c.refuseHead()
+		c.hasLead = false
+	}
+	if c.hasLead {
+		c.ready, c.hasLead = c.ready[1:], false
 	}
 	c.partial = nil
 	c.release()
@@ -269,6 +308,8 @@
 		return
 	}
 	c.inBody.Store(true)
+	// The server sets its own deadline next, which puts this one in force.
+	c.extendBody(now)
 }
 
 // extendBody sets the deadline for the next bytes of a body. Time in which the connection was not read
--- a/router/intake/deadline.go
+++ b/router/intake/deadline.go
@@ -88,14 +88,14 @@
 	if c.closed {
 		return nil, net.ErrClosed
 	}
-	if c.hold == nil {
+	if c.hold == nil && c.cfg.Budget != nil {
 		c.hold = c.cfg.Budget.Open(c.cfg.Clock.Now(), bytebudget.OwnerOf("", c.RemoteAddr().String()), c.drop)
 	}
 	return c.hold, nil
 }
 
 // drop ends the reading of a connection whose memory is needed. The server then closes it.
-func (c *Conn) drop() {
+func (c *Conn) drop(bytebudget.Phase) {
 	c.dropped.Store(true)
 	// The call fails only if the connection is closed already.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
@@ -118,15 +118,15 @@
 // that it is to be repeated: what the peer has sent meanwhile may wait to be read. Other time-outs by
 // the limits are counted and logged.
 func (c *Conn) isLateTimeout(err error) bool {
-	if !isTimeout(err) || c.dropped.Load() {
+	c.mu.Lock()
+	own, byServer := c.ownUntil, c.serverUntil
+	c.mu.Unlock()
+	// The server ends its reads by a deadline after each request, so that the usual case comes first.
+	if own.IsZero() || c.dropped.Load() || !isTimeout(err) {
 		return false
 	}
 	now := c.cfg.Clock.Now()
-	c.mu.Lock()
-	own := c.ownUntil
-	byServer := !c.serverUntil.IsZero() && c.serverUntil.Before(now)
-	c.mu.Unlock()
-	if own.IsZero() || byServer || now.Before(own.Add(-deadlineStep)) {
+	if !byServer.IsZero() && byServer.Before(now) || now.Before(own.Add(-deadlineStep)) {
 		return false
 	}
 	if late := now.Sub(own); late >= lateTime {
--- a/router/intake/intake.go
+++ b/router/intake/intake.go
@@ -53,8 +53,6 @@
 
 // Config configures a Listener.
 type Config struct {
-	// Name names the listener in the log.
-	Name string
 	// Budget bounds what connections hold; nil means no limit.
 	Budget *bytebudget.Budget
 	// Times are DefaultTimes except in tests.
@@ -69,7 +67,7 @@
 
 // logEnded logs a connection that is ended because its peer exceeds a limit.
 func (cfg *Config) logEnded(c *Conn, reason string) {
-	cfg.Log.Warn(logevent.ConnectionEnded, "listener", cfg.Name, "peer", c.RemoteAddr().String(), logevent.FieldReason, reason,
+	cfg.Log.Warn(logevent.ConnectionEnded, "listener", c.LocalAddr().String(), "peer", c.RemoteAddr().String(), logevent.FieldReason, reason,
 		"header", len(c.partial), "body", c.body, "chunks", c.chunks.chunks, "sinceMs", cfg.Clock.Now().Sub(c.began).Milliseconds())
 }
 
--- a/router/overload/limiter.go
+++ b/router/overload/limiter.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"cmp"
 	"container/list"
 	"net"
 	"net/http"
@@ -22,6 +23,11 @@
 	// limit.
 	Max   int
 	Clock fleet.Clock
+	// MinIdle is how long a connection must have been idle to be closed for a new one; 0 means
+	// minEvictIdle.
+	MinIdle time.Duration
+	// EvictSilent makes connections count as idle that have not sent a request yet.
+	EvictSilent bool
 
 	mu sync.Mutex
 	// open has the open connections, with their elements of idle; nil for those in use.
@@ -46,19 +52,28 @@
 	if e := n.open[c]; e != nil {
 		n.idle.Remove(e)
 	}
-	switch s {
-	case http.StateNew, http.StateActive:
-		n.open[c] = nil
-	case http.StateIdle:
-		if limited, ok := c.(*limitedConn); ok {
+	switch {
+	case s == http.StateIdle, s == http.StateNew && n.EvictSilent:
+		if limited, ok := limitedOf(c); ok {
 			limited.setIdle()
 		}
 		n.open[c] = n.idle.PushBack(idleConn{Conn: c, since: n.Clock.Now()})
-	case http.StateClosed, http.StateHijacked:
+	case s == http.StateNew, s == http.StateActive:
+		n.open[c] = nil
+	case s == http.StateClosed, s == http.StateHijacked:
 		delete(n.open, c)
 	}
 }
 
+// limitedOf returns the limitedConn that a connection is or wraps.
+func limitedOf(c net.Conn) (*limitedConn, bool) {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
+	limited, ok := c.(*limitedConn)
+	return limited, ok
+}
+
 // Count returns the number of open connections.
 func (n *ConnectionLimiter) Count() int64 {
 	n.mu.Lock()
@@ -80,11 +95,11 @@
 		return true
 	}
 	oldest := e.Value.(idleConn)
-	if n.Clock.Now().Sub(oldest.since) < minEvictIdle {
+	if n.Clock.Now().Sub(oldest.since) < cmp.Or(n.MinIdle, minEvictIdle) {
 		return true
 	}
 	n.idle.Remove(e)
-	if limited, ok := oldest.Conn.(*limitedConn); ok {
+	if limited, ok := limitedOf(oldest.Conn); ok {
 		if !limited.evict() {
 			// A request has just arrived on it; Track follows.
 			n.open[oldest.Conn] = nil
--- a/router/overload/listen.go
+++ b/router/overload/listen.go
@@ -13,6 +13,14 @@
 // opened. An overloaded router would read what waits in a longer queue after the callers have left.
 const acceptQueueLength = 256
 
+// The system keeps at most receiveBuffer bytes that a peer has sent and the process has not read, and
+// sendBuffer bytes that the peer has not read, for each connection. By default they grow to 4 MB and more.
+// A body of 20 KB arrives in one piece; one of 4 MB takes 0.7 s over a round-trip time of 10 ms.
+const (
+	receiveBuffer = 64 << 10
+	sendBuffer    = 64 << 10
+)
+
 // Listen listens for callers on a TCP address, with a queue of acceptQueueLength connections.
 // Package net always uses the longest queue that the system allows.
 func Listen(addr netip.AddrPort) (net.Listener, error) {
@@ -45,6 +53,13 @@
 	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
 		return 0, closeAfter(fd, os.NewSyscallError("setsockopt", err))
 	}
+	// Accepted connections inherit the sizes, which have to be set before listen.
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer); err != nil {
+		return 0, closeAfter(fd, os.NewSyscallError("setsockopt", err))
+	}
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer); err != nil {
+		return 0, closeAfter(fd, os.NewSyscallError("setsockopt", err))
+	}
 	if err := unix.Bind(fd, sa); err != nil {
 		return 0, closeAfter(fd, os.NewSyscallError("bind", err))
 	}
--- a/router/overload/listener.go
+++ b/router/overload/listener.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"expvar"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -12,6 +13,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/bytebudget"
 )
 
 const (
@@ -27,7 +31,7 @@
 	rejectLinger = 300 * time.Millisecond
 	// rejectBufferSize is the read buffer for a rejected request in bytes. It must hold
 	// the request's header, or the connection is closed without a response.
-	rejectBufferSize = 16 << 10
+	rejectBufferSize = 20 << 10
 	// maxUnreadBody is the largest body of a rejected request, in bytes, that is not read.
 	// It fits into the socket buffers, so that the caller can send it all and then read the
 	// response.
@@ -82,6 +86,8 @@
 	// whether a connection above the limit is served nevertheless. Such connections are accepted
 	// from Admitted. It is optional.
 	Admit func(request []byte) bool
+	// Budget bounds what is held of the requests on connections above the limit; nil means no limit.
+	Budget *bytebudget.Budget
 
 	slots chan struct{}
 	// admitted passes on connections until closed is closed.
@@ -99,6 +105,14 @@
 	}
 }
 
+// LimitRejections bounds the connections that are being rejected at the same time, each of which has a
+// descriptor, below the default. It must be called before Accept.
+func (l *Listener) LimitRejections(n int) {
+	if n > 0 && n < maxConcurrentRejections {
+		l.slots = make(chan struct{}, n)
+	}
+}
+
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
@@ -152,9 +166,19 @@
 // handleAboveLimit admits a connection above the limit, or responds to its first request and closes
 // it a while later.
 func (l *Listener) handleAboveLimit(c net.Conn) {
+	first, err := waitForByte(c)
+	if err == nil {
+		hold := l.openHold(c)
+		defer hold.Close()
+		err = hold.Grow(clock.Now(), rejectBufferSize)
+	}
 	buf := rejectBuffers.Get().(*[rejectBufferSize]byte)
 	defer rejectBuffers.Put(buf)
-	n, err := readHeader(c, buf)
+	n := 0
+	if err == nil {
+		buf[0] = first
+		n, err = readHeader(c, buf, 1)
+	}
 	if err == nil && l.Admit != nil && l.Admit(buf[:n]) {
 		<-l.slots
 		newConnections.Add(connectionAdmitted, 1)
@@ -177,6 +201,20 @@
 	})
 }
 
+// clock is what the budget goes by.
+var clock fleet.Clock = fleet.SystemClock{}
+
+// openHold returns a hold for the first request on a connection above the limit.
+func (l *Listener) openHold(c net.Conn) *bytebudget.Hold {
+	if l.Budget == nil {
+		return nil
+	}
+	return l.Budget.Open(clock.Now(), bytebudget.OwnerOf("", c.RemoteAddr().String()), func(bytebudget.Phase) {
+		// Reading fails then, and the connection is closed.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	})
+}
+
 // serve passes a connection of which some bytes have been read on to Admitted.
 func (l *Listener) serve(c net.Conn, read []byte) {
 	tcp, ok := c.(*net.TCPConn)
@@ -191,17 +229,28 @@
 	}
 }
 
-// readHeader reads a connection until it has the header of a request, and returns the number of
-// bytes read.
-func readHeader(c net.Conn, buf *[rejectBufferSize]byte) (int, error) {
+// waitForByte reads the first byte of a request. Connections that send nothing hold no buffer meanwhile.
+func waitForByte(c net.Conn) (byte, error) {
 	if err := c.SetDeadline(time.Now().Add(rejectTimeout)); err != nil {
 		return 0, err
 	}
-	n := 0
-	for !bytes.Contains(buf[:n], []byte("\r\n\r\n")) {
+	var first [1]byte
+	_, err := io.ReadFull(c, first[:])
+	return first[0], err
+}
+
+// headerEnd is the end of a header.
+var headerEnd = []byte("\r\n\r\n")
+
+// readHeader reads a connection, of which buf has n bytes, until it has the header of a request. It
+// returns the number of bytes read.
+func readHeader(c net.Conn, buf *[rejectBufferSize]byte, n int) (int, error) {
+	for searched := 0; !bytes.Contains(buf[searched:n], headerEnd); {
 		if n == len(buf) {
 			return n, errors.Errorf("the header has more than %d bytes", rejectBufferSize)
 		}
+		// The end may begin in the part before.
+		searched = max(0, n-len(headerEnd)+1)
 		read, err := c.Read(buf[n:])
 		if err != nil {
 			return n, err
--- a/router/targetconn/conn.go
+++ b/router/targetconn/conn.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -24,8 +25,15 @@
 	// BufferSize is the size of a connection's read buffer and of its write buffer in
 	// bytes.
 	BufferSize = 4 << 10
-	// maxResponseHeader bounds the header of a response in bytes.
-	maxResponseHeader = 256 << 10
+	// maxResponseHeader bounds the header of a response in bytes. Targets send a few hundred.
+	maxResponseHeader = 64 << 10
+	// headerLineCost is what each line of the header of a response counts for in addition to its bytes:
+	// a field takes about 100 bytes of memory, however short it is.
+	headerLineCost = 64
+	// socketBuffer bounds the bytes that the system keeps of a connection in each direction: what a
+	// target has sent and is not read yet, and what it does not read. It is set for each connection,
+	// because the system otherwise lets them grow to 4 MB and more.
+	socketBuffer = 128 << 10
 )
 
 // keepAlive detects peers that have vanished while a connection carries no data.
@@ -45,6 +53,8 @@
 	// headerBudget is how many bytes may still be read while a response header is read;
 	// -1 at other times.
 	headerBudget int64
+	// headerBytes is what the last response header has taken of its budget.
+	headerBytes int64
 	// idleUntil is when a pooled connection is too old to be reused.
 	idleUntil time.Time
 	reused    bool
@@ -61,10 +71,8 @@
 // Dial connects to a target. The time-out is opts.Timeout, but at most DialTimeout.
 func Dial(ctx context.Context, addr netip.AddrPort, opts Options) (*Conn, error) {
 	d := net.Dialer{Timeout: min(DialTimeout, opts.Timeout), KeepAliveConfig: keepAlive}
-	if opts.UnackedTimeout > 0 {
-		d.Control = func(_, _ string, raw syscall.RawConn) error {
-			return setUnackedTimeout(raw, opts.UnackedTimeout)
-		}
+	d.Control = func(_, _ string, raw syscall.RawConn) error {
+		return setOptions(raw, opts.UnackedTimeout)
 	}
 	nc, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
@@ -75,15 +83,22 @@
 	return c, nil
 }
 
-func setUnackedTimeout(raw syscall.RawConn, d time.Duration) error {
+// setOptions sets the options of a connection before it is opened.
+func setOptions(raw syscall.RawConn, unacked time.Duration) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer)
+		if sockErr == nil {
+			sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer)
+		}
+		if sockErr == nil && unacked > 0 {
+			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
+		}
 	})
 	if err == nil {
 		err = sockErr
 	}
-	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
+	return errors.Wrap(err, "set options of the connection")
 }
 
 // Read implements net.Conn. It fails once a response header exceeds maxResponseHeader.
@@ -96,7 +111,7 @@
 	}
 	n, err := c.Conn.Read(b)
 	if c.headerBudget > 0 {
-		c.headerBudget -= int64(n)
+		c.headerBudget = max(0, c.headerBudget-int64(n)-headerLineCost*int64(bytes.Count(b[:n], []byte{'\n'})))
 	}
 	return n, err
 }
@@ -111,6 +126,10 @@
 // BytesWritten returns the bytes written since the last ResetBytesWritten.
 func (c *Conn) BytesWritten() int64 { return c.bytesWritten.Load() }
 
+// HeaderBytes returns the size of the header that ReadResponse has read last, with headerLineCost for
+// each line. It includes what was read of the body meanwhile.
+func (c *Conn) HeaderBytes() int64 { return c.headerBytes }
+
 // ResetBytesWritten sets the count of bytes written to 0.
 func (c *Conn) ResetBytesWritten() { c.bytesWritten.Store(0) }
 
@@ -156,7 +175,7 @@
 // skipped.
 func (c *Conn) ReadResponse(req *http.Request) (*http.Response, error) {
 	c.headerBudget = maxResponseHeader
-	defer func() { c.headerBudget = -1 }()
+	defer func() { c.headerBytes, c.headerBudget = maxResponseHeader-c.headerBudget, -1 }()
 	for {
 		resp, err := http.ReadResponse(c.Reader, req)
 		if err != nil {
