Control hosts and the feed: bounded bodies, messages and connections

What others saw: 40 configurations that stop before their end take 850 MB of a control host, headers of many short fields 1,080 MB, one message without an end on 24 connections to the feed 700 MB; each port takes any number of connections.

Cause: bodies were read with a bound for each (16 MB and 64 KB) and none for their sum, a message of the feed with no bound at all, and nothing bounded connections and their headers.

- Targets, their ends and software versions are kept up to 8,192 each; calls with further new names get 503.
- The router's connections to control hosts count in its budget.

Not covered: the origins of streams (131,072 with ids of up to 256 bytes) are bounded by number only.

--- a/control/core/announce.go
+++ b/control/core/announce.go
@@ -12,18 +12,25 @@
 // enough routers. The target should announce itself to another control host.
 var ErrIsolated = errors.New("this control host does not reach enough routers")
 
+// ErrTooManyTargets is returned for a new target if there are too many.
+var ErrTooManyTargets = errors.New("too many targets have announced themselves")
+
 // minReachableShare is the fraction of its maximum number of connected routers that a host
 // without quorum contact needs to accept announcements.
 const minReachableShare = 0.6
 
 // Announce applies a target's announcement and queues it for all followers. It returns
-// ErrIsolated if this host can't pass it on to the routers.
+// ErrTooManyTargets, or ErrIsolated if this host can't pass it on to the routers.
 func (c *Core) Announce(a fleet.Announcement) error {
 	if !c.reachesRouters() {
 		return ErrIsolated
 	}
 	now := c.cfg.Clock.Now()
 	c.mu.Lock()
+	if !c.targets.Admits(&a) {
+		c.mu.Unlock()
+		return ErrTooManyTargets
+	}
 	result := c.targets.Announce(now, a)
 	c.mu.Unlock()
 	switch result {
@@ -41,12 +48,16 @@
 }
 
 // End records that a target has stopped and queues this for all followers. It returns
-// ErrIsolated if this host can't pass it on to the routers.
+// ErrTooManyTargets, or ErrIsolated if this host can't pass it on to the routers.
 func (c *Core) End(end fleet.TargetEnd) error {
 	if !c.reachesRouters() {
 		return ErrIsolated
 	}
 	c.mu.Lock()
+	if !c.targets.AdmitsEnd(end.Target) {
+		c.mu.Unlock()
+		return ErrTooManyTargets
+	}
 	end = c.targets.End(c.cfg.Clock.Now(), end)
 	c.mu.Unlock()
 	c.cfg.Log.Info(logevent.TargetEnded, "target", string(end.Target), "incarnation", uint64(end.Incarnation))
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/bytebudget"
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quorum"
 	"github.com/fuchsiashed/fuchsiashed/fleet/registry"
@@ -83,8 +84,12 @@
 	ToleratedLosses int
 	// DemandWindow is the time over which customers are to receive their fair shares.
 	DemandWindow time.Duration
-	Clock        fleet.Clock
-	Log          *slog.Logger
+	// MaxPeers bounds the connections of other processes of the fleet; 0 means no limit.
+	MaxPeers int
+	// Budget bounds the messages of other processes that are held; nil means no limit.
+	Budget *bytebudget.Budget
+	Clock  fleet.Clock
+	Log    *slog.Logger
 }
 
 // Core is a control host. It is safe for concurrent use.
@@ -135,7 +140,7 @@
 	c.loads = newLoadCollector(cfg.DemandWindow/demandWindowParts, cfg.Log)
 	c.feed = rpc.Recovering(rpc.HandlerFunc(c.handleFeed), cfg.Log)
 	c.clientSet = rpc.NewClientSet(rpc.ClientSetConfig{
-		Uncompressed: true, OnConnect: c.followPeer,
+		Uncompressed: true, OnConnect: c.followPeer, Budget: cfg.Budget,
 		Handler: func(netip.AddrPort) rpc.Handler { return rpc.HandlerFunc(c.handle) },
 	})
 	c.transport = replicas.New(replicas.Config{Clients: c.clientSet, Resolve: addressOf})
@@ -144,7 +149,7 @@
 		listen = cfg.Self
 	}
 	c.server = rpc.NewServer(rpc.ServerConfig{
-		Address: listen, Uncompressed: true, Handler: rpc.HandlerFunc(c.handle), OnDisconnect: c.hub.disconnected, Log: cfg.Log,
+		Address: listen, Uncompressed: true, MaxConnections: cfg.MaxPeers, Budget: cfg.Budget, Handler: rpc.HandlerFunc(c.handle), OnDisconnect: c.hub.disconnected, Log: cfg.Log,
 	})
 	return c, c.openShell()
 }
--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/bytebudget"
 )
 
 // ClientConfig configures a Client.
@@ -28,7 +30,9 @@
 	// Uncompressed disables compression, which needs 1.24 MB of memory per connection. Client
 	// and server must have the same setting.
 	Uncompressed bool
-	Log          *slog.Logger
+	// Budget bounds the messages of the peer that are held; nil means no limit.
+	Budget *bytebudget.Budget
+	Log    *slog.Logger
 }
 
 // Client maintains a connection to one peer and reconnects when it is lost. It is safe for
@@ -136,7 +140,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", c.cfg.Address)
 	}
-	p, err := newPeer(c.ctx, nc, c.cfg.Handler, c.cfg.Traffic, c.cfg.Uncompressed)
+	p, err := newPeer(c.ctx, nc, c.cfg.Handler, peerConfig{traffic: c.cfg.Traffic, uncompressed: c.cfg.Uncompressed, budget: c.cfg.Budget, spoke: &atomic.Bool{}})
 	if err != nil {
 		_ = nc.Close()
 		return nil, err
--- a/fleet/rpc/clientset.go
+++ b/fleet/rpc/clientset.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/bytebudget"
 )
 
 // ClientSetConfig configures a ClientSet.
@@ -21,6 +22,8 @@
 	Traffic *Traffic
 	// Uncompressed disables compression, see ClientConfig.
 	Uncompressed bool
+	// Budget bounds the messages of the peers that are held; nil means no limit.
+	Budget *bytebudget.Budget
 }
 
 // ClientSet maintains one Client for each address of a set that can change at run time.
@@ -60,7 +63,7 @@
 }
 
 func (s *ClientSet) dial(addr netip.AddrPort) *Client {
-	cfg := ClientConfig{Address: addr, Traffic: s.cfg.Traffic, Uncompressed: s.cfg.Uncompressed}
+	cfg := ClientConfig{Address: addr, Traffic: s.cfg.Traffic, Uncompressed: s.cfg.Uncompressed, Budget: s.cfg.Budget}
 	if s.cfg.Handler != nil {
 		cfg.Handler = s.cfg.Handler(addr)
 	}
--- a/fleet/rpc/conn.go
+++ b/fleet/rpc/conn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
 )
 
 // Traffic counts the bytes sent and received over connections, after compression and
@@ -49,3 +51,22 @@
 	}
 	return n, err
 }
+
+// writeAll writes messages without joining them, so that what is sent to all followers of a feed is held
+// once. Other writes come before or after all of them.
+func (c *deadlineConn) writeAll(messages []fleet.EncodedNotification) error {
+	if err := c.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
+		return err
+	}
+	buffers := make(net.Buffers, len(messages))
+	for i, m := range messages {
+		buffers[i] = m
+	}
+	n, err := buffers.WriteTo(c.Conn)
+	c.traffic.written.Add(n)
+	if err != nil {
+		// The error of the write is the one to report.
+		_ = c.Close()
+	}
+	return err
+}
--- a/fleet/rpc/rpc.go
+++ b/fleet/rpc/rpc.go
@@ -13,12 +13,14 @@
 	"encoding/json"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/bytebudget"
 )
 
 // Intervals and time-outs of connections.
@@ -94,25 +96,46 @@
 	nc net.Conn
 }
 
+// peerConfig has what is common to the peers of a Client or Server.
+type peerConfig struct {
+	traffic      *Traffic
+	uncompressed bool
+	// budget bounds the messages; nil means no limit.
+	budget *bytebudget.Budget
+	// spoke is set once the peer has sent a message.
+	spoke *atomic.Bool
+}
+
 // newPeer starts JSON-RPC on an open connection.
-func newPeer(ctx context.Context, nc net.Conn, h Handler, traffic *Traffic, uncompressed bool) (*peer, error) {
-	cc, err := wrapConn(&deadlineConn{Conn: nc, traffic: traffic}, uncompressed)
+func newPeer(ctx context.Context, nc net.Conn, h Handler, cfg peerConfig) (*peer, error) {
+	if err := boundSocket(nc); err != nil {
+		return nil, err
+	}
+	cc, err := wrapConn(&deadlineConn{Conn: nc, traffic: cfg.traffic}, cfg.uncompressed)
 	if err != nil {
 		return nil, err
 	}
 	p := &peer{nc: cc}
+	owner := bytebudget.OwnerOf("", nc.RemoteAddr().String())
+	open := func() *bytebudget.Hold {
+		return cfg.budget.Open(clock.Now(), owner, func(bytebudget.Phase) {
+			// The connection fails, and the peer connects again.
+			_ = nc.Close()
+		})
+	}
+	calls := holdCalls(h, open)
 	// Requests can arrive before p.conn is set; handling waits until it is.
 	ready := make(chan struct{})
 	serve := func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		<-ready
-		return p.handle(ctx, h, req)
+		return p.handle(ctx, calls, req)
 	}
-	stream := newLineStream(cc, func(method string, params json.RawMessage) {
+	stream := newLineStream(cc, open, cfg.spoke, func(method string, params json.RawMessage) {
 		<-ready
 		// A notification has no reply, so that the sender can't be told of an error.
 		_, _ = h.Handle(ctx, p, method, params)
 	})
-	p.conn = jsonrpc2.NewConn(ctx, stream, &orderedHandler{next: jsonrpc2.HandlerWithError(serve).SuppressErrClosed()},
+	p.conn = jsonrpc2.NewConn(ctx, stream, &orderedHandler{next: jsonrpc2.HandlerWithError(serve).SuppressErrClosed(), slots: make(chan struct{}, maxCalls)},
 		jsonrpc2.SetLogger(discardLogger{}))
 	close(ready)
 	return p, nil
@@ -126,9 +149,10 @@
 func (discardLogger) Printf(string, ...any) {}
 
 // orderedHandler handles notifications one at a time in order of arrival, and each call in
-// its own goroutine.
+// its own goroutine, at most maxCalls at a time.
 type orderedHandler struct {
-	next jsonrpc2.Handler
+	next  jsonrpc2.Handler
+	slots chan struct{}
 }
 
 // Handle implements jsonrpc2.Handler.
@@ -137,7 +161,15 @@
 		o.next.Handle(ctx, conn, req)
 		return
 	}
-	go o.next.Handle(ctx, conn, req)
+	select {
+	case o.slots <- struct{}{}:
+	case <-conn.DisconnectNotify():
+		return
+	}
+	go func() {
+		defer func() { <-o.slots }()
+		o.next.Handle(ctx, conn, req)
+	}()
 }
 
 // handle answers heartbeats, passes all other requests to h, and converts an *Error.
@@ -198,6 +230,9 @@
 
 // NotifyEncoded implements fleet.Subscriber.
 func (p *peer) NotifyEncoded(_ context.Context, messages ...fleet.EncodedNotification) error {
+	if c, ok := p.nc.(*deadlineConn); ok {
+		return errors.Wrap(c.writeAll(messages), "send encoded notifications")
+	}
 	_, err := p.nc.Write(slices.Concat(messages...))
 	return errors.Wrap(err, "send encoded notifications")
 }
--- a/fleet/rpc/stream.go
+++ b/fleet/rpc/stream.go
@@ -6,8 +6,11 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet/bytebudget"
 )
 
 // notificationStart and paramsStart enclose the method of a notification as both
@@ -23,27 +26,71 @@
 	conn           net.Conn
 	in             *bufio.Reader
 	onNotification func(method string, params json.RawMessage)
+	// hold opens a hold for a message.
+	hold func() *bytebudget.Hold
+	// spoke is set once a message has been read.
+	spoke *atomic.Bool
 
 	mu  sync.Mutex
 	out *json.Encoder
 }
 
-func newLineStream(conn net.Conn, onNotification func(method string, params json.RawMessage)) *lineStream {
-	return &lineStream{conn: conn, in: bufio.NewReader(conn), out: json.NewEncoder(conn), onNotification: onNotification}
+func newLineStream(conn net.Conn, hold func() *bytebudget.Hold, spoke *atomic.Bool, onNotification func(method string, params json.RawMessage)) *lineStream {
+	return &lineStream{conn: conn, in: bufio.NewReader(conn), out: json.NewEncoder(conn), hold: hold, spoke: spoke, onNotification: onNotification}
 }
 
 // ReadObject implements jsonrpc2.ObjectStream. It returns calls and replies only.
 func (s *lineStream) ReadObject(v any) error {
 	for {
-		line, err := s.in.ReadBytes('\n')
-		if err != nil {
+		done, err := s.readMessage(v)
+		if done || err != nil {
 			return err
 		}
-		method, params, ok := parseNotification(line)
-		if !ok {
-			return errors.Wrap(json.Unmarshal(line, v), "decode message")
+	}
+}
+
+// readMessage reads a message and handles it if it is a notification. It returns true for others, which
+// it decodes.
+func (s *lineStream) readMessage(v any) (done bool, err error) {
+	memory := messageMemory{open: s.hold}
+	defer memory.release()
+	line, err := s.readLine(&memory)
+	if err != nil {
+		return false, err
+	}
+	s.spoke.Store(true)
+	method, params, ok := parseNotification(line)
+	if !ok {
+		return true, errors.Wrap(json.Unmarshal(line, v), "decode message")
+	}
+	s.onNotification(method, params)
+	return false, nil
+}
+
+// readLine reads a line of at most maxMessageBytes. It fails if there is no memory for it.
+func (s *lineStream) readLine(memory *messageMemory) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := s.in.ReadSlice('\n')
+		if line == nil && err == nil {
+			// Handlers may keep what they get.
+			return bytes.Clone(part), nil
+		}
+		if len(line)+len(part) > maxMessageBytes {
+			return nil, errors.Errorf("message has more than %d bytes", maxMessageBytes)
+		}
+		if need := len(line) + len(part); need > cap(line) {
+			size := min(max(2*cap(line), 2*need), maxMessageBytes)
+			if err := memory.grow(size); err != nil {
+				return nil, err
+			}
+			line = append(make([]byte, 0, size), line...)
+		}
+		memory.progress(len(part))
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
 		}
-		s.onNotification(method, params)
 	}
 }
 
--- a/fleet/targets/targets.go
+++ b/fleet/targets/targets.go
@@ -17,6 +17,9 @@
 	// unknownEndRetention is how long announcements of a target are ignored after it ended
 	// in an unknown incarnation, since its last announcements may still arrive.
 	unknownEndRetention = 10 * time.Second
+	// maxTargets bounds the targets, the ends and the software versions that are kept, far above the number
+	// in any deployment, so that calls with ever new names take no more memory.
+	maxTargets = 8192
 	// versionRetention is how long a software version is remembered that has no targets any more.
 	versionRetention = 10 * time.Minute
 )
@@ -76,6 +79,19 @@
 	}
 }
 
+// Admits reports whether an announcement can be kept: there are not too many targets and software versions,
+// or it has no new one.
+func (d *Directory) Admits(a *fleet.Announcement) bool {
+	_, known := d.seenAt[serviceVersion{a.Service, a.SoftwareVersion}]
+	return (known || len(d.seenAt) < maxTargets) && (d.entries[a.Target] != nil || len(d.entries) < maxTargets)
+}
+
+// AdmitsEnd reports whether the end of a target can be kept.
+func (d *Directory) AdmitsEnd(id fleet.TargetID) bool {
+	_, known := d.ended[id]
+	return known || d.entries[id] != nil || len(d.ended) < maxTargets
+}
+
 // newer reports whether announcement a was made after b.
 func newer(a, b *fleet.Announcement) bool {
 	if a.Incarnation != b.Incarnation {
--- a/fleet/targets/targets_test.go
+++ b/fleet/targets/targets_test.go
@@ -1,6 +1,7 @@
 package targets_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -93,3 +94,29 @@
 		convey.So(d.Announce(start.Add(2*time.Second), a), convey.ShouldEqual, targets.Changed)
 	})
 }
+
+// Guards against calls with ever new names that take all memory (callers that exceed limits).
+func TestManyNames(t *testing.T) {
+	convey.Convey("New names are refused from a number on, known ones are not", t, func() {
+		d, now := targets.New(), time.Unix(1_700_000_000, 0)
+		id := func(i int) fleet.TargetID { return fleet.TargetID(fmt.Sprint("t-", i)) }
+		announcement := func(i int) *fleet.Announcement {
+			return &fleet.Announcement{Target: id(i), SoftwareVersion: fleet.SoftwareVersion(id(i)), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)}
+		}
+		for i := range 20_000 {
+			if d.Admits(announcement(i)) {
+				d.Announce(now, *announcement(i))
+			}
+			if i >= 10_000 && d.AdmitsEnd(id(i)) {
+				d.End(now, fleet.TargetEnd{Target: id(i)})
+			}
+		}
+		convey.So(d.Admits(announcement(1)), convey.ShouldBeTrue)
+		convey.So(d.Admits(announcement(19_999)), convey.ShouldBeFalse)
+		convey.So(d.AdmitsEnd(id(1)), convey.ShouldBeTrue)
+		convey.So(d.AdmitsEnd(id(19_999)), convey.ShouldBeFalse)
+		now = now.Add(time.Hour)
+		d.Expire(now, now, nil)
+		convey.So(d.Admits(announcement(19_999)) && d.AdmitsEnd(id(19_999)), convey.ShouldBeTrue)
+	})
+}
--- a/router/feed/feed.go
+++ b/router/feed/feed.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/bytebudget"
 	"github.com/fuchsiashed/fuchsiashed/fleet/deployment"
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 	"github.com/fuchsiashed/fuchsiashed/fleet/packed"
@@ -46,8 +47,10 @@
 	Reduce func(fleet.Event) []fleet.Effect
 	// Origins shares the origins of streams over the connections of the feed.
 	Origins *Origins
-	Clock   fleet.Clock
-	Log     *slog.Logger
+	// Budget bounds the messages of control hosts that are held; nil means no limit.
+	Budget *bytebudget.Budget
+	Clock  fleet.Clock
+	Log    *slog.Logger
 }
 
 // Follower follows the feed of all control hosts. It never returns to an older
@@ -93,7 +96,7 @@
 func New(cfg Config) *Follower {
 	f := &Follower{cfg: cfg, seeds: cfg.Seeds, notices: map[netip.AddrPort]receivedNotice{}, included: map[netip.AddrPort]fleet.ReportIncluded{}, stop: make(chan struct{})}
 	f.clients = rpc.NewClientSet(rpc.ClientSetConfig{
-		Uncompressed: true,
+		Uncompressed: true, Budget: cfg.Budget,
 		Handler: func(addr netip.AddrPort) rpc.Handler {
 			return rpc.Recovering(rpc.HandlerFunc(func(_ context.Context, _ fleet.Caller, method string, params json.RawMessage) (any, error) {
 				return nil, f.handleNotification(addr, method, params)
