--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -26,6 +26,7 @@
 	SourceBackedOff   Event = "SourceBackedOff"   // answers came late or broke off whose target was asked to fetch a part from this source
 	HedgeRefused      Event = "HedgeRefused"      // a slow attempt gets no second one beside it
 	HedgeEnded        Event = "HedgeEnded"        // a request with two attempts at once ended
+	ConnectionEnded   Event = "ConnectionEnded"   // the peer of a connection exceeded a limit
 	LedgerBeginFailed Event = "LedgerBeginFailed" // control did not record the start of a run-once call
 	LedgerEndFailed   Event = "LedgerEndFailed"   // control did not record the end of a run-once call
 )
@@ -135,6 +136,18 @@
 	FieldReason = "reason"
 	// FieldRetryAfter is the time after which the caller may retry, in ms.
 	FieldRetryAfter = "retryAfterMs"
+	// FieldMemoryReason is why a request was ended to free memory, see package bytebudget.
+	FieldMemoryReason = "memory"
+	// FieldBytes is what the request held, and FieldGroupBytes what its customer or address held.
+	FieldBytes      = "bytes"
+	FieldGroupBytes = "groupBytes"
+	// FieldBytesPerSecond is the rate at which the request was read, and FieldIdle the time since its
+	// last bytes, in ms.
+	FieldBytesPerSecond = "bytesPerS"
+	FieldIdle           = "idleMs"
+	// FieldHeld is what the process held for others, of FieldBudget.
+	FieldHeld   = "held"
+	FieldBudget = "budget"
 	// FieldOutcome is how an attempt ended.
 	FieldOutcome = "outcome"
 	// FieldStatus is the HTTP status, or 0 if there was no response.
