Pace of each target, learnt over the fleet

Callers saw requests of the exam platform wait at engines that need 1.7 times the rated time while others that need 0.7 of it were idle. A router learnt slowness by itself: with 71 routers and 140 engines it sees one answer of a target every few seconds.

Routers report for each target the number of answers and the sum of the logarithms of measured over rated time. The leader keeps a decaying mean for each target and incarnation, and digests list the targets that differ from 1. A router's slowness of a target returns to that pace, within a second, instead of to 1. Shared parts are ordered by speed in steps of 1.25 that the leader changes with hysteresis, so that all routers change them together.

A smaller change was ruled out: a higher gain in the router alone follows single slow answers.

Setting: [Placement] TargetPace.

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet"
 	"github.com/fuchsiashed/fuchsiashed/fleet/fairshare"
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
+	"github.com/fuchsiashed/fuchsiashed/fleet/pace"
 	"github.com/fuchsiashed/fuchsiashed/fleet/partrate"
 	"github.com/fuchsiashed/fuchsiashed/fleet/quarantine"
 	"github.com/fuchsiashed/fuchsiashed/fleet/ratelimit"
@@ -76,6 +77,8 @@
 	// parts tracks the parts of prompts that crash targets.
 	parts  partTrackers
 	limits *ratelimit.Collector
+	// paces learns the pace of each target.
+	paces *pace.Collector
 	// collectingSince is the time of the first report since this host became the leader; zero
 	// before.
 	collectingSince time.Time
@@ -106,7 +109,7 @@
 		log:     log,
 		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window), totalDemand: fairshare.NewWindow(window), sentWork: fairshare.NewWindow(window),
 		governor: fairshare.NewGovernor(governorConfig), partRates: partrate.New(),
-		suspects: map[fleet.ContentHash]*suspect{}, parts: newPartTrackers(), limits: ratelimit.NewCollector(),
+		suspects: map[fleet.ContentHash]*suspect{}, parts: newPartTrackers(), limits: ratelimit.NewCollector(), paces: pace.New(),
 	}
 }
 
@@ -145,6 +148,7 @@
 		l.adoptSuspects(now, r.KnownSuspects)
 	}
 	l.limits.AddReport(now, &r)
+	l.paces.AddReport(now, &r)
 }
 
 // addParts adds what a router reports of parts of prompts. A new leader adopts the quarantines
@@ -167,6 +171,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.collectingSince = time.Time{}
+	l.paces = pace.New()
 }
 
 // adoptSuspects takes over the crashes that the former leader had counted.
@@ -225,11 +230,12 @@
 	}
 	parts := l.updateParts(now)
 	limits := l.limits.Limits(now)
+	paces, pacesKnown := l.paces.List(now)
 	return digest{included: included, limitShares: l.limits.Shares(now), LoadDigest: fleet.LoadDigest{
 		Targets: slices.Collect(maps.Values(total)), Shares: l.shares(now, total), Light: fairshare.Light(l.demand.Rates(now)), Suspects: l.repeatedSuspects(now), Slowness: l.medianSlowness(),
 		HotParts:     l.partRates.Hot(now, hotTargetShare*l.nominalRate/float64(max(1, len(total)))),
 		SuspectParts: parts.Parts, SuspectTargets: parts.Targets, Quarantined: parts.Quarantined,
-		Limits: limits, Partial: l.isAdopting(now),
+		Limits: limits, Paces: paces, PacesKnown: pacesKnown, Partial: l.isAdopting(now),
 	}}
 }
 
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -333,6 +333,8 @@
 	Limits []StatedLimit `json:",omitempty"`
 	// Rollouts has the outcomes of the requests to services with an active roll-out.
 	Rollouts []VersionOutcomes `json:",omitempty"`
+	// Paces has the targets of engines that answered since the last report.
+	Paces []PaceSamples `json:",omitempty"`
 	// Stopping is true once the router accepts no new callers.
 	Stopping bool `json:",omitempty"`
 	// Utilisation is the fraction of its capacity that the router uses; it may exceed 1.
@@ -364,6 +366,9 @@
 			return errors.Wrapf(err, "Rollouts[%d]", i)
 		}
 	}
+	if err := checkEach("Paces", r.Paces); err != nil {
+		return err
+	}
 	if r.Utilisation < 0 {
 		return errors.Errorf("Utilisation is %g; it must not be negative", r.Utilisation)
 	}
@@ -420,6 +425,11 @@
 	Slowness []ServiceSlowness `json:",omitempty"`
 	// Limits has the newest statement of each target that had a limit in the last seconds.
 	Limits []StatedLimit `json:",omitempty"`
+	// Paces has the targets whose pace differs from 1 with confidence.
+	Paces []TargetPace `json:",omitempty"`
+	// PacesKnown is true if Paces replaces the list before. It is false while a new leader knows
+	// none, and between two lists, which are sent less often than digests.
+	PacesKnown bool `json:",omitempty"`
 }
 
 // Check implements Checker.
@@ -430,6 +440,9 @@
 	if err := checkLimits(d.Limits); err != nil {
 		return err
 	}
+	if err := checkEach("Paces", d.Paces); err != nil {
+		return err
+	}
 	for _, h := range d.HotParts {
 		if h.TokensPerSecond < 0 {
 			return errors.Errorf("the rate of part %d is %g; it must not be negative", h.Part, h.TokensPerSecond)
--- a/fleet/feed_test.go
+++ b/fleet/feed_test.go
@@ -48,3 +48,23 @@
 		convey.So(old.Room, convey.ShouldBeZeroValue)
 	})
 }
+
+// Guards against a report or digest whose pace, out of range, takes all parts from a target or gives
+// it all.
+func TestPacesAreChecked(t *testing.T) {
+	convey.Convey("A pace out of range is refused, messages of an earlier release without paces are taken", t, func() {
+		var r fleet.RouterLoad
+		for _, s := range []string{`{"T":"t","I":1,"N":0}`, `{"T":"t","I":1,"N":2,"L":2.9}`, `{"T":"t","I":1,"N":2,"L":-2.9}`, `{"T":"","I":1,"N":1}`, `{"T":"t","N":1000000}`} {
+			convey.So(fleet.Decode([]byte(`{"Host":"r","Paces":[`+s+`]}`), &r), convey.ShouldNotBeNil)
+		}
+		convey.So(fleet.Decode([]byte(`{"Host":"r","Paces":[{"T":"t","I":1,"N":2,"L":2.7,"Later":1}]}`), &r), convey.ShouldBeNil)
+		var d fleet.LoadDigest
+		for _, p := range []string{`{"T":"t"}`, `{"T":"t","P":4.1}`, `{"T":"t","P":0.2}`, `{"T":"t","P":1,"S":11}`, `{"T":"t","P":1,"A":-1}`, `{"T":"","P":1}`} {
+			convey.So(fleet.Decode([]byte(`{"PacesKnown":true,"Paces":[`+p+`]}`), &d), convey.ShouldNotBeNil)
+		}
+		convey.So(fleet.Decode([]byte(`{"PacesKnown":true,"Paces":[{"T":"t","I":1,"P":1.7,"S":2,"A":5}]}`), &d), convey.ShouldBeNil)
+		var old fleet.LoadDigest
+		convey.So(fleet.Decode([]byte(`{}`), &old), convey.ShouldBeNil)
+		convey.So(old.PacesKnown, convey.ShouldBeFalse)
+	})
+}
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -67,6 +67,9 @@
 
 // rendezvousOrder returns the targets ordered for a part, highest weight first.
 func rendezvousOrder(key PartID, targets []*target) []*target {
+	if hasPaceSteps(targets) {
+		return pacedOrder(key, targets)
+	}
 	type weighted struct {
 		weight uint64
 		target *target
@@ -168,7 +171,7 @@
 	}
 	best, bestCost := -1, 0.0
 	for i, t := range usable {
-		cost := r.queueDelay(t, rate).Seconds() + float64(i)*bias
+		cost := r.queueDelay(t, rate).Seconds() + float64(i)*bias + r.paceCost(t, float64(ownTokens)/rate)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/fleet/placement/policy.go
+++ b/fleet/placement/policy.go
@@ -29,6 +29,9 @@
 	// CopyParts enables the transfer of cached parts between the targets of services whose
 	// engines support it.
 	CopyParts bool
+	// TargetPace enables the use of the pace of each target that all routers measured, for services
+	// with an engine.
+	TargetPace bool
 }
 
 // DefaultPolicy is the policy for production; docs/design/platform.md explains its values.
@@ -48,6 +51,7 @@
 	// Several requests of a plain service end in this time.
 	DeclinedRetryDelay: 300 * time.Millisecond,
 	CopyParts:          true,
+	TargetPace:         true,
 }
 
 const (
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -130,7 +130,7 @@
 	out.Slowness = r.measuredSlowness()
 	out.Calls, out.Limits = s.calls, r.statedLimits()
 	s.calls = 0
-	out.Rollouts = r.takeRolloutOutcomes()
+	out.Rollouts, out.Paces = r.takeRolloutOutcomes(), r.takePaceSamples()
 	r.parts.fillReport(r.now, &out)
 	if r.config != nil {
 		out.Capacity = r.config.TokensPerSecond
@@ -202,6 +202,7 @@
 	r.applyFleetSlowness(d.Slowness)
 	r.parts.applyDigest(r.now, &d.LoadDigest)
 	r.applyLimits(d)
+	r.applyPaces(&d.LoadDigest)
 }
 
 // digestAge returns the age of the newest digest, or shareValidity if there is none.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -52,6 +52,7 @@
 	report    reportState
 	parts     partsState
 	limits    limitShare
+	paces     paceState
 	rollouts  map[fleet.ServiceName]*rollout
 }
 
@@ -109,6 +110,7 @@
 // Reduce implements fleet.Reducer.
 func (r *Router) Reduce(now time.Time, ev fleet.Event) []fleet.Effect {
 	r.now, r.effects = now, nil
+	r.expirePaces()
 	switch ev := ev.(type) {
 	case ConfigChanged:
 		r.config = ev.Config
--- a/fleet/placement/slowness.go
+++ b/fleet/placement/slowness.go
@@ -68,7 +68,8 @@
 	t, s := k.current, r.slownessState(k.service)
 	present := t.slownessAt(r.now)
 	correction := measured / (present * s.average)
-	t.slowness, t.slownessSampledAt = clampSlowness(present*math.Pow(correction, slownessGain)), r.now
+	r.addPaceSample(k, measured)
+	t.slowness, t.slownessSampledAt = clampSlowness(present*math.Pow(correction, t.slownessGain())), r.now
 	s.average = clampSlowness(s.average * math.Pow(correction, serviceSlownessGain))
 }
 
@@ -76,6 +77,9 @@
 // sends a target few requests would keep it for minutes after the target has recovered.
 func (t *target) slownessAt(now time.Time) float64 {
 	age := now.Sub(t.slownessSampledAt)
+	if t.pace.known() {
+		return t.pace.slowness(t.slowness, age)
+	}
 	return math.Pow(t.slowness, math.Exp(-float64(age)/float64(slownessRetention)))
 }
 
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -58,6 +58,8 @@
 	returns returnState
 	// transfers describes the target as a source of cached parts.
 	transfers transferState
+	// pace is what all routers together measured of this incarnation.
+	pace fleetPace
 	// goneAt is when the target was last found to be gone; zero while it has an entry.
 	goneAt         time.Time
 	awaitingAnswer map[CallID]*call
@@ -75,7 +77,7 @@
 	t.slowness, t.failureRate, t.pauses = 1, 0, 0
 	t.pausedUntil, t.answeredAt = time.Time{}, time.Time{}
 	t.maybeRestarted = false
-	t.limit, t.leaving, t.returns, t.transfers = rateLimit{}, false, returnState{}, transferState{}
+	t.limit, t.leaving, t.returns, t.transfers, t.pace = rateLimit{}, false, returnState{}, transferState{}, fleetPace{}
 }
 
 // isServing reports whether a target that is not gone takes new requests.
--- /dev/null
+++ b/fleet/placement/targetpace.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+)
+
+const (
+	// paceValidity is the age from which on the fleet's pace is not used.
+	paceValidity = 5 * time.Second
+	// ownGain is the weight of one answer of this router in the slowness of a target whose pace is
+	// known. A phase of 600 ms has one or two such answers.
+	ownGain = 0.3
+	// ownRetention is the time constant with which the slowness of a target returns to the pace
+	// that the fleet measured.
+	ownRetention = time.Second
+)
+
+// fleetPace is the pace of a target as all routers measured it; zero if it is unknown.
+type fleetPace struct {
+	// relative is the pace divided by the mean of the service, which serviceSlowness has.
+	relative float64
+	step     int
+}
+
+func (p fleetPace) known() bool { return p.relative > 0 }
+
+// slowness combines the pace with what this router measured by itself, age ago.
+func (p fleetPace) slowness(own float64, age time.Duration) float64 {
+	return clampSlowness(p.relative * math.Pow(own/p.relative, math.Exp(-float64(age)/float64(ownRetention))))
+}
+
+// slownessGain returns the weight of one answer in the slowness of the target.
+func (t *target) slownessGain() float64 {
+	if t.pace.known() {
+		return ownGain
+	}
+	return slownessGain
+}
+
+// paceState is what the router knows and reports of the pace of targets.
+type paceState struct {
+	// receivedAt is when the newest list was received; zero if none is in use.
+	receivedAt time.Time
+	samples    map[fleet.TargetID]fleet.PaceSamples
+}
+
+// usesPace reports whether the fleet's pace is used for the targets of a service.
+func (r *Router) usesPace(service fleet.ServiceName) bool {
+	if r.config == nil || !r.cfg.Policy.TargetPace {
+		return false
+	}
+	s := r.config.Service(service)
+	return s != nil && s.Engine != nil
+}
+
+// addPaceSample records an answer, as a multiple of the rated time: the learnt slowness is no part
+// of it, and so the pace has no influence on itself. A router that measures more than the others
+// measures its own delay and reports none; a target that warms up is slow for another reason.
+func (r *Router) addPaceSample(k *call, measured float64) {
+	t := k.current
+	if !r.usesPace(k.service) || r.slownessState(k.service).trust < 1 || t.incarnation != k.currentIncarnation || t.entry == nil || r.isWarmingUp(t) {
+		return
+	}
+	s := r.paces.samples[t.id]
+	if s.Incarnation != t.incarnation {
+		s = fleet.PaceSamples{Target: t.id, Incarnation: t.incarnation}
+	}
+	s.Answers++
+	s.LogSum += min(max(math.Log(measured), -fleet.MaxPaceSample), fleet.MaxPaceSample)
+	if r.paces.samples == nil {
+		r.paces.samples = map[fleet.TargetID]fleet.PaceSamples{}
+	}
+	r.paces.samples[t.id] = s
+}
+
+// takePaceSamples returns the answers since the last call.
+func (r *Router) takePaceSamples() []fleet.PaceSamples {
+	const digits = 1000
+	var out []fleet.PaceSamples
+	for _, s := range r.paces.samples {
+		s.LogSum = math.Round(s.LogSum*digits) / digits
+		out = append(out, s)
+	}
+	clear(r.paces.samples)
+	slices.SortFunc(out, func(a, b fleet.PaceSamples) int { return cmp.Compare(a.Target, b.Target) })
+	return out
+}
+
+// applyPaces replaces the pace of all targets if the digest has a list.
+func (r *Router) applyPaces(d *fleet.LoadDigest) {
+	if !d.PacesKnown || !r.cfg.Policy.TargetPace {
+		return
+	}
+	r.paces.receivedAt = r.now
+	listed := make(map[fleet.TargetID]fleet.TargetPace, len(d.Paces))
+	for _, p := range d.Paces {
+		listed[p.Target] = p
+	}
+	for service, all := range r.services {
+		if r.usesPace(service) {
+			setPaces(all, listed)
+		}
+	}
+}
+
+// setPaces sets the pace of the targets of a service, relative to their mean.
+func setPaces(all []*target, listed map[fleet.TargetID]fleet.TargetPace) {
+	logs := 0.0
+	for _, t := range all {
+		p, ok := listed[t.id]
+		if !ok || p.Incarnation != t.incarnation {
+			t.pace = fleetPace{}
+			continue
+		}
+		t.pace = fleetPace{relative: p.Pace, step: p.Step}
+		logs += math.Log(p.Pace)
+	}
+	mean := math.Exp(logs / float64(len(all)))
+	for _, t := range all {
+		t.pace.relative /= mean
+	}
+}
+
+// expirePaces drops the pace of all targets if the newest list is too old.
+func (r *Router) expirePaces() {
+	if r.paces.receivedAt.IsZero() || r.now.Sub(r.paces.receivedAt) <= paceValidity {
+		return
+	}
+	r.paces.receivedAt = time.Time{}
+	for _, t := range r.targets {
+		t.pace = fleetPace{}
+	}
+}
+
+// paceCost returns the additional cost in seconds of a target, given the rated time to process the
+// own part of a request: of two idle owners, the faster one is better.
+func (r *Router) paceCost(t *target, prefill float64) float64 {
+	if r.paces.receivedAt.IsZero() || !r.usesPace(t.entry.Service) {
+		return 0
+	}
+	return prefill * t.slownessAt(r.now)
+}
+
+func hasPaceSteps(targets []*target) bool {
+	return slices.ContainsFunc(targets, func(t *target) bool { return t.pace.step != 0 })
+}
+
+// pacedOrder is the rendezvous order in which a target owns parts in proportion to its speed. A
+// change of the step of one target does not change the order of the others.
+func pacedOrder(key PartID, targets []*target) []*target {
+	type scored struct {
+		score  float64
+		target *target
+	}
+	order := make([]scored, len(targets))
+	for i, t := range targets {
+		// The hash is a uniform number between 0 and 1; the lowest score of an exponential
+		// distribution with the speed as its rate falls to a target in proportion to its speed.
+		uniform := (float64(rendezvousWeight(key, t.id)) + 0.5) / (1 << 64)
+		order[i] = scored{-math.Log(uniform) * math.Pow(fleet.PaceStep, float64(t.pace.step)), t}
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.target.id, b.target.id))
+	})
+	out := make([]*target, len(order))
+	for i := range order {
+		out[i] = order[i].target
+	}
+	return out
+}
