--- a/control/core/loads_test.go
+++ b/control/core/loads_test.go
@@ -100,3 +100,31 @@
 		})
 	}
 }
+
+// Guards against a leader that acts on the pace of targets before it knows enough, or on what it
+// counted in an earlier term.
+func TestDigestHasPaces(t *testing.T) {
+	convey.Convey("The digest has the pace of targets from 3 s after the first report in a term on", t, func() {
+		now := time.Unix(1_700_000_000, 0)
+		l := newLoadCollector(4*time.Second, slog.New(slog.DiscardHandler))
+		var sequence fleet.Sequence
+		play := func(d time.Duration) (got fleet.LoadDigest) {
+			for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+				sequence++
+				l.addReport(now, fleet.RouterLoad{Host: "router-0", Sequence: sequence, Paces: []fleet.PaceSamples{{Target: "t", Incarnation: 2, Answers: 1, LogSum: 0.5}}})
+				if d := l.makeDigest(now, minReportMaxAge); d.PacesKnown {
+					got = d.LoadDigest
+				}
+			}
+			return got
+		}
+		for range 2 {
+			l.beginLeading()
+			convey.So(play(2900*time.Millisecond).PacesKnown, convey.ShouldBeFalse)
+			got := play(3 * time.Second)
+			convey.So(got.Check(), convey.ShouldBeNil)
+			convey.So(got.Paces, convey.ShouldHaveLength, 1)
+			convey.So(got.Paces[0].Pace, convey.ShouldEqual, 1.65)
+		}
+	})
+}
--- a/fleet/pace/pace.go
+++ b/fleet/pace/pace.go
@@ -28,9 +28,16 @@
 	stepSpan = 5 * time.Second
 	// stepHysteresis is the distance from a step, in steps, at which the step changes.
 	stepHysteresis = 0.75
-	// listInterval is the time between two lists. A list of all targets of the largest deployment
-	// known has 7 KB, too much for each digest.
-	listInterval = time.Second
+	// standardErrors is the number of standard errors by which a pace differs with confidence.
+	// Queues that routers can't foresee make single answers of equal targets differ by a factor of 2.
+	standardErrors = 3.0
+	// minSpread is the least standard deviation of the logarithm of single answers.
+	minSpread = 0.2
+	// listInterval is the time between two lists. A list of 140 targets has 8 KB, too much for each
+	// digest. A router uses a list for 5 s and so may miss one.
+	listInterval = 2 * time.Second
+	// ageUnit rounds the age of a pace, so that it is short on the wire.
+	ageUnit = time.Second
 	// firstListAfter is the time from the first report in which a new leader sends no list, as it
 	// knows too little. Routers keep that of the former leader.
 	firstListAfter = 3 * time.Second
@@ -43,11 +50,13 @@
 // state is what is known of one target.
 type state struct {
 	incarnation fleet.Incarnation
-	// logSum is the weighted sum of the logarithms, weight that of the answers.
+	// logSum is the weighted sum of the logarithms, weight the decayed number of the answers.
 	logSum, weight float64
-	firstAt, at    time.Time
-	known          bool
-	step           int
+	// squareSum is the weighted sum of the squares of the logarithms.
+	squareSum   float64
+	firstAt, at time.Time
+	known       bool
+	step        int
 }
 
 // Collector collects the answers of all routers. It is not safe for concurrent use.
@@ -55,6 +64,22 @@
 	targets map[fleet.TargetID]*state
 	// startedAt is the time of the first report, listedAt that of the last list.
 	startedAt, listedAt time.Time
+	// changes has the targets whose step has changed.
+	changes []StepChange
+}
+
+// StepChange is a change of the step of a target, with what it rests on.
+type StepChange struct {
+	fleet.TargetPace
+	// Weight is the decayed number of answers.
+	Weight float64
+}
+
+// TakeChanges returns the changes of steps since the last call.
+func (c *Collector) TakeChanges() []StepChange {
+	out := c.changes
+	c.changes = nil
+	return out
 }
 
 // New returns an empty Collector, as a new leader starts with.
@@ -83,7 +108,9 @@
 	t.at = now
 	weight := float64(min(s.Answers, maxReportWeight))
 	mean := s.LogSum / float64(s.Answers)
-	t.logSum += weight * min(max(mean, -fleet.MaxPaceSample), fleet.MaxPaceSample)
+	mean = min(max(mean, -fleet.MaxPaceSample), fleet.MaxPaceSample)
+	t.logSum += weight * mean
+	t.squareSum += weight * mean * mean
 	t.weight += weight
 }
 
@@ -91,6 +118,7 @@
 func (t *state) decay(now time.Time) {
 	f := math.Exp(-float64(max(0, now.Sub(t.at))) / float64(retention))
 	t.logSum *= f
+	t.squareSum *= f
 	t.weight *= f
 }
 
@@ -117,9 +145,13 @@
 			continue
 		}
 		log := t.logSum / t.weight
-		t.updateStep(now, log)
-		if t.step != 0 || math.Abs(math.Expm1(log)) > minDeviation {
-			list = append(list, fleet.TargetPace{Target: id, Incarnation: t.incarnation, Pace: rounded(log), Step: t.step, Age: age.Round(time.Millisecond)})
+		changed := t.updateStep(now, log, t.uncertainty(weight))
+		p := fleet.TargetPace{Target: id, Incarnation: t.incarnation, Pace: rounded(log), Step: t.step, Age: age.Truncate(ageUnit)}
+		if changed {
+			c.changes = append(c.changes, StepChange{TargetPace: p, Weight: weight})
+		}
+		if t.step != 0 || math.Abs(math.Expm1(log)) > minDeviation && math.Abs(log) > t.uncertainty(weight) {
+			list = append(list, p)
 		}
 	}
 	slices.SortFunc(list, func(a, b fleet.TargetPace) int {
@@ -128,12 +160,25 @@
 	return list[:min(len(list), maxListed)], true
 }
 
-// updateStep moves the step to the pace if the pace has left its surroundings.
-func (t *state) updateStep(now time.Time, log float64) {
-	steps := log / math.Log(fleet.PaceStep)
-	if now.Sub(t.firstAt) >= stepSpan && math.Abs(steps-float64(t.step)) > stepHysteresis {
-		t.step = int(math.Round(steps))
+// uncertainty returns the deviation of the mean logarithm that chance explains, given the weight of
+// the answers now.
+func (t *state) uncertainty(weight float64) float64 {
+	mean := t.logSum / t.weight
+	deviation := math.Sqrt(max(0, t.squareSum/t.weight-mean*mean))
+	return standardErrors * max(deviation, minSpread) / math.Sqrt(weight)
+}
+
+// updateStep moves the step to the pace if the pace has surely left its surroundings, and reports
+// whether it did.
+func (t *state) updateStep(now time.Time, log, uncertainty float64) bool {
+	stepLog := math.Log(fleet.PaceStep)
+	steps := log / stepLog
+	distance := math.Abs(steps - float64(t.step))
+	if now.Sub(t.firstAt) < stepSpan || distance <= stepHysteresis || distance*stepLog <= uncertainty {
+		return false
 	}
+	t.step = int(math.Round(steps))
+	return true
 }
 
 // rounded returns the pace with two digits after the point, which is enough and short on the wire.
--- a/fleet/pace/pace_test.go
+++ b/fleet/pace/pace_test.go
@@ -93,10 +93,10 @@
 	convey.Convey("Many late answers of one router out of 71 change the pace of a target by less than 10 %", t, func() {
 		c := pace.New()
 		play(c, 0, 10*time.Second, []float64{1}, steady)
-		c.AddReport(start.Add(10*time.Second), &fleet.RouterLoad{Paces: []fleet.PaceSamples{
+		c.AddReport(start.Add(11*time.Second), &fleet.RouterLoad{Paces: []fleet.PaceSamples{
 			{Target: "0", Incarnation: 1, Answers: 1000, LogSum: 1000 * fleet.MaxPaceSample},
 		}})
-		list, known := c.List(start.Add(10 * time.Second))
+		list, known := c.List(start.Add(11 * time.Second))
 		convey.So(known, convey.ShouldBeTrue)
 		convey.So(list, convey.ShouldBeEmpty)
 	})
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -275,11 +275,13 @@
 }
 
 func (r *Router) basis(t *target, rank, candidates int) Basis {
-	return Basis{
+	b := Basis{
 		Rank: rank, Candidates: candidates, QueuedTokens: t.queuedTokens(r.now) + t.othersLoad.Waiting,
 		Running: t.running + t.othersLoad.Running, DigestAge: r.digestAge(), TargetsAge: r.now.Sub(r.noticeAt),
 		Limit: t.limit.rate(r.now), LimitQuota: r.limitQuotaLeft(t),
 	}
+	r.addPace(t, &b)
+	return b
 }
 
 // queueDelay returns the expected time to the first byte of a request without a prompt, at a
--- a/fleet/placement/rollout_outcomes_test.go
+++ b/fleet/placement/rollout_outcomes_test.go
@@ -122,10 +122,11 @@
 		}
 		return float64(slow) / float64(all)
 	}
-	play := func(newIsSlower float64) []fleet.VersionOutcomes {
+	play := func(newIsSlower float64, paces ...fleet.TargetPace) []fleet.VersionOutcomes {
 		f := newRolloutFixture(t, 8, 4, 0.5)
 		cached := map[fleet.TargetID]map[placement.PartID]bool{}
 		for i := range calls {
+			f.apply(placement.DigestReceived{LoadDigest: fleet.LoadDigest{Paces: paces, PacesKnown: paces != nil}})
 			key := placement.PartID(1 + i%10)
 			f.end(f.answer("/plan/1", prompt(key, 3000), func(s placement.Send) time.Duration {
 				tokens := 3000.0
@@ -152,6 +153,15 @@
 		convey.So(tooSlow(got, true), convey.ShouldBeGreaterThan, 0.95)
 		convey.So(tooSlow(got, false), convey.ShouldBeLessThan, 0.05)
 	})
+	convey.Convey("It looks as slow if the fleet has learnt the pace of its targets", t, func() {
+		var paces []fleet.TargetPace
+		for _, a := range mixedVersions(8, 4)[4:] {
+			paces = append(paces, fleet.TargetPace{Target: a.Target, Incarnation: a.Incarnation, Pace: 3, Step: 5})
+		}
+		got := play(3, paces...)
+		convey.So(tooSlow(got, true), convey.ShouldBeGreaterThan, 0.95)
+		convey.So(tooSlow(got, false), convey.ShouldBeLessThan, 0.05)
+	})
 	convey.Convey("A good version whose targets have empty caches does not", t, func() {
 		got := play(1)
 		convey.So(tooSlow(got, true), convey.ShouldBeLessThan, 0.05)
--- a/fleet/placement/targetpace.go
+++ b/fleet/placement/targetpace.go
@@ -22,16 +22,18 @@
 
 // fleetPace is the pace of a target as all routers measured it; zero if it is unknown.
 type fleetPace struct {
-	// relative is the pace divided by the mean of the service, which serviceSlowness has.
-	relative float64
-	step     int
+	// value is a multiple of the slowness of the service.
+	value float64
+	step  int
+	// age is that of the newest answer when the list was received.
+	age time.Duration
 }
 
-func (p fleetPace) known() bool { return p.relative > 0 }
+func (p fleetPace) known() bool { return p.value > 0 }
 
 // slowness combines the pace with what this router measured by itself, age ago.
 func (p fleetPace) slowness(own float64, age time.Duration) float64 {
-	return clampSlowness(p.relative * math.Pow(own/p.relative, math.Exp(-float64(age)/float64(ownRetention))))
+	return clampSlowness(p.value * math.Pow(own/p.value, math.Exp(-float64(age)/float64(ownRetention))))
 }
 
 // slownessGain returns the weight of one answer in the slowness of the target.
@@ -46,7 +48,9 @@
 type paceState struct {
 	// receivedAt is when the newest list was received; zero if none is in use.
 	receivedAt time.Time
-	samples    map[fleet.TargetID]fleet.PaceSamples
+	// usual has the slowness of each service by the newest digest, the median of all routers.
+	usual   map[fleet.ServiceName]float64
+	samples map[fleet.TargetID]fleet.PaceSamples
 }
 
 // usesPace reports whether the fleet's pace is used for the targets of a service.
@@ -58,14 +62,23 @@
 	return s != nil && s.Engine != nil
 }
 
-// addPaceSample records an answer, as a multiple of the rated time: the learnt slowness is no part
-// of it, and so the pace has no influence on itself. A router that measures more than the others
-// measures its own delay and reports none; a target that warms up is slow for another reason.
+// addPaceSample records an answer, as a multiple of the rated time and of the slowness that all
+// routers measured for the service. The learnt slowness of the target is no part of it, and so the
+// pace has no influence on itself. The division keeps a target that has restarted, whose pace is
+// unknown, equal to the others of a service that is slow or fast as a whole. A router that measures
+// more than the others measures its own delay and reports none; a target that started lately
+// processes parts that it is expected to keep.
 func (r *Router) addPaceSample(k *call, measured float64) {
 	t := k.current
-	if !r.usesPace(k.service) || r.slownessState(k.service).trust < 1 || t.incarnation != k.currentIncarnation || t.entry == nil || r.isWarmingUp(t) {
+	if !r.usesPace(k.service) || r.slownessState(k.service).trust < 1 || r.digestAge() > paceValidity {
 		return
 	}
+	if t.incarnation != k.currentIncarnation || t.entry == nil || r.startedLately(t) {
+		return
+	}
+	if usual := r.paces.usual[k.service]; usual > 0 {
+		measured /= usual
+	}
 	s := r.paces.samples[t.id]
 	if s.Incarnation != t.incarnation {
 		s = fleet.PaceSamples{Target: t.id, Incarnation: t.incarnation}
@@ -91,38 +104,26 @@
 	return out
 }
 
-// applyPaces replaces the pace of all targets if the digest has a list.
+// applyPaces replaces the slowness of services, and the pace of all targets if the digest has a list.
 func (r *Router) applyPaces(d *fleet.LoadDigest) {
-	if !d.PacesKnown || !r.cfg.Policy.TargetPace {
+	if !r.cfg.Policy.TargetPace {
 		return
 	}
-	r.paces.receivedAt = r.now
-	listed := make(map[fleet.TargetID]fleet.TargetPace, len(d.Paces))
-	for _, p := range d.Paces {
-		listed[p.Target] = p
+	r.paces.usual = make(map[fleet.ServiceName]float64, len(d.Slowness))
+	for _, s := range d.Slowness {
+		r.paces.usual[s.Service] = s.Slowness
 	}
-	for service, all := range r.services {
-		if r.usesPace(service) {
-			setPaces(all, listed)
-		}
+	if !d.PacesKnown {
+		return
 	}
-}
-
-// setPaces sets the pace of the targets of a service, relative to their mean.
-func setPaces(all []*target, listed map[fleet.TargetID]fleet.TargetPace) {
-	logs := 0.0
-	for _, t := range all {
-		p, ok := listed[t.id]
-		if !ok || p.Incarnation != t.incarnation {
-			t.pace = fleetPace{}
-			continue
-		}
-		t.pace = fleetPace{relative: p.Pace, step: p.Step}
-		logs += math.Log(p.Pace)
+	r.paces.receivedAt = r.now
+	for _, t := range r.targets {
+		t.pace = fleetPace{}
 	}
-	mean := math.Exp(logs / float64(len(all)))
-	for _, t := range all {
-		t.pace.relative /= mean
+	for _, p := range d.Paces {
+		if t := r.targets[p.Target]; t != nil && t.entry != nil && t.incarnation == p.Incarnation && r.usesPace(t.entry.Service) {
+			t.pace = fleetPace{value: p.Pace, step: p.Step, age: p.Age}
+		}
 	}
 }
 
@@ -146,6 +147,13 @@
 	return prefill * t.slownessAt(r.now)
 }
 
+// addPace records the fleet's pace of a target in the basis of a placement.
+func (r *Router) addPace(t *target, basis *Basis) {
+	if t.pace.known() {
+		basis.Pace, basis.PaceStep, basis.PaceAge = t.pace.value, t.pace.step, t.pace.age+r.now.Sub(r.paces.receivedAt)
+	}
+}
+
 func hasPaceSteps(targets []*target) bool {
 	return slices.ContainsFunc(targets, func(t *target) bool { return t.pace.step != 0 })
 }
--- a/fleet/placement/targetpace_test.go
+++ b/fleet/placement/targetpace_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,9 +167,11 @@
 			f := paceFixture(t, placement.DefaultPolicy)
 			logs, n := 0.0, 0
 			for i := range 100 {
+				d := fleet.LoadDigest{}
 				if list {
-					f.apply(placement.DigestReceived{LoadDigest: paceDigest(drafterService, 12)})
+					d = paceDigest(drafterService, 12)
 				}
+				f.apply(placement.DigestReceived{LoadDigest: d})
 				f.answerAt(sendOf(f.ask("/plan/", prompt(placement.PartID(i+1), 1000))), 1.5)
 				f.now = f.now.Add(100 * time.Millisecond)
 			}
@@ -234,8 +237,10 @@
 			routers = append(routers, paceFixture(t, placement.DefaultPolicy))
 		}
 		c := pace.New()
+		d := fleet.LoadDigest{}
 		errorSum, n := 0.0, 0
 		for step := range 150 {
+			var measured []float64
 			for i, f := range routers {
 				f.now = start.Add(time.Duration(step) * 100 * time.Millisecond)
 				if (step+i)%5 == 0 {
@@ -251,8 +256,13 @@
 				}
 				report := f.apply(placement.ReportDue{}).(placement.Report)
 				c.AddReport(f.now, &report.RouterLoad)
+				for _, m := range report.Slowness {
+					measured = append(measured, m.Slowness)
+				}
+			}
+			if slices.Sort(measured); len(measured) > 0 {
+				d.Slowness = []fleet.ServiceSlowness{{Service: drafterService, Slowness: measured[(len(measured)-1)/2]}}
 			}
-			d := fleet.LoadDigest{}
 			d.Paces, d.PacesKnown = c.List(routers[0].now)
 			for _, f := range routers {
 				f.apply(placement.DigestReceived{LoadDigest: d})
@@ -261,3 +271,25 @@
 		convey.So(errorSum/float64(n), convey.ShouldBeLessThan, 0.1)
 	})
 }
+
+// Guards against a target with an empty cache whose repeated prefill counts as its pace, so that it
+// loses the parts that it has just processed.
+func TestRestartedTargetReportsNoPace(t *testing.T) {
+	convey.Convey("Answers of targets that started slowly some seconds ago are not reported", t, func() {
+		f := newFixture(t, "router-0", 1)
+		started := announcements(drafterService, 2)
+		for i := range started {
+			started[i].ColdFor = 3 * time.Second
+		}
+		f.apply(placement.TargetsNoticeReceived{TargetsNotice: fleet.TargetsNotice{Announced: started}})
+		reported := func(after time.Duration) int {
+			f.now = start.Add(after)
+			f.apply(placement.DigestReceived{})
+			f.answerAt(sendOf(f.ask("/plan/", prompt(1, 1000))), 3)
+			return len(f.apply(placement.ReportDue{}).(placement.Report).Paces)
+		}
+		convey.So(reported(time.Second), convey.ShouldEqual, 0)
+		convey.So(reported(8*time.Second), convey.ShouldEqual, 0)
+		convey.So(reported(14*time.Second), convey.ShouldEqual, 1)
+	})
+}
--- a/fleet/targetpace.go
+++ b/fleet/targetpace.go
@@ -26,7 +26,8 @@
 	Incarnation Incarnation `json:"I"`
 	Answers     int         `json:"N"`
 	// LogSum is the sum, over the answers, of the logarithm of the measured time to the first byte
-	// over the time by the rated capacity, each bounded by MaxPaceSample.
+	// over the time by the rated capacity and the slowness of the service in LoadDigest, each
+	// bounded by MaxPaceSample.
 	LogSum float64 `json:"L"`
 }
 
@@ -46,7 +47,8 @@
 type TargetPace struct {
 	Target      TargetID    `json:"T"`
 	Incarnation Incarnation `json:"I"`
-	// Pace is the time that the target takes as a multiple of the rated one: above 1 it is slow.
+	// Pace is the time that the target takes, as a multiple of that by the rated capacity and the
+	// slowness of its service: above 1 it is slow.
 	Pace float64 `json:"P"`
 	// Step is the exponent of PaceStep by which the target is weighted in the order of a shared
 	// part. It follows Pace with hysteresis, so that few parts move.
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -73,6 +73,9 @@
 	if s.Basis.Limit > 0 {
 		attrs = append(attrs, logevent.FieldLimit, float64(s.Basis.Limit), logevent.FieldLimitQuota, s.Basis.LimitQuota)
 	}
+	if s.Basis.Pace > 0 {
+		attrs = append(attrs, logevent.FieldPace, s.Basis.Pace, logevent.FieldPaceStep, s.Basis.PaceStep, logevent.FieldPaceAge, s.Basis.PaceAge.Milliseconds())
+	}
 	attrs = append(attrs, copyAttrs(&s.Basis)...)
 	countSide(&s.Basis.Rollout)
 	f.cfg.Log.Info(logevent.RequestSent, appendRollout(attrs, &s.Basis.Rollout)...)
