--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -55,6 +55,7 @@
 	report    reportState
 	parts     partsState
 	limits    limitShare
+	paces     paceState
 	rollouts  map[fleet.ServiceName]*rollout
 	// firstBytes is empty if Config.ExtraRequestRatio is 0.
 	firstBytes firstByteTimes
@@ -116,6 +117,7 @@
 // Reduce implements fleet.Reducer.
 func (r *Router) Reduce(now time.Time, ev fleet.Event) []fleet.Effect {
 	r.now, r.effects = now, nil
+	r.expirePaces()
 	switch ev := ev.(type) {
 	case ConfigChanged:
 		r.config = ev.Config
