Pace of targets: costs and expected times follow it, the order of shared parts does not

Cause: parts move with each step. The steps, their log event and the tests of the order go; TestExpectedTimeFollowsThePace and TestLostDigest check what holds.

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -230,7 +230,7 @@
 	}
 	parts := l.updateParts(now)
 	limits := l.limits.Limits(now)
-	paces, pacesKnown := l.listPaces(now)
+	paces, pacesKnown := l.paces.List(now)
 	return digest{included: included, limitShares: l.limits.Shares(now), LoadDigest: fleet.LoadDigest{
 		Targets: slices.Collect(maps.Values(total)), Shares: l.shares(now, total), Light: fairshare.Light(l.demand.Rates(now)), Suspects: l.repeatedSuspects(now), Slowness: l.medianSlowness(),
 		HotParts:     l.partRates.Hot(now, hotTargetShare*l.nominalRate/float64(max(1, len(total)))),
@@ -263,16 +263,6 @@
 	return fairshare.Balanced(rates, l.sentWork.Rates(now), total*admitted/load.Demand)
 }
 
-// listPaces returns the paces of targets if a list is due, and logs the changes of steps.
-func (l *loadCollector) listPaces(now time.Time) (list []fleet.TargetPace, known bool) {
-	list, known = l.paces.List(now)
-	for _, c := range l.paces.TakeChanges() {
-		l.log.Info(logevent.PaceStepChanged, logevent.FieldTarget, string(c.Target), logevent.FieldIncarnation, uint64(c.Incarnation), logevent.FieldPace, c.Pace,
-			logevent.FieldPaceStep, c.Step, logevent.FieldPaceAge, c.Age.Milliseconds(), "answers", c.Weight)
-	}
-	return list, known
-}
-
 // updateParts updates the quarantines of parts and logs their changes.
 func (l *loadCollector) updateParts(now time.Time) quarantine.Suspects {
 	s := l.parts.update(now)
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -64,7 +64,6 @@
 	TargetEnded         Event = "TargetEnded"
 	PartQuarantined     Event = "PartQuarantined"     // requests with a part of a prompt that crashes targets are refused
 	PartReleased        Event = "PartReleased"        // a quarantine of a part ended, by time or by an answer
-	PaceStepChanged     Event = "PaceStepChanged"     // a target owns more or fewer shared parts because of its pace
 	TargetForgotten     Event = "TargetForgotten"     // a target sent no announcement within the time-out
 	StatementMalformed  Event = "StatementMalformed"  // a header by which a target states something about itself is not valid
 	AnnouncementIgnored Event = "AnnouncementIgnored" // an announcement was out of date
@@ -170,11 +169,10 @@
 	// FieldSlowness is the time to the first byte that the router has learnt to expect from the
 	// target, as a multiple of the time by its configured capacity.
 	FieldSlowness = "slowness"
-	// FieldPace is the pace of a target as all routers measured it, FieldPaceStep its step,
-	// FieldPaceAge the age of the newest answer that it rests on, in ms.
-	FieldPace     = "pace"
-	FieldPaceStep = "paceStep"
-	FieldPaceAge  = "paceAgeMs"
+	// FieldPace is the pace of a target as all routers measured it, FieldPaceAge the age of
+	// the newest answer that it rests on, in ms.
+	FieldPace    = "pace"
+	FieldPaceAge = "paceAgeMs"
 	// FieldRank is the target's position in the rendezvous order of the prompt's shared part,
 	// from 0, or its position among the candidates if the request has no prompt.
 	FieldRank = "rank"
--- a/fleet/pace/pace.go
+++ b/fleet/pace/pace.go
@@ -23,11 +23,6 @@
 	minWeight, lostWeight = 8.0, 2.0
 	// minDeviation is the smallest deviation from 1 that is listed.
 	minDeviation = 0.1
-	// stepSpan is the time since the first answer from which on a pace has a step. A slow phase
-	// lasts 600 ms and must not move shared parts.
-	stepSpan = 5 * time.Second
-	// stepHysteresis is the distance from a step, in steps, at which the step changes.
-	stepHysteresis = 0.75
 	// standardErrors is the number of standard errors by which a pace differs with confidence.
 	// Queues that routers can't foresee make single answers of equal targets differ by a factor of 2.
 	standardErrors = 3.0
@@ -53,10 +48,9 @@
 	// logSum is the weighted sum of the logarithms, weight the decayed number of the answers.
 	logSum, weight float64
 	// squareSum is the weighted sum of the squares of the logarithms.
-	squareSum   float64
-	firstAt, at time.Time
-	known       bool
-	step        int
+	squareSum float64
+	at        time.Time
+	known     bool
 }
 
 // Collector collects the answers of all routers. It is not safe for concurrent use.
@@ -64,22 +58,6 @@
 	targets map[fleet.TargetID]*state
 	// startedAt is the time of the first report, listedAt that of the last list.
 	startedAt, listedAt time.Time
-	// changes has the targets whose step has changed.
-	changes []StepChange
-}
-
-// StepChange is a change of the step of a target, with what it rests on.
-type StepChange struct {
-	fleet.TargetPace
-	// Weight is the decayed number of answers.
-	Weight float64
-}
-
-// TakeChanges returns the changes of steps since the last call.
-func (c *Collector) TakeChanges() []StepChange {
-	out := c.changes
-	c.changes = nil
-	return out
 }
 
 // New returns an empty Collector, as a new leader starts with.
@@ -101,7 +79,7 @@
 	case s.Answers < 1, t != nil && s.Incarnation < t.incarnation, t == nil && len(c.targets) >= maxTargets:
 		return
 	case t == nil || s.Incarnation > t.incarnation:
-		t = &state{incarnation: s.Incarnation, firstAt: now, at: now}
+		t = &state{incarnation: s.Incarnation, at: now}
 		c.targets[s.Target] = t
 	}
 	t.decay(now)
@@ -137,7 +115,7 @@
 			delete(c.targets, id)
 			continue
 		case weight < lostWeight:
-			t.known, t.step = false, 0
+			t.known = false
 		case weight >= minWeight:
 			t.known = true
 		}
@@ -145,13 +123,8 @@
 			continue
 		}
 		log := t.logSum / t.weight
-		changed := t.updateStep(now, log, t.uncertainty(weight))
-		p := fleet.TargetPace{Target: id, Incarnation: t.incarnation, Pace: rounded(log), Step: t.step, Age: age.Truncate(ageUnit)}
-		if changed {
-			c.changes = append(c.changes, StepChange{TargetPace: p, Weight: weight})
-		}
-		if t.step != 0 || math.Abs(math.Expm1(log)) > minDeviation && math.Abs(log) > t.uncertainty(weight) {
-			list = append(list, p)
+		if math.Abs(math.Expm1(log)) > minDeviation && math.Abs(log) > t.uncertainty(weight) {
+			list = append(list, fleet.TargetPace{Target: id, Incarnation: t.incarnation, Pace: rounded(log), Age: age.Truncate(ageUnit)})
 		}
 	}
 	slices.SortFunc(list, func(a, b fleet.TargetPace) int {
@@ -168,19 +141,6 @@
 	return standardErrors * max(deviation, minSpread) / math.Sqrt(weight)
 }
 
-// updateStep moves the step to the pace if the pace has surely left its surroundings, and reports
-// whether it did.
-func (t *state) updateStep(now time.Time, log, uncertainty float64) bool {
-	stepLog := math.Log(fleet.PaceStep)
-	steps := log / stepLog
-	distance := math.Abs(steps - float64(t.step))
-	if now.Sub(t.firstAt) < stepSpan || distance <= stepHysteresis || distance*stepLog <= uncertainty {
-		return false
-	}
-	t.step = int(math.Round(steps))
-	return true
-}
-
 // rounded returns the pace with two digits after the point, which is enough and short on the wire.
 func rounded(log float64) float64 {
 	const digits = 100
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -67,9 +67,6 @@
 
 // rendezvousOrder returns the targets ordered for a part, highest weight first.
 func rendezvousOrder(key PartID, targets []*target) []*target {
-	if hasPaceSteps(targets) {
-		return pacedOrder(key, targets)
-	}
 	type weighted struct {
 		weight uint64
 		target *target
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -308,11 +308,10 @@
 	// Slowness is the learnt time to the first byte as a multiple of the rated one; 0 if it was
 	// not used.
 	Slowness float64
-	// Pace and PaceStep are as in fleet.TargetPace, PaceAge is the age of the newest answer that
-	// they rest on. They are 0 if the fleet's pace is unknown or normal.
-	Pace     float64
-	PaceStep int
-	PaceAge  time.Duration
+	// Pace is as in fleet.TargetPace, PaceAge is the age of the newest answer that it rests on.
+	// Both are 0 if the fleet's pace is unknown or normal.
+	Pace    float64
+	PaceAge time.Duration
 	// DigestAge is the age of the load that the other routers reported.
 	DigestAge time.Duration
 	// TargetsAge is the time since the state of the targets was last received.
--- a/fleet/placement/targetpace.go
+++ b/fleet/placement/targetpace.go
@@ -24,7 +24,6 @@
 type fleetPace struct {
 	// value is a multiple of the slowness of the service.
 	value float64
-	step  int
 	// age is that of the newest answer when the list was received.
 	age time.Duration
 }
@@ -122,7 +121,7 @@
 	}
 	for _, p := range d.Paces {
 		if t := r.targets[p.Target]; t != nil && t.entry != nil && t.incarnation == p.Incarnation && r.usesPace(t.entry.Service) {
-			t.pace = fleetPace{value: p.Pace, step: p.Step, age: p.Age}
+			t.pace = fleetPace{value: p.Pace, age: p.Age}
 		}
 	}
 }
@@ -150,34 +149,6 @@
 // addPace records the fleet's pace of a target in the basis of a placement.
 func (r *Router) addPace(t *target, basis *Basis) {
 	if t.pace.known() {
-		basis.Pace, basis.PaceStep, basis.PaceAge = t.pace.value, t.pace.step, t.pace.age+r.now.Sub(r.paces.receivedAt)
+		basis.Pace, basis.PaceAge = t.pace.value, t.pace.age+r.now.Sub(r.paces.receivedAt)
 	}
 }
-
-func hasPaceSteps(targets []*target) bool {
-	return slices.ContainsFunc(targets, func(t *target) bool { return t.pace.step != 0 })
-}
-
-// pacedOrder is the rendezvous order in which a target owns parts in proportion to its speed. A
-// change of the step of one target does not change the order of the others.
-func pacedOrder(key PartID, targets []*target) []*target {
-	type scored struct {
-		score  float64
-		target *target
-	}
-	order := make([]scored, len(targets))
-	for i, t := range targets {
-		// The hash is a uniform number between 0 and 1; the lowest score of an exponential
-		// distribution with the speed as its rate falls to a target in proportion to its speed.
-		uniform := (float64(rendezvousWeight(key, t.id)) + 0.5) / (1 << 64)
-		order[i] = scored{-math.Log(uniform) * math.Pow(fleet.PaceStep, float64(t.pace.step)), t}
-	}
-	slices.SortFunc(order, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.target.id, b.target.id))
-	})
-	out := make([]*target, len(order))
-	for i := range order {
-		out[i] = order[i].target
-	}
-	return out
-}
--- a/fleet/targetpace.go
+++ b/fleet/targetpace.go
@@ -7,10 +7,6 @@
 )
 
 const (
-	// PaceStep is the factor between two steps of TargetPace.Step.
-	PaceStep = 1.25
-	// MaxPaceStep bounds TargetPace.Step.
-	MaxPaceStep = 10
 	// MaxPace is the largest pace, 1/MaxPace the smallest.
 	MaxPace = 4.0
 	// MaxPaceSample bounds the absolute value of the logarithm that one answer contributes: the
@@ -50,9 +46,6 @@
 	// Pace is the time that the target takes, as a multiple of that by the rated capacity and the
 	// slowness of its service: above 1 it is slow.
 	Pace float64 `json:"P"`
-	// Step is the exponent of PaceStep by which the target is weighted in the order of a shared
-	// part. It follows Pace with hysteresis, so that few parts move.
-	Step int `json:"S,omitempty"`
 	// Age is the time since the newest answer that Pace is based on.
 	Age time.Duration `json:"A,omitempty"`
 }
@@ -62,8 +55,8 @@
 	if !(p.Pace >= 1/MaxPace && p.Pace <= MaxPace) {
 		return errors.Errorf("the pace of target %q is %g; it must be from %g to %g", p.Target, p.Pace, 1/MaxPace, MaxPace)
 	}
-	if p.Step < -MaxPaceStep || p.Step > MaxPaceStep || p.Age < 0 {
-		return errors.Errorf("the pace of target %q has step %d and age %s", p.Target, p.Step, p.Age)
+	if p.Age < 0 {
+		return errors.Errorf("the pace of target %q has age %s; it must not be negative", p.Target, p.Age)
 	}
 	return CheckName("T", string(p.Target))
 }
--- a/router/forward/log.go
+++ b/router/forward/log.go
@@ -74,7 +74,7 @@
 		attrs = append(attrs, logevent.FieldLimit, float64(s.Basis.Limit), logevent.FieldLimitQuota, s.Basis.LimitQuota)
 	}
 	if s.Basis.Pace > 0 {
-		attrs = append(attrs, logevent.FieldPace, s.Basis.Pace, logevent.FieldPaceStep, s.Basis.PaceStep, logevent.FieldPaceAge, s.Basis.PaceAge.Milliseconds())
+		attrs = append(attrs, logevent.FieldPace, s.Basis.Pace, logevent.FieldPaceAge, s.Basis.PaceAge.Milliseconds())
 	}
 	attrs = append(attrs, copyAttrs(&s.Basis)...)
 	if s.Basis.Hedge.Of > 0 {
