--- a/fleet/bytebudget/budget_test.go
+++ b/fleet/bytebudget/budget_test.go
@@ -106,6 +106,29 @@
 		convey.So(quick.ended, convey.ShouldBeFalse)
 		convey.So(slow.Cause().Reason, convey.ShouldEqual, bytebudget.Slow)
 	})
+	convey.Convey("One that is stalled is ended before a slower one that goes on", t, func() {
+		b := bytebudget.New(bytebudget.Config{Total: total})
+		stalled, slow := open(b, start, owner("", 1)), open(b, start, owner("", 2))
+		convey.So(stalled.read(start, 3<<20), convey.ShouldBeNil)
+		now := start.Add(2 * time.Second)
+		convey.So(slow.read(now, 1<<20), convey.ShouldBeNil)
+		for i := 0; !stalled.ended; i++ {
+			convey.So(i, convey.ShouldBeLessThan, 10)
+			convey.So(open(b, now, owner("", 3+i)).read(now, 2<<20), convey.ShouldBeNil)
+		}
+		convey.So(slow.ended, convey.ShouldBeFalse)
+		convey.So(stalled.Cause().Reason, convey.ShouldEqual, bytebudget.Stalled)
+	})
+	convey.Convey("A response that goes on is not ended for a request", t, func() {
+		b := bytebudget.New(bytebudget.Config{Total: total})
+		answering := open(b, start, owner("", 1))
+		convey.So(answering.read(start, 10<<20), convey.ShouldBeNil)
+		convey.So(answering.Enter(start, bytebudget.Answering), convey.ShouldBeNil)
+		u := open(b, start, owner("", 2))
+		convey.So(u.read(start, 3<<20), convey.ShouldNotBeNil)
+		convey.So(u.Cause(), convey.ShouldNotBeNil)
+		convey.So(answering.ended, convey.ShouldBeFalse)
+	})
 	for _, by := range []string{"customer", "address"} {
 		convey.Convey("A "+by+" that holds much gives way before one that holds little, even if it is quicker", t, func() {
 			b := bytebudget.New(bytebudget.Config{Total: total})
--- a/fleet/bytebudget/pressure.go
+++ b/fleet/bytebudget/pressure.go
@@ -25,6 +25,7 @@
 // Ended describes the decision to end a hold, or not to let it grow. It is an error that wraps ErrEnded.
 type Ended struct {
 	Reason Reason
+	Owner  Owner
 	// Bytes is what the hold had, Group what its customer or address had, whichever is more.
 	Bytes, Group int64
 	// Rate is the hold's progress in bytes a second since it began, Idle the time since its last one.
@@ -143,7 +144,7 @@
 
 func (b *Budget) describe(now time.Time, h *Hold, r Reason) *Ended {
 	return &Ended{
-		Reason: r, Bytes: h.bytes, Group: h.groupBytes(), Rate: h.rate(now), Idle: now.Sub(h.movedAt),
+		Reason: r, Owner: h.owner, Bytes: h.bytes, Group: h.groupBytes(), Rate: h.rate(now), Idle: now.Sub(h.movedAt),
 		Held: b.held, Total: b.total,
 	}
 }
--- a/router/intake/conn.go
+++ b/router/intake/conn.go
@@ -2,8 +2,8 @@
 
 import (
 	"net"
+	"os"
 	"runtime"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,8 +15,6 @@
 )
 
 const (
-	// firstHeadBuffer is the size of the first buffer for a header that does not arrive at once.
-	firstHeadBuffer = 1 << 10
 	// yieldAfter is the number of bytes of a body after which other work gets the processor, and again
 	// after each yieldAfter bytes. Ordinary bodies are smaller.
 	yieldAfter = 32 << 10
@@ -73,9 +71,9 @@
 	// writeUntil is the deadline of writes in force.
 	writeUntil time.Time
 
-	// dropped is set when the budget has ended the hold, inBody while the peer is to send a body, and
-	// wrote once a response has begun.
-	dropped, inBody, wrote atomic.Bool
+	// dropped is set when the budget has ended the hold, inBody while the peer is to send a body, wrote
+	// once a response has begun, and cut when writes are to fail.
+	dropped, inBody, wrote, cut atomic.Bool
 
 	// reserved is what hold has.
 	reserved int64
@@ -132,7 +130,9 @@
 		var err error
 		switch c.state {
 		case inHead:
-			n, err = c.readHead(p)
+			if n, err = c.readHead(p); errors.Is(err, bytebudget.ErrEnded) {
+				err = c.refuseForMemory(len(p))
+			}
 		case inLength:
 			n, err = c.readLength(p)
 		case inChunks:
@@ -167,134 +167,15 @@
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
+		if err != nil && c.dropped.Load() {
+			return n, bytebudget.ErrEnded
+		}
 		if err == nil || !c.isLateTimeout(err) {
 			return n, err
 		}
 	}
 }
 
-// readHead reads a header. If all of it arrives at once, it goes into p without a copy.
-func (c *Conn) readHead(p []byte) (int, error) {
-	if c.partial != nil {
-		return 0, c.readPartial()
-	}
-	if c.hasLead {
-		return c.readAfterLead(p)
-	}
-	n, err := c.source(p)
-	if n == 0 || err != nil {
-		return n, err
-	}
-	if len(p) == 1 && p[0] > ' ' {
-		c.lead, c.hasLead = p[0], true
-		return 1, nil
-	}
-	return c.scanHead(p, n)
-}
-
-// readAfterLead reads the rest of a header whose first byte was passed on.
-func (c *Conn) readAfterLead(p []byte) (int, error) {
-	p[0] = c.lead
-	if len(p) == 1 {
-		return c.scanHead(p, 1)
-	}
-	n, err := c.source(p[1:])
-	if n == 0 || err != nil {
-		return n, err
-	}
-	n, err = c.scanHead(p, n+1)
-	if n > 0 {
-		c.hasLead = false
-		n = copy(p, p[1:n])
-	}
-	return n, err
-}
-
-// scanHead takes the first n bytes of a header, which are the first ones of p, and returns the number of
-// bytes to pass on.
-func (c *Conn) scanHead(p []byte, n int) (int, error) {
-	c.head = headScanner{}
-	switch c.head.scan(p[:n]) {
-	case complete:
-		return c.takeHead(p[:n]), nil
-	case incomplete:
-		c.began = c.cfg.Clock.Now()
-		c.setOwnDeadline(c.began.Add(c.cfg.Times.Head))
-		c.partial = append(make([]byte, 0, max(firstHeadBuffer, n)), p[:n]...)
-		return 0, nil
-	case tooLarge:
-		c.state = passing
-		return n, nil
-	default:
-		c.refuseHead()
-		return 0, nil
-	}
-}
-
-// takeHead begins the body after a header that has arrived at once, and returns the number of bytes of
-// buf to pass on: the header, which it moves to the begin, and what follows it of a body of known length.
-func (c *Conn) takeHead(buf []byte) int {
-	c.beginBody(c.cfg.Clock.Now())
-	end := c.head.end
-	if c.state == inLength {
-		n := min(int64(len(buf)-end), c.left)
-		end += int(n)
-		c.addLength(n)
-	}
-	c.putBack(buf[end:])
-	return copy(buf, buf[c.head.begin:end])
-}
-
-// putBack makes source return bytes again that follow what was taken.
-func (c *Conn) putBack(rest []byte) {
-	if len(rest) > 0 {
-		c.unread = slices.Concat(rest, c.unread)
-	}
-}
-
-// readPartial reads the next part of a header that has not arrived at once.
-func (c *Conn) readPartial() error {
-	if len(c.partial) == cap(c.partial) {
-		size := min(2*cap(c.partial), maxHeadBytes+chunkBufferSize)
-		if err := c.reserve(int64(size)); err != nil {
-			return err
-		}
-		c.partial = append(make([]byte, 0, size), c.partial...)
-	}
-	n, err := c.source(c.partial[len(c.partial):cap(c.partial)])
-	if n == 0 || err != nil {
-		return err
-	}
-	c.partial = c.partial[:len(c.partial)+n]
-	switch c.head.scan(c.partial) {
-	case incomplete:
-		return nil
-	case complete:
-		c.putBack(c.partial[c.head.end:])
-		c.ready = c.partial[c.head.begin:c.head.end]
-		c.beginBody(c.cfg.Clock.Now())
-	case tooLarge:
-		c.ready, c.state = c.partial, passing
-		c.cfg.count("HeaderTooLarge")
-	default:
-		c.refuseHead()
-		c.hasLead = false
-	}
-	if c.hasLead {
-		c.ready, c.hasLead = c.ready[1:], false
-	}
-	c.partial = nil
-	c.release()
-	return nil
-}
-
-// refuseHead makes net/http refuse the request.
-func (c *Conn) refuseHead() {
-	c.cfg.count(c.head.reason)
-	c.cfg.logEnded(c, c.head.reason)
-	c.ready, c.state, c.unread = badRequest, passing, nil
-}
-
 // beginBody begins to read the body after a complete header.
 func (c *Conn) beginBody(now time.Time) {
 	c.began, c.waitedAt, c.body, c.yieldAt = now, now, 0, yieldAfter
@@ -369,6 +250,9 @@
 	c.wrote.Store(true)
 	written := 0
 	for {
+		if c.cut.Load() {
+			return written, os.ErrDeadlineExceeded
+		}
 		if now := c.cfg.Clock.Now(); c.writeUntil.Sub(now) < c.cfg.Times.Unread/2 {
 			c.writeUntil = now.Add(c.cfg.Times.Unread)
 			if err := c.Conn.SetWriteDeadline(c.writeUntil); err != nil {
@@ -380,7 +264,7 @@
 		if err != nil {
 			if isTimeout(err) {
 				c.cfg.count("Unread")
-				c.cfg.logEnded(c, "Unread")
+				c.cfg.logEnded(c, "Unread", "written", written)
 			}
 			return written, err
 		}
--- a/router/intake/deadline.go
+++ b/router/intake/deadline.go
@@ -17,13 +17,15 @@
 	return c.applyLocked()
 }
 
-// SetWriteDeadline implements net.Conn.
+// SetWriteDeadline implements net.Conn. A deadline in the past ends all writes. Others end the next Write
+// at the latest; the server clears its own after each response.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
 	if t.IsZero() {
-		// The server ends its own deadline after each response; the next Write sets one.
 		return nil
 	}
-	c.writeUntil = t
+	if t.Before(c.cfg.Clock.Now()) {
+		c.cut.Store(true)
+	}
 	return c.Conn.SetWriteDeadline(t)
 }
 
@@ -139,7 +141,7 @@
 		reason = "SlowHeader"
 	}
 	c.cfg.count(reason)
-	c.cfg.logEnded(c, reason)
+	c.cfg.logEnded(c, reason, c.figures()...)
 	return false
 }
 
--- a/router/intake/intake.go
+++ b/router/intake/intake.go
@@ -66,9 +66,8 @@
 func (cfg *Config) count(reason string) { ended.Add(reason, 1) }
 
 // logEnded logs a connection that is ended because its peer exceeds a limit.
-func (cfg *Config) logEnded(c *Conn, reason string) {
-	cfg.Log.Warn(logevent.ConnectionEnded, "listener", c.LocalAddr().String(), "peer", c.RemoteAddr().String(), logevent.FieldReason, reason,
-		"header", len(c.partial), "body", c.body, "chunks", c.chunks.chunks, "sinceMs", cfg.Clock.Now().Sub(c.began).Milliseconds())
+func (cfg *Config) logEnded(c *Conn, reason string, figures ...any) {
+	cfg.Log.Warn(logevent.ConnectionEnded, append([]any{"listener", c.LocalAddr().String(), "peer", c.RemoteAddr().String(), logevent.FieldReason, reason}, figures...)...)
 }
 
 func (cfg *Config) beginLinger() bool {
--- a/router/intake/intake_test.go
+++ b/router/intake/intake_test.go
@@ -13,7 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
@@ -234,7 +233,11 @@
 		})
 		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		convey.So(err, convey.ShouldBeNil)
-		convey.So(errors.Is(<-failed, io.EOF), convey.ShouldBeFalse)
+		select {
+		case err = <-failed:
+		case <-time.After(10 * time.Second):
+		}
+		convey.So(err, convey.ShouldNotBeNil)
 	})
 	convey.Convey("An idle connection stays open", t, func() {
 		c := serve(cfg, readBody)
@@ -272,6 +275,24 @@
 	})
 }
 
+// Guards against a refusal for want of memory that does not say that the request has not run.
+func TestHeaderWithoutMemory(t *testing.T) {
+	convey.Convey("A header for which there is no memory is answered with status 503 and a time to come back", t, func() {
+		cfg := testConfig()
+		cfg.Budget = bytebudget.New(bytebudget.Config{Total: 4 << 10})
+		c := serve(cfg, readBody)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nX: "+strings.Repeat("x", 9000))
+		convey.So(err, convey.ShouldBeNil)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		convey.So(err, convey.ShouldBeNil)
+		text, err := io.ReadAll(resp.Body)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusServiceUnavailable)
+		convey.So(resp.Header.Get("Retry-After"), convey.ShouldNotBeEmpty)
+		convey.So(string(text), convey.ShouldEqual, `{"Reason":"MemoryFull","Verdict":"NotRun"}`)
+	})
+}
+
 // BenchmarkChunks measures the processor time that a body takes, by the size of its chunks: of the bytes
 // on the wire, as net/http reads them alone and behind a Conn.
 func BenchmarkChunks(b *testing.B) {
--- a/router/intake/rechunk.go
+++ b/router/intake/rechunk.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		reason := chunkReasons[err]
 		c.cfg.count(reason)
-		c.cfg.logEnded(c, reason)
+		c.cfg.logEnded(c, reason, c.figures()...)
 		return err
 	}
 	c.ready = frameChunk(decoded, filled)
