--- a/cli/internal/factory/factory.go
+++ b/cli/internal/factory/factory.go
@@ -66,6 +66,9 @@
 	Clock   fleet.Clock
 	// Control returns a client that is connected to the control replicas.
 	Control func() (*control.Client, error)
+	// PlatformControl returns a client that is connected to control hosts of
+	// fuchsiashed-platform, whose connections are not compressed.
+	PlatformControl func() (*control.Client, error)
 	// Admin returns a client for the operators' addresses of --admin. The error wraps
 	// ErrNoAddresses if none are given.
 	Admin func() (*admin.Client, error)
@@ -81,7 +84,8 @@
 // New returns the factory of the program.
 func New(io *iostreams.IOStreams) *Factory {
 	f := &Factory{IO: io, Globals: &Globals{}, Clock: fleet.SystemClock{}, NewOperation: newOperation, Operator: operator}
-	f.Control = f.connectControl
+	f.Control = func() (*control.Client, error) { return f.connectControl(false) }
+	f.PlatformControl = func() (*control.Client, error) { return f.connectControl(true) }
 	f.Admin = f.newAdminClient
 	return f
 }
@@ -105,13 +109,13 @@
 	}
 }
 
-// connectControl is the implementation of Control.
-func (f *Factory) connectControl() (*control.Client, error) {
+// connectControl is the implementation of Control and PlatformControl.
+func (f *Factory) connectControl(uncompressed bool) (*control.Client, error) {
 	replicas, err := f.resolveAddresses("--control", f.Globals.Control, envControl, func(s fileSettings) []netip.AddrPort { return s.Control.Replicas })
 	if err != nil {
 		return nil, err
 	}
-	c := rpc.NewControlClient(rpc.ControlClientConfig{Replicas: replicas})
+	c := rpc.NewControlClient(rpc.ControlClientConfig{Replicas: replicas, Uncompressed: uncompressed})
 	c.Start()
 	f.cleanup = append(f.cleanup, c.Stop)
 	client := &control.Client{Caller: c}
--- a/cli/internal/root/root.go
+++ b/cli/internal/root/root.go
@@ -17,6 +17,7 @@
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/key"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/replay"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/replica"
+	"github.com/fuchsiashed/fuchsiashed/cli/internal/rollout"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/status"
 	"github.com/fuchsiashed/fuchsiashed/cli/internal/target"
 	"github.com/fuchsiashed/fuchsiashed/fleet/iostreams"
@@ -91,7 +92,7 @@
 	if _, err := parser.AddGroup("Global options", "", f.Globals); err != nil {
 		return errors.Wrap(err, "add global options")
 	}
-	for _, n := range []command.Group{fleet.New(f), datacentre.New(f), target.New(f), customer.New(f), replica.New(f), key.New(f)} {
+	for _, n := range []command.Group{fleet.New(f), datacentre.New(f), target.New(f), customer.New(f), replica.New(f), rollout.New(f), key.New(f)} {
 		if err := n.AddTo(parser); err != nil {
 			return err
 		}
--- a/fleet/rpc/control.go
+++ b/fleet/rpc/control.go
@@ -19,7 +19,9 @@
 	Replicas []netip.AddrPort
 	// Traffic counts the bytes of all connections; it may be nil.
 	Traffic *Traffic
-	Log     *slog.Logger
+	// Uncompressed disables compression, see ClientConfig.
+	Uncompressed bool
+	Log          *slog.Logger
 }
 
 // ControlClient sends calls to the control replica that is the leader. All messages of the
@@ -41,7 +43,7 @@
 func NewControlClient(cfg ControlClientConfig) *ControlClient {
 	c := &ControlClient{}
 	for _, a := range cfg.Replicas {
-		c.clients = append(c.clients, NewClient(ClientConfig{Address: a, Traffic: cfg.Traffic, Log: cfg.Log}))
+		c.clients = append(c.clients, NewClient(ClientConfig{Address: a, Traffic: cfg.Traffic, Uncompressed: cfg.Uncompressed, Log: cfg.Log}))
 	}
 	return c
 }
