--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -306,6 +306,8 @@
 	born     int64
 	sequence int
 	booted   time.Time
+	cutUntil time.Time
+	ackedAt  time.Time
 	listener net.Listener
 	conns    map[net.Conn]bool
 	stop     chan struct{}
@@ -375,28 +377,60 @@
 	return s.listener != nil
 }
 
+// checkIn sends check-ins. Like every caller of control hosts the server moves on to the next one after a
+// failure, with increasing backoff.
 func (s *Server) checkIn(stop chan struct{}, silence time.Duration) {
-	client := &http.Client{Timeout: time.Second}
+	const minBackoff, maxBackoff = 200 * time.Millisecond, 800 * time.Millisecond
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	next := s.Index % s.controls
-	wait := silence
+	wait, backoff := silence, minBackoff
 	for {
 		select {
 		case <-stop:
 			return
 		case <-time.After(wait):
 		}
-		for range s.controls {
-			if s.put(client, next) {
-				break
-			}
-			next = (next + 1) % s.controls
+		if s.put(client, next) {
+			s.mu.Lock()
+			s.ackedAt = time.Now()
+			s.mu.Unlock()
+			wait, backoff = 1200*time.Millisecond, minBackoff
+			continue
 		}
-		wait = 1200 * time.Millisecond
+		next = (next + 1) % s.controls
+		wait, backoff = backoff, min(2*backoff, maxBackoff)
 	}
 }
 
+// AckedAt returns when the last check-in was acknowledged.
+func (s *Server) AckedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ackedAt
+}
+
+// AwaitCheckIn waits for the next ack.
+func (s *Server) AwaitCheckIn() {
+	for at := s.AckedAt(); s.AckedAt().Equal(at); {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Cut cuts the server off from the control hosts for a time: its calls get no answer within their second.
+func (s *Server) Cut(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutUntil = time.Now().Add(d)
+	s.rig.Note("server %s is cut off from the control hosts for %s", s.ID, d)
+}
+
 func (s *Server) put(client *http.Client, control int) bool {
 	s.mu.Lock()
+	if time.Now().Before(s.cutUntil) {
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		return false
+	}
 	s.sequence++
 	body, _ := json.Marshal(map[string]any{
 		"service": s.Service, "address": s.Address, "zone": "centru-a", "version": s.Version, "slots": s.Slots,
