--- a/review/rig/fair.go
+++ b/review/rig/fair.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -11,7 +12,8 @@
 	rig    *Rig
 	Tenant string
 	Key    string
-	Path   string
+	// Path is that of all requests if it doesn't end with a slash; the id of the request follows otherwise.
+	Path string
 	// Router picks the router of each request.
 	Router func() string
 
@@ -31,7 +33,7 @@
 func (l *Load) Send() int {
 	second := int(l.rig.Since().Seconds())
 	id := NewID()
-	answer := l.rig.Do(Attempt{Router: l.Router(), Method: http.MethodGet, Path: l.Path + id, ID: id, Key: l.Key, Wait: 3 * time.Second})
+	answer := l.rig.Do(Attempt{Router: l.Router(), Method: http.MethodGet, Path: l.path(id), ID: id, Key: l.Key, Wait: 3 * time.Second})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asked[second]++
@@ -45,6 +47,13 @@
 	return answer.Status
 }
 
+func (l *Load) path(id string) string {
+	if strings.HasSuffix(l.Path, "/") {
+		return l.Path + id
+	}
+	return l.Path
+}
+
 // Run sends requests at a steady rate for a time.
 func (l *Load) Run(gap, length time.Duration) {
 	var wg sync.WaitGroup
