--- a/review/rig/fair.go
+++ b/review/rig/fair.go
@@ -72,6 +72,18 @@
 	return l.statuses
 }
 
+// CountSince returns the numbers of requests that were sent from a second on, and of those that were served.
+func (l *Load) CountSince(from int) (asked, served int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for second, n := range l.asked {
+		if second >= from {
+			asked, served = asked+n, served+l.got[second]
+		}
+	}
+	return asked, served
+}
+
 // UnfairSince returns the number of spans of six seconds from a second on in which, as the rule FAIR
 // has it, this tenant has in each second a request that is refused, and gets less than half of what it
 // asked or the other tenant got, whichever is less, second by second, less three requests.
