--- a/review/rig/fair.go
+++ b/review/rig/fair.go
@@ -43,7 +43,6 @@
 	} else {
 		l.turned[second]++
 	}
-	l.rig.Note("%s: request %s gets %d, error %v", l.Tenant, id, answer.Status, answer.Err)
 	return answer.Status
 }
 
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -76,6 +76,7 @@
 		r.Exit(NotRun, "temporary folder: %v", err)
 	}
 	time.AfterFunc(timeout, func() { r.Exit(NotRun, "not finished after %s", timeout) })
+	current = r
 	r.Note("trouble is %t", r.Trouble)
 	return r
 }
@@ -288,6 +289,9 @@
 	r.Exit(NotRun, "no control host has acknowledged the config")
 }
 
+// current is the Rig of the process.
+var current *Rig
+
 // Server is a stand-in for a server of the pages. Its check-ins go to the control hosts in turn.
 type Server struct {
 	rig     *Rig
@@ -370,6 +374,28 @@
 	s.rig.Note("server %s crashes", s.ID)
 }
 
+// Restart starts the server as a new boot under a new id. It is cold for a time.
+func (s *Server) Restart(cold time.Duration) {
+	s.mu.Lock()
+	s.ID, s.ColdFor = NewID(), cold
+	s.mu.Unlock()
+	s.Boot(0)
+}
+
+// Upgrade sets the version of the software with which the server starts next, and for how long it is cold then.
+func (s *Server) Upgrade(version string, cold time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Version, s.ColdFor = version, cold
+}
+
+// Names returns the id and the version of the software.
+func (s *Server) Names() (id, version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ID, s.Version
+}
+
 // Up reports whether the server runs.
 func (s *Server) Up() bool {
 	s.mu.Lock()
@@ -450,6 +476,7 @@
 
 // Stamp sets the headers of an answer to a request that has run.
 func Stamp(w http.ResponseWriter, req *http.Request) {
+	current.Note("server at %v runs %s %s, request %s", req.Context().Value(http.LocalAddrContextKey), req.Method, req.URL.Path, req.Header.Get("X-Fuchsiashed-Attempt-Id"))
 	w.Header().Set("X-Fuchsiashed-Attempt-Id", req.Header.Get("X-Fuchsiashed-Attempt-Id"))
 	w.Header().Set("X-Fuchsiashed-Server-Stamp", "3e1b.07."+req.Header.Get("X-Fuchsiashed-Attempt-Id"))
 }
@@ -486,10 +513,17 @@
 
 // Do sends an attempt and reads the answer to its end. OnEvent gets the whole events of a stream.
 func (r *Rig) Do(a Attempt) Answer {
-	began := time.Now()
 	if a.ID == "" {
 		a.ID = NewID()
 	}
+	r.Note("client sends %s %s to %s, request %s", a.Method, a.Path, a.Router, a.ID)
+	got := r.do(a)
+	r.Note("client gets %d for request %s after %s, error %v", got.Status, a.ID, got.Elapsed.Round(time.Millisecond), got.Err)
+	return got
+}
+
+func (r *Rig) do(a Attempt) Answer {
+	began := time.Now()
 	if a.Wait == 0 {
 		a.Wait = 6 * time.Second
 	}
