Leader: log the decision about shares and what it rests on; reports have what is refused as late

Routers report RefusedLate; the leader logs SharesDecided when a limit begins or ends and once a second while there is one or work is refused; counters in ShareDecisions. No decision changes.

--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -36,15 +36,6 @@
 	maxSuspects = 4096
 )
 
-// governorConfig keeps the mean queueing delay at the engines at about a seventh of the
-// time to first byte that callers expect, 600 to 1000 ms, because some targets have queues
-// much longer than the mean. With these gains a queue settles within a second; see
-// TestGovernorFindsCapacity.
-var governorConfig = fairshare.GovernorConfig{
-	TargetDelay: 120 * time.Millisecond, ActivationDelay: 200 * time.Millisecond,
-	Gain: 0.5, MaxDecrease: 0.5, MaxIncrease: 0.3, Smoothing: time.Second,
-}
-
 // demandWindowParts divides Config.DemandWindow into the periods over which demand is
 // measured. A customer whose demand rises tenfold gets more than its share until the rise is
 // fully measured, which takes one period.
@@ -71,6 +62,10 @@
 	partRates *partrate.Rates
 	// admittedTokens is the work sent to engines since the last digest, in tokens.
 	admittedTokens float64
+	// refusedTokens is the work that routers refused since the last digest because it would have
+	// been late, in tokens.
+	refusedTokens float64
+	shareLog      shareLog
 	// nominalRate is the Capacity of the newest report that has one, in tokens a second.
 	nominalRate float64
 	suspects    map[fleet.ContentHash]*suspect
@@ -106,7 +101,7 @@
 
 func newLoadCollector(window time.Duration, log *slog.Logger) *loadCollector {
 	return &loadCollector{
-		log:     log,
+		log: log, shareLog: shareLog{log: log},
 		reports: map[fleet.HostID]report{}, demand: fairshare.NewWindow(window), totalDemand: fairshare.NewWindow(window), sentWork: fairshare.NewWindow(window),
 		governor: fairshare.NewGovernor(governorConfig), partRates: partrate.New(),
 		suspects: map[fleet.ContentHash]*suspect{}, parts: newPartTrackers(), limits: ratelimit.NewCollector(), paces: pace.New(),
@@ -129,6 +124,7 @@
 	}
 	l.reports[r.Host] = report{RouterLoad: r, receivedAt: now}
 	l.admittedTokens += float64(r.Admitted)
+	l.refusedTokens += float64(r.RefusedLate)
 	l.totalDemand.Add(now, allCustomers, float64(r.Asked))
 	for _, d := range r.Demand {
 		l.demand.Add(now, d.Customer, float64(d.Tokens))
@@ -239,30 +235,6 @@
 	}}
 }
 
-// shares returns the customers whose demand exceeds their fair share, with the fraction
-// to admit. It returns nil while all demand is within the capacity. Each call resets
-// admittedTokens.
-func (l *loadCollector) shares(now time.Time, targets map[fleet.TargetID]fleet.TargetLoad) []fleet.CustomerShare {
-	if l.nominalRate == 0 {
-		return nil
-	}
-	load := fairshare.Load{Demand: l.totalDemand.Rates(now)[allCustomers], Admitted: l.admittedTokens, NominalRate: l.nominalRate}
-	l.admittedTokens = 0
-	for _, t := range targets {
-		load.Waiting += float64(t.Waiting)
-	}
-	admitted := l.governor.Update(now, load)
-	if admitted == 0 || load.Demand == 0 {
-		return nil
-	}
-	rates := l.demand.Rates(now)
-	total := 0.0
-	for _, rate := range rates {
-		total += rate
-	}
-	return fairshare.Balanced(rates, l.sentWork.Rates(now), total*admitted/load.Demand)
-}
-
 // updateParts updates the quarantines of parts and logs their changes.
 func (l *loadCollector) updateParts(now time.Time) quarantine.Suspects {
 	s := l.parts.update(now)
--- /dev/null
+++ b/control/core/shares.go
@@ -0,0 +1,101 @@
+package core
+
+import (
+	"expvar"
+	"log/slog"
+	"time"
+
+	"github.com/fuchsiashed/fuchsiashed/fleet"
+	"github.com/fuchsiashed/fuchsiashed/fleet/fairshare"
+	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
+)
+
+// governorConfig keeps the mean queueing delay at the engines at about a seventh of the
+// time to first byte that callers expect, 600 to 1000 ms, because some targets have queues
+// much longer than the mean. With these gains a queue settles within a second; see
+// TestGovernorFindsCapacity.
+var governorConfig = fairshare.GovernorConfig{
+	TargetDelay: 120 * time.Millisecond, ActivationDelay: 200 * time.Millisecond,
+	Gain: 0.5, MaxDecrease: 0.5, MaxIncrease: 0.3, Smoothing: time.Second,
+}
+
+// shares returns the customers whose demand exceeds their fair share, with the fraction
+// to admit. It returns nil while all demand is within the capacity. Each call resets
+// admittedTokens and refusedTokens.
+func (l *loadCollector) shares(now time.Time, targets map[fleet.TargetID]fleet.TargetLoad) []fleet.CustomerShare {
+	if l.nominalRate == 0 {
+		return nil
+	}
+	load := fairshare.Load{Demand: l.totalDemand.Rates(now)[allCustomers], Admitted: l.admittedTokens, NominalRate: l.nominalRate}
+	refused := l.refusedTokens
+	l.admittedTokens, l.refusedTokens = 0, 0
+	for _, t := range targets {
+		load.Waiting += float64(t.Waiting)
+	}
+	admitted := l.governor.Update(now, load)
+	var out []fleet.CustomerShare
+	if admitted > 0 && load.Demand > 0 {
+		rates := l.demand.Rates(now)
+		total := 0.0
+		for _, rate := range rates {
+			total += rate
+		}
+		out = fairshare.Balanced(rates, l.sentWork.Rates(now), total*admitted/load.Demand)
+	}
+	l.shareLog.update(now, shareState{Load: load, refused: refused, admitted: admitted, served: l.governor.ServedRate(), shares: out})
+	return out
+}
+
+// shareLogInterval is the time between two lines of a shareLog about the same state.
+const shareLogInterval = time.Second
+
+// shareDecisions counts the changes and the logged states of the customers' shares.
+var shareDecisions = expvar.NewMap("ShareDecisions")
+
+// shareState is a decision about the customers' shares and what it rests on. Rates are in tokens
+// a second, counted as in fleet.RouterLoad.Asked.
+type shareState struct {
+	fairshare.Load
+	// refused is the work that routers refused since the last decision because it would have been
+	// late, in tokens.
+	refused float64
+	// admitted is the rate that is admitted; 0 if there is no limit.
+	admitted float64
+	served   float64
+	shares   []fleet.CustomerShare
+}
+
+// shareLog logs the decisions about the customers' shares: when a limit begins or ends, and once in
+// shareLogInterval while there is one or routers refuse work as late.
+type shareLog struct {
+	log      *slog.Logger
+	limiting bool
+	loggedAt time.Time
+	// refused is the work refused since the last line, in tokens.
+	refused float64
+}
+
+func (s *shareLog) update(now time.Time, state shareState) {
+	s.refused += state.refused
+	limiting := state.admitted > 0
+	changed := limiting != s.limiting
+	elapsed := now.Sub(s.loggedAt)
+	if !changed && (elapsed < shareLogInterval || !limiting && s.refused == 0) {
+		return
+	}
+	s.limiting = limiting
+	if changed {
+		shareDecisions.Add(map[bool]string{true: "LimitBegun", false: "LimitEnded"}[limiting], 1)
+	}
+	if !limiting && s.refused > 0 {
+		shareDecisions.Add("RefusedWithoutLimit", 1)
+	}
+	least := 1.0
+	for _, c := range state.shares {
+		least = min(least, c.Admitted)
+	}
+	s.log.Info(logevent.SharesDecided, "limiting", limiting, "demandPerS", int(state.Demand), "servedPerS", int(state.served), "admittedPerS", int(state.admitted),
+		"refusedLateTokens", int(s.refused), "waitingTokens", int(state.Waiting), "delayMs", int(1000*state.Waiting/state.NominalRate),
+		"limitedCustomers", len(state.shares), "leastShare", least)
+	s.loggedAt, s.refused = now, 0
+}
--- a/fleet/fairshare/governor.go
+++ b/fleet/fairshare/governor.go
@@ -50,6 +50,9 @@
 // NewGovernor returns a Governor that admits all demand.
 func NewGovernor(cfg GovernorConfig) *Governor { return &Governor{cfg: cfg} }
 
+// ServedRate returns the smoothed rate at which the engines serve, in tokens a second.
+func (g *Governor) ServedRate() float64 { return g.servedRate }
+
 // deactivationMargin is the fraction by which the admitted rate must exceed the demand before
 // the limit is lifted.
 const deactivationMargin = 0.1
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -309,6 +309,9 @@
 	// prompt parts.
 	Asked    int `json:",omitempty"`
 	Admitted int `json:",omitempty"`
+	// RefusedLate is the part of Asked that was refused because its answers would have been late,
+	// counted as in Asked.
+	RefusedLate int `json:",omitempty"`
 	// Capacity is the rated capacity of all model engines, in tokens a second, counted as
 	// in Asked.
 	Capacity float64        `json:",omitempty"`
@@ -355,6 +358,9 @@
 			return errors.Errorf("the work for part %d is %d tokens; it must not be negative", w.Part, w.Tokens)
 		}
 	}
+	if r.RefusedLate < 0 {
+		return errors.Errorf("RefusedLate is %d; it must not be negative", r.RefusedLate)
+	}
 	if r.Calls < 0 {
 		return errors.Errorf("Calls is %d; it must not be negative", r.Calls)
 	}
--- a/fleet/logevent/logevent.go
+++ b/fleet/logevent/logevent.go
@@ -50,6 +50,7 @@
 	CrowdMoved        Event = "CrowdMoved"       // a router began or ended to be not ready so that its callers move
 	CrowdsMoved       Event = "CrowdsMoved"      // the routers that are not ready because of their callers changed
 	RoutersInUse      Event = "RoutersInUse"     // the capacity in use of a data centre's routers changed
+	SharesDecided     Event = "SharesDecided"    // the leader's limit for customers began, ended or goes on, or routers refuse work without it
 	NotifyFailed      Event = "NotifyFailed"     // a notification to a follower failed
 	MessagePanicked   Event = "MessagePanicked"  // the handling of a message panicked
 	ReportFailed      Event = "ReportFailed"     // a report to a control host failed
--- a/fleet/placement/report.go
+++ b/fleet/placement/report.go
@@ -54,6 +54,7 @@
 	demand         map[fleet.CustomerName]fleet.CustomerDemand
 	askedTokens    int
 	admittedTokens int
+	lateTokens     int
 	calls          int
 	// partWork is the work requested for each shared part.
 	partWork map[PartID]int
@@ -105,6 +106,9 @@
 	}
 }
 
+// addLate counts a call that is refused because its answer would be late.
+func (s *reportState) addLate(k *call) { s.lateTokens += workTokens(&k.Call) }
+
 func (s *reportState) addDemand(c fleet.CustomerName, asked, sent int) {
 	d := s.demand[c]
 	s.demand[c] = fleet.CustomerDemand{Customer: c, Tokens: d.Tokens + asked, Sent: d.Sent + sent}
@@ -125,8 +129,8 @@
 func (r *Router) makeReport() fleet.RouterLoad {
 	s := &r.report
 	s.sequence++
-	out := fleet.RouterLoad{Host: r.cfg.Self, Sequence: s.sequence, Asked: s.askedTokens, Admitted: s.admittedTokens}
-	s.askedTokens, s.admittedTokens = 0, 0
+	out := fleet.RouterLoad{Host: r.cfg.Self, Sequence: s.sequence, Asked: s.askedTokens, Admitted: s.admittedTokens, RefusedLate: s.lateTokens}
+	s.askedTokens, s.admittedTokens, s.lateTokens = 0, 0, 0
 	out.Slowness = r.measuredSlowness()
 	out.Calls, out.Limits = s.calls, r.statedLimits()
 	s.calls = 0
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -241,6 +241,7 @@
 	}
 	basis.Rollout = r.rolloutBasis(k, t)
 	if late {
+		r.report.addLate(k)
 		r.admission.refund(k.Customer, float64(shareTokens(&k.Call)))
 		r.emit(Refuse{Call: k.ID, Reason: fleet.ReasonExpectedLate, RetryAfter: r.lateRetryDelay(k, basis), Basis: basis})
 		return
