--- a/control/core/patterns_test.go
+++ b/control/core/patterns_test.go
@@ -58,6 +58,12 @@
 	capacity float64
 	// parts is the number of shared parts.
 	parts int
+	// promptScale is the factor by which prompts are longer than usual; 0 means 1.
+	promptScale float64
+	// returns is the number of times that callers return after a refusal.
+	returns int
+	// seconds has what customers asked for and got in each second, see rememberSecond.
+	seconds map[int]map[fleet.CustomerName]*secondResult
 	// results counts the requests by customer.
 	results map[fleet.CustomerName]*patternResult
 }
@@ -185,34 +191,58 @@
 	router, result := from.router(), s.result(from.customer)
 	result.asked++
 	p := placement.Prompt{MaxOutput: 50, Parts: []placement.PromptPart{
-		{ID: from.part(), Tokens: sharedTokens},
-		{ID: placement.PartID(1<<32 + uint64(s.lastCall)), Tokens: ownTokens/4 + s.rng.IntN(3*ownTokens/2)},
+		{ID: from.part(), Tokens: s.scaled(sharedTokens)},
+		{ID: placement.PartID(1<<32 + uint64(s.lastCall)), Tokens: s.scaled(ownTokens/4 + s.rng.IntN(3*ownTokens/2))},
 	}}
 	p.Tokens = p.Parts[0].Tokens + p.Parts[1].Tokens
-	effects := s.routers[router].Reduce(s.now, placement.CallArrived{Call: placement.Call{
+	s.second(from.customer).asked += float64(p.Tokens)
+	s.place(router, result, placement.Call{
 		ID: s.lastCall, Request: fleet.RequestID(fmt.Sprint("r-", s.lastCall)), Route: s.route, Customer: from.customer,
 		Content: fleet.ContentHash(fmt.Sprint("c-", s.lastCall)), Prompt: p, ArrivedAt: s.now, Deadline: s.now.Add(s.route.Timeout),
-	}})
-	for _, e := range effects {
+	}, s.returns)
+}
+
+// scaled returns a number of prompt tokens at the simulation's scale.
+func (s *patternSim) scaled(tokens int) int {
+	if s.promptScale == 0 {
+		return tokens
+	}
+	return int(float64(tokens) * s.promptScale)
+}
+
+// place hands a call to a router. Its caller returns up to the given number of times after a refusal.
+func (s *patternSim) place(router int, result *patternResult, call placement.Call, returns int) {
+	for _, e := range s.routers[router].Reduce(s.now, placement.CallArrived{Call: call}) {
 		switch e := e.(type) {
 		case placement.Send:
-			s.send(router, result, e, p)
+			s.second(call.Customer).got += float64(call.Prompt.Tokens)
+			s.send(router, result, e, call)
 		case placement.Refuse:
-			result.refused++
+			s.second(call.Customer).waited = true
+			if returns == 0 || e.RetryAfter > call.Deadline.Sub(s.now)/3 {
+				result.refused++
+				continue
+			}
+			s.at(e.RetryAfter, func() {
+				s.lastCall++
+				call.ID = s.lastCall
+				s.place(s.rng.IntN(len(s.routers)), result, call, returns-1)
+			})
 		}
 	}
 }
 
-func (s *patternSim) send(router int, result *patternResult, send placement.Send, p placement.Prompt) {
-	asked := s.now
+func (s *patternSim) send(router int, result *patternResult, send placement.Send, call placement.Call) {
+	asked := call.ArrivedAt
 	if s.limits[send.Target] > 0 {
 		s.sends[send.Target] = append(s.sends[send.Target], s.now)
 	}
-	s.at(s.runPrompt(send.Target, p).Sub(s.now), func() {
+	s.at(s.runPrompt(send.Target, call.Prompt).Sub(s.now), func() {
 		if s.now.Sub(asked) <= s.route.Goal {
 			result.inTime++
 		} else {
 			result.late++
+			s.second(call.Customer).waited = true
 		}
 		s.routers[router].Reduce(s.now, placement.ResponseReceived{Target: send.Target, Incarnation: send.Incarnation, Limit: s.limits[send.Target]})
 		s.routers[router].Reduce(s.now, placement.AnswerBegun{Call: send.Call, Attempt: send.Attempt})
