--- a/control/core/shares.go
+++ b/control/core/shares.go
@@ -10,10 +10,10 @@
 	"github.com/fuchsiashed/fuchsiashed/fleet/logevent"
 )
 
-// governorConfig keeps the mean queueing delay at the engines at about a seventh of the
-// time to first byte that callers expect, 600 to 1000 ms, because some targets have queues
-// much longer than the mean. With these gains a queue settles within a second; see
-// TestGovernorFindsCapacity.
+// governorConfig keeps the mean queueing delay at the engines far below the time to first byte that
+// callers expect, because some targets have queues much longer than the mean. Where routers refuse
+// work before that delay is reached, the refusals act in its place. With these gains a queue settles
+// within a second; see TestGovernorFindsCapacity, and TestSharesActAtAnyGoal for several goals.
 var governorConfig = fairshare.GovernorConfig{
 	TargetDelay: 120 * time.Millisecond, ActivationDelay: 200 * time.Millisecond,
 	Gain: 0.5, MaxDecrease: 0.5, MaxIncrease: 0.3, Smoothing: time.Second,
@@ -26,8 +26,7 @@
 	if l.nominalRate == 0 {
 		return nil
 	}
-	load := fairshare.Load{Demand: l.totalDemand.Rates(now)[allCustomers], Admitted: l.admittedTokens, NominalRate: l.nominalRate}
-	refused := l.refusedTokens
+	load := fairshare.Load{Demand: l.totalDemand.Rates(now)[allCustomers], Admitted: l.admittedTokens, Refused: l.refusedTokens, NominalRate: l.nominalRate}
 	l.admittedTokens, l.refusedTokens = 0, 0
 	for _, t := range targets {
 		load.Waiting += float64(t.Waiting)
@@ -42,7 +41,7 @@
 		}
 		out = fairshare.Balanced(rates, l.sentWork.Rates(now), total*admitted/load.Demand)
 	}
-	l.shareLog.update(now, shareState{Load: load, refused: refused, admitted: admitted, served: l.governor.ServedRate(), shares: out})
+	l.shareLog.update(now, shareState{Load: load, admitted: admitted, served: l.governor.ServedRate(), shares: out})
 	return out
 }
 
@@ -56,9 +55,6 @@
 // a second, counted as in fleet.RouterLoad.Asked.
 type shareState struct {
 	fairshare.Load
-	// refused is the work that routers refused since the last decision because it would have been
-	// late, in tokens.
-	refused float64
 	// admitted is the rate that is admitted; 0 if there is no limit.
 	admitted float64
 	served   float64
@@ -76,7 +72,7 @@
 }
 
 func (s *shareLog) update(now time.Time, state shareState) {
-	s.refused += state.refused
+	s.refused += state.Refused
 	limiting := state.admitted > 0
 	changed := limiting != s.limiting
 	elapsed := now.Sub(s.loggedAt)
--- a/fleet/fairshare/fairshare_test.go
+++ b/fleet/fairshare/fairshare_test.go
@@ -112,6 +112,46 @@
 	}
 }
 
+// TestGovernorSeesRefusals guards against an overload that the governor does not notice since
+// routers refuse all that does not fit into a short queue (issue 60, FAIR).
+func TestGovernorSeesRefusals(t *testing.T) {
+	config := fairshare.GovernorConfig{
+		TargetDelay: 120 * time.Millisecond, ActivationDelay: 200 * time.Millisecond,
+		Gain: 0.5, MaxDecrease: 0.5, MaxIncrease: 0.3, Smoothing: time.Second,
+	}
+	const step, capacity, asked = 100 * time.Millisecond, 1000.0, 2500.0
+	for _, longest := range []time.Duration{60 * time.Millisecond, 100 * time.Millisecond, 180 * time.Millisecond} {
+		convey.Convey(fmt.Sprintf("Routers that keep queues below %v: the limit begins within a second, and most of what it admits is not refused", longest), t, func() {
+			g := fairshare.NewGovernor(config)
+			now, queue, sent, refused := time.Unix(1_700_000_000, 0), 0.0, 0.0, 0.0
+			admittedLate, refusedLate, idle := 0.0, 0.0, 0.0
+			for i := range 200 {
+				now = now.Add(step)
+				rate := g.Update(now, fairshare.Load{Demand: asked, Admitted: sent, Refused: refused, Waiting: queue, NominalRate: capacity})
+				if i >= 10 {
+					convey.So(rate, convey.ShouldBeGreaterThan, 0)
+				}
+				if rate == 0 {
+					rate = asked
+				}
+				admitted := min(rate, asked) * step.Seconds()
+				sent = min(admitted, max(0, capacity*(step+longest).Seconds()-queue))
+				refused = admitted - sent
+				queue += sent - capacity*step.Seconds()
+				if queue < 0 {
+					idle -= queue
+					queue = 0
+				}
+				if i >= 50 {
+					admittedLate, refusedLate = admittedLate+admitted, refusedLate+refused
+				}
+			}
+			convey.So(refusedLate/admittedLate, convey.ShouldBeLessThan, 0.5)
+			convey.So(idle/(capacity*20), convey.ShouldBeLessThan, 0.02)
+		})
+	}
+}
+
 // TestBalancedSharesOfACrowd gives two customers equal demand, far over the capacity. All
 // callers of "crowd" use one router, which finds three quarters of the capacity taken by
 // "spread". Without balancing, "crowd" is served much less than "spread".
