--- a/router/targetconn/conn.go
+++ b/router/targetconn/conn.go
@@ -30,6 +30,8 @@
 	// headerLineCost is what each line of the header of a response counts for in addition to its bytes:
 	// a field takes about 100 bytes of memory, however short it is.
 	headerLineCost = 64
+	// minStatus and maxStatus are the lowest and the highest status of HTTP (RFC 9110, 15).
+	minStatus, maxStatus = 100, 599
 	// socketBuffer bounds the bytes that the system keeps of a connection in each direction: what a
 	// target has sent and is not read yet, and what it does not read. It is set for each connection,
 	// because the system otherwise lets them grow to 4 MB and more.
@@ -172,7 +174,7 @@
 }
 
 // ReadResponse reads the header of the final response; informational ones (1xx) are
-// skipped.
+// skipped. It fails if the status is not one of HTTP.
 func (c *Conn) ReadResponse(req *http.Request) (*http.Response, error) {
 	c.headerBudget = maxResponseHeader
 	defer func() { c.headerBytes, c.headerBudget = maxResponseHeader-c.headerBudget, -1 }()
@@ -181,7 +183,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read header of the answer")
 		}
-		if resp.StatusCode >= 200 {
+		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+			return nil, errors.Errorf("the answer has the invalid status %.32q", resp.Status)
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
