--- a/router/forward/exchange.go
+++ b/router/forward/exchange.go
@@ -167,10 +167,10 @@
 	defer stop()
 	x.writtenAt = x.forwarder.cfg.Clock.Now()
 	x.race.writing(x, c)
-	written, err := x.writeRequest(c)
-	if err != nil && c.BytesWritten() == 0 {
+	upload := x.writeRequest(c)
+	if c.BytesWritten() == 0 && upload.failed() {
 		targetconn.Discard(c)
-		x.err = err
+		x.err = upload.err
 		return placement.Unreached
 	}
 	x.race.awaitResponse(x, c)
@@ -181,8 +181,11 @@
 		return placement.Broken
 	}
 	x.readStatement(resp)
+	if !isFramed(resp) {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, upload: upload}
+	}
 	outcome, clean := x.forwardResponse(resp)
-	x.releaseConn(c, resp, clean && stop() && isClosed(written))
+	x.releaseConn(c, resp, clean && stop() && upload.succeeded())
 	return outcome
 }
 
@@ -215,35 +218,22 @@
 
 // writeRequest sends the request. A body larger than maxInlineBody is sent while the
 // response is read, since a target may respond before it has read all of the body.
-// written is closed once the whole request has been written.
-func (x *exchange) writeRequest(c *targetconn.Conn) (written chan struct{}, err error) {
+func (x *exchange) writeRequest(c *targetconn.Conn) *upload {
 	req := x.targetRequest()
-	written = make(chan struct{})
+	u := &upload{done: make(chan struct{})}
 	if x.req.Body.Len() <= maxInlineBody {
-		if err := c.WriteRequest(req); err != nil {
-			return written, err
-		}
-		close(written)
-		return written, nil
+		u.err = c.WriteRequest(req)
+		close(u.done)
+		return u
 	}
 	go func() {
-		if err := c.WriteRequest(req); err != nil {
+		defer close(u.done)
+		if u.err = c.WriteRequest(req); u.err != nil {
 			// Reading the response then fails, which ends the attempt.
 			targetconn.Discard(c)
-			return
 		}
-		close(written)
 	}()
-	return written, nil
-}
-
-func isClosed(c chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
+	return u
 }
 
 // targetRequest returns the request as it is sent to the target.
