--- a/control/core/loads.go
+++ b/control/core/loads.go
@@ -227,8 +227,9 @@
 	parts := l.updateParts(now)
 	limits := l.limits.Limits(now)
 	paces, pacesKnown := l.paces.List(now)
+	shares, spared := l.shares(now, total)
 	return digest{included: included, limitShares: l.limits.Shares(now), LoadDigest: fleet.LoadDigest{
-		Targets: slices.Collect(maps.Values(total)), Shares: l.shares(now, total), Light: fairshare.Light(l.demand.Rates(now)), Suspects: l.repeatedSuspects(now), Slowness: l.medianSlowness(),
+		Targets: slices.Collect(maps.Values(total)), Shares: shares, Light: spared, Suspects: l.repeatedSuspects(now), Slowness: l.medianSlowness(),
 		HotParts:     l.partRates.Hot(now, hotTargetShare*l.nominalRate/float64(max(1, len(total)))),
 		SuspectParts: parts.Parts, SuspectTargets: parts.Targets, Quarantined: parts.Quarantined,
 		Limits: limits, Paces: paces, PacesKnown: pacesKnown, Partial: l.isAdopting(now),
--- a/control/core/patterns_test.go
+++ b/control/core/patterns_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"log/slog"
@@ -58,6 +59,8 @@
 	capacity float64
 	// parts is the number of shared parts.
 	parts int
+	// hastyRoute is a route whose goal is shorter than that of others; nil if there is none.
+	hastyRoute *deployment.Route
 	// promptScale is the factor by which prompts are longer than usual; 0 means 1.
 	promptScale float64
 	// returns is the number of times that callers return after a refusal.
@@ -74,6 +77,8 @@
 	// router returns the router that gets the next request, part its shared part.
 	router func() int
 	part   func() placement.PartID
+	// route is that of the requests; nil for the usual one.
+	route *deployment.Route
 }
 
 // patternResult counts requests by their ends. Those in time began within the goal.
@@ -196,9 +201,10 @@
 	}}
 	p.Tokens = p.Parts[0].Tokens + p.Parts[1].Tokens
 	s.second(from.customer).asked += float64(p.Tokens)
+	route := cmp.Or(from.route, s.route)
 	s.place(router, result, placement.Call{
-		ID: s.lastCall, Request: fleet.RequestID(fmt.Sprint("r-", s.lastCall)), Route: s.route, Customer: from.customer,
-		Content: fleet.ContentHash(fmt.Sprint("c-", s.lastCall)), Prompt: p, ArrivedAt: s.now, Deadline: s.now.Add(s.route.Timeout),
+		ID: s.lastCall, Request: fleet.RequestID(fmt.Sprint("r-", s.lastCall)), Route: route, Customer: from.customer,
+		Content: fleet.ContentHash(fmt.Sprint("c-", s.lastCall)), Prompt: p, ArrivedAt: s.now, Deadline: s.now.Add(route.Timeout),
 	}, s.returns)
 }
 
@@ -238,7 +244,7 @@
 		s.sends[send.Target] = append(s.sends[send.Target], s.now)
 	}
 	s.at(s.runPrompt(send.Target, call.Prompt).Sub(s.now), func() {
-		if s.now.Sub(asked) <= s.route.Goal {
+		if s.now.Sub(asked) <= call.Route.Goal {
 			result.inTime++
 		} else {
 			result.late++
--- a/control/core/shares.go
+++ b/control/core/shares.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/fuchsiashed/fuchsiashed/fleet"
@@ -19,12 +20,15 @@
 	Gain: 0.5, MaxDecrease: 0.5, MaxIncrease: 0.3, Smoothing: time.Second,
 }
 
-// shares returns the customers whose demand exceeds their fair share, with the fraction
-// to admit. It returns nil while all demand is within the capacity. Each call resets
+// shares returns the customers whose demand exceeds their fair share, with the fraction to admit, and
+// those whose requests are not refused as late: light ones, and those that get much less than their
+// share. While all demand is within the capacity, there are only light ones. Each call resets
 // admittedTokens and refusedTokens.
-func (l *loadCollector) shares(now time.Time, targets map[fleet.TargetID]fleet.TargetLoad) []fleet.CustomerShare {
+func (l *loadCollector) shares(now time.Time, targets map[fleet.TargetID]fleet.TargetLoad) (shares []fleet.CustomerShare, spared []fleet.CustomerName) {
+	rates := l.demand.Rates(now)
+	spared = fairshare.Light(rates)
 	if l.nominalRate == 0 {
-		return nil
+		return nil, spared
 	}
 	load := fairshare.Load{Demand: l.totalDemand.Rates(now)[allCustomers], Admitted: l.admittedTokens, Refused: l.refusedTokens, NominalRate: l.nominalRate}
 	l.admittedTokens, l.refusedTokens = 0, 0
@@ -32,17 +36,23 @@
 		load.Waiting += float64(t.Waiting)
 	}
 	admitted := l.governor.Update(now, load)
-	var out []fleet.CustomerShare
+	underserved := 0
 	if admitted > 0 && load.Demand > 0 {
-		rates := l.demand.Rates(now)
 		total := 0.0
 		for _, rate := range rates {
 			total += rate
 		}
-		out = fairshare.Balanced(rates, l.sentWork.Rates(now), total*admitted/load.Demand)
+		capacity, sent := total*admitted/load.Demand, l.sentWork.Rates(now)
+		shares = fairshare.Balanced(rates, sent, capacity)
+		for _, c := range fairshare.Underserved(rates, sent, capacity) {
+			underserved++
+			if i, found := slices.BinarySearch(spared, c); !found {
+				spared = slices.Insert(spared, i, c)
+			}
+		}
 	}
-	l.shareLog.update(now, shareState{Load: load, admitted: admitted, served: l.governor.ServedRate(), shares: out})
-	return out
+	l.shareLog.update(now, shareState{Load: load, admitted: admitted, served: l.governor.ServedRate(), shares: shares, underserved: underserved})
+	return shares, spared
 }
 
 // shareLogInterval is the time between two lines of a shareLog about the same state.
@@ -59,6 +69,8 @@
 	admitted float64
 	served   float64
 	shares   []fleet.CustomerShare
+	// underserved is the number of customers that get much less than their share.
+	underserved int
 }
 
 // shareLog logs the decisions about the customers' shares: when a limit begins or ends, and once in
@@ -92,6 +104,6 @@
 	}
 	s.log.Info(logevent.SharesDecided, "limiting", limiting, "demandPerS", int(state.Demand), "servedPerS", int(state.served), "admittedPerS", int(state.admitted),
 		"refusedLateTokens", int(s.refused), "waitingTokens", int(state.Waiting), "delayMs", int(1000*state.Waiting/state.NominalRate),
-		"limitedCustomers", len(state.shares), "leastShare", least)
+		"limitedCustomers", len(state.shares), "leastShare", least, "underservedCustomers", state.underserved)
 	s.loggedAt, s.refused = now, 0
 }
--- a/control/core/shares_test.go
+++ b/control/core/shares_test.go
@@ -65,21 +65,29 @@
 	return least, customer
 }
 
+// hastyCustomer is the customer whose requests are for patternSim.hastyRoute, if there is one.
+const hastyCustomer = 9
+
 // playCompetition plays twelve customers that ask for half of the capacity together, of which the
 // last four suddenly ask for 0.2, 0.3, 0.4 and 1 times the capacity more; two seconds later a fifth of
 // the targets is five times as slow. It returns the second of the rise and the customers.
 func (s *patternSim) playCompetition(targets int) (rise int, customers []fleet.CustomerName) {
 	s.returns = 1
-	from := func(c fleet.CustomerName) source { return source{customer: c, router: s.anyRouter(0), part: s.anyPart} }
+	from := func(i int) source {
+		out := source{customer: fleet.CustomerName(fmt.Sprint("customer-", i)), router: s.anyRouter(0), part: s.anyPart}
+		if i == hastyCustomer {
+			out.route = s.hastyRoute
+		}
+		return out
+	}
 	for i := range 12 {
-		c := fleet.CustomerName(fmt.Sprint("customer-", i))
-		customers = append(customers, c)
-		s.at(0, func() { s.arrive(s.capacity/24, from(c)) })
+		customers = append(customers, from(i).customer)
+		s.at(0, func() { s.arrive(s.capacity/24, from(i)) })
 	}
 	s.run(8 * time.Second)
 	rise = int(s.now.Unix())
 	for i, more := range []float64{0.2, 0.3, 0.4, 1} {
-		s.at(0, func() { s.arrive(more*s.capacity, from(customers[8+i])) })
+		s.at(0, func() { s.arrive(more*s.capacity, from(8+i)) })
 	}
 	s.run(2 * time.Second)
 	for i := range targets / 5 {
@@ -108,3 +116,26 @@
 		}
 	}
 }
+
+// Guards against a customer that gets less than half of its share because its routes have shorter
+// goals than those of others, so that routers refuse more of its requests (issue 60, FAIR).
+func TestSharesOfRoutesWithShortGoals(t *testing.T) {
+	for _, goals := range [][2]time.Duration{
+		{150 * time.Millisecond, 800 * time.Millisecond}, {300 * time.Millisecond, 800 * time.Millisecond}, {500 * time.Millisecond, 2500 * time.Millisecond},
+	} {
+		for _, size := range []struct{ routers, targets int }{{8, 24}, {71, 60}} {
+			convey.Convey(fmt.Sprintf("Each customer that waits gets half of its share: goal %v beside %v, %v", goals[0], goals[1], size), t, func() {
+				s := newPatternSim(t, size.routers, size.targets)
+				hasty := *s.route
+				hasty.Name, hasty.Goal = "hasty", goals[0]
+				s.hastyRoute, s.route.Goal = &hasty, goals[1]
+				s.promptScale = 0.25
+				s.capacity /= s.promptScale
+				rise, customers := s.playCompetition(size.targets)
+				least, customer := s.leastFairShare(rise, customers)
+				t.Logf("goal %v beside %v, %v: %s gets %.2f of its share", goals[0], goals[1], size, customer, least)
+				convey.So(least, convey.ShouldBeGreaterThan, 0.5)
+			})
+		}
+	}
+}
--- a/fleet/digest.go
+++ b/fleet/digest.go
@@ -33,7 +33,8 @@
 	Targets []TargetLoad `json:",omitempty"`
 	// Shares lists the customers whose demand exceeds their fair share.
 	Shares []CustomerShare `json:",omitempty"`
-	// Light lists the customers that request little compared to the mean of all.
+	// Light lists the customers whose requests are answered late rather than refused as late: those that
+	// request little compared to the mean of all, and those that get much less than their fair share.
 	Light []CustomerName `json:",omitempty"`
 	// HotParts lists the shared parts that are too much work for a few targets.
 	HotParts []HotPart `json:",omitempty"`
--- a/fleet/fairshare/fairshare.go
+++ b/fleet/fairshare/fairshare.go
@@ -75,6 +75,27 @@
 	return out
 }
 
+// underservedFraction is the fraction of its share below which a customer is underserved. It leaves a
+// margin above half, which each customer is to get.
+const underservedFraction = 0.75
+
+// Underserved returns the customers that were served much less than their max-min fair share of the
+// capacity, sorted. It returns none while the capacity covers all demand.
+func Underserved(demand, served Demand, capacity float64) []fleet.CustomerName {
+	level := Level(demand, capacity)
+	if capacity == 0 || level == 0 {
+		return nil
+	}
+	var out []fleet.CustomerName
+	for c, d := range demand {
+		if served[c] < underservedFraction*min(d, level) {
+			out = append(out, c)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // lightShare is the fraction of the customers' mean demand below which a customer is light. All
 // light customers together request less than this fraction of the demand.
 const lightShare = 0.5
--- a/fleet/fairshare/fairshare_test.go
+++ b/fleet/fairshare/fairshare_test.go
@@ -112,6 +112,14 @@
 	}
 }
 
+func ExampleUnderserved() {
+	demand := fairshare.Demand{"large": 800, "hasty": 300, "small": 100}
+	served := fairshare.Demand{"large": 400, "hasty": 110, "small": 90}
+	fmt.Println(fairshare.Underserved(demand, served, 600))
+	// Output:
+	// [hasty]
+}
+
 // TestGovernorSeesRefusals guards against an overload that the governor does not notice since
 // routers refuse all that does not fit into a short queue (issue 60, FAIR).
 func TestGovernorSeesRefusals(t *testing.T) {
--- a/fleet/placement/admit.go
+++ b/fleet/placement/admit.go
@@ -10,7 +10,7 @@
 // a token bucket for each customer that is limited.
 type admission struct {
 	shares map[fleet.CustomerName]*share
-	// light has the customers that request little compared to the mean of all.
+	// light has the customers of fleet.LoadDigest.Light.
 	light map[fleet.CustomerName]bool
 }
 
@@ -75,8 +75,9 @@
 	return basis.QueueDelay > limit || basis.ExpectedFirstByte > limit && basis.QueueDelay > longPromptLimit
 }
 
-// isLight reports whether a call's customer requests so little that its calls are worth more of
-// the targets' time than others. It is false while the digest is outdated.
+// isLight reports whether a call's customer requests so little, or gets so much less than its share,
+// that its calls are worth more of the targets' time than others. It is false while the digest is
+// outdated.
 func (r *Router) isLight(k *call) bool {
 	return r.admission.light[k.Customer] && r.digestAge() < shareValidity
 }
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -190,8 +190,8 @@
 
 // chooseForLight picks a target for a call of a light customer whose owners would answer late: the
 // one with the shortest queue, which has to process the shared part too, or else the given one.
-// Such calls are few, so that they neither fill the other targets' caches nor the owners' queues;
-// a late answer is worth more to their callers than a refusal.
+// Such calls are few, or their customer's share bounds them, so that they neither fill the other
+// targets' caches nor the owners' queues; a late answer is worth more to their callers than a refusal.
 func (r *Router) chooseForLight(k *call, owner *target, ownerBasis Basis) (*target, Basis) {
 	rate := r.prefillRate(k.service) / r.slownessOf(k.service)
 	candidates := r.healthy(r.eligible(k))
