--- a/router/forward/drain.go
+++ b/router/forward/drain.go
@@ -10,13 +10,17 @@
 // requests are still admitted, except those that the stop may have to cut off.
 type Drain struct {
 	// AdmitAllFor is how long every request is still admitted. Later requests are
-	// admitted only if their deadline is within Limit. Both count from the beginning of
-	// the stop.
+	// admitted only if their deadline is answerTime before Limit. Both count from the
+	// beginning of the stop.
 	AdmitAllFor, Limit time.Duration
 
 	startedAt atomic.Pointer[time.Time]
 }
 
+// answerTime is the time to answer a request whose deadline has passed, also while the process waits
+// for the processor.
+const answerTime = 200 * time.Millisecond
+
 // Begin records the beginning of the stop.
 func (d *Drain) Begin(now time.Time) { d.startedAt.Store(&now) }
 
@@ -30,5 +34,5 @@
 	if startedAt == nil || now.Sub(*startedAt) < d.AdmitAllFor {
 		return true
 	}
-	return deadline.Sub(*startedAt) <= d.Limit
+	return deadline.Sub(*startedAt) <= d.Limit-answerTime
 }
--- a/router/forward/drain_test.go
+++ b/router/forward/drain_test.go
@@ -22,4 +22,13 @@
 		convey.So(takes(3242*time.Millisecond, 8*time.Second), convey.ShouldBeFalse)
 		convey.So(takes(3242*time.Millisecond, 800*time.Millisecond), convey.ShouldBeTrue)
 	})
+	// Guards against a request that is taken late in a stop and cut off with no answer at its end.
+	convey.Convey("nor one whose deadline leaves no time for an answer", t, func() {
+		start := time.Unix(1_700_000_000, 0)
+		d := &forward.Drain{AdmitAllFor: time.Second, Limit: 7 * time.Second}
+		d.Begin(start)
+		at := start.Add(5 * time.Second)
+		convey.So(d.Admits(at, start.Add(7*time.Second)), convey.ShouldBeFalse)
+		convey.So(d.Admits(at, start.Add(6*time.Second)), convey.ShouldBeTrue)
+	})
 }
