--- a/control/core/shares_test.go
+++ b/control/core/shares_test.go
@@ -139,3 +139,21 @@
 		}
 	}
 }
+
+// Guards against customers that are refused without regard to their shares while it is the limits that
+// targets state which bind, not their queues.
+func TestSharesWhileTargetsStateLimits(t *testing.T) {
+	for _, size := range []struct{ routers, targets int }{{8, 24}, {71, 60}} {
+		convey.Convey(fmt.Sprintf("Each customer that waits gets half of its share: %v", size), t, func() {
+			s := newPatternSim(t, size.routers, size.targets)
+			s.limits = map[fleet.TargetID]fleet.RequestRate{}
+			for i := range size.targets {
+				s.limits[fleet.TargetID(simTarget(i))] = fleet.RequestRate(0.7 * s.capacity / float64(size.targets))
+			}
+			rise, customers := s.playCompetition(size.targets)
+			least, customer := s.leastFairShare(rise, customers)
+			t.Logf("%v: %s gets %.2f of its share", size, customer, least)
+			convey.So(least, convey.ShouldBeGreaterThan, 0.5)
+		})
+	}
+}
