--- a/fleet/placement/notice.go
+++ b/fleet/placement/notice.go
@@ -15,13 +15,16 @@
 			r.resetRestarted(h.Target, h.Incarnation)
 		}
 	}
+	restored := 0
 	for _, id := range n.Alive {
-		r.directory.Refresh(r.now, id)
+		if r.directory.Refresh(r.now, id) == targets.Changed {
+			restored++
+		}
 	}
 	for _, end := range n.Ended {
 		r.directory.End(r.now, end)
 	}
-	if len(n.Announced)+len(n.Ended) > 0 {
+	if len(n.Announced)+len(n.Ended)+restored > 0 {
 		r.rebuildIndex()
 		r.noteReplacedVersions()
 	}
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -162,7 +162,7 @@
 		return
 	case Misdirected:
 		if t.entry != nil {
-			r.directory.End(r.now, fleet.TargetEnd{Target: t.id, Incarnation: t.incarnation})
+			r.directory.SetAside(r.now, t.id)
 			r.rebuildIndex()
 		}
 		return
--- a/fleet/targets/targets.go
+++ b/fleet/targets/targets.go
@@ -55,14 +55,24 @@
 // Directory holds the newest announcement of each target. It reads no clock and is not
 // safe for concurrent use.
 type Directory struct {
-	entries   map[fleet.TargetID]*Entry
-	ended     map[fleet.TargetID]endRecord
+	entries map[fleet.TargetID]*Entry
+	ended   map[fleet.TargetID]endRecord
+	// unused has the targets that expired or were set aside. Others may still know them, and say no
+	// more of them than that they announced the same as before.
+	unused    map[fleet.TargetID]unusedEntry
 	byAddress map[netip.AddrPort]fleet.TargetID
 	// seenAt has when a target of each software version of a service last announced itself or
 	// ended.
 	seenAt map[serviceVersion]time.Time
 }
 
+// unusedEntry is an entry that the owner of a Directory stopped using by itself, until a newer word of the
+// target arrives.
+type unusedEntry struct {
+	*Entry
+	at time.Time
+}
+
 // serviceVersion is a software version of a service.
 type serviceVersion struct {
 	service fleet.ServiceName
@@ -74,6 +84,7 @@
 	return &Directory{
 		entries:   map[fleet.TargetID]*Entry{},
 		ended:     map[fleet.TargetID]endRecord{},
+		unused:    map[fleet.TargetID]unusedEntry{},
 		byAddress: map[netip.AddrPort]fleet.TargetID{},
 		seenAt:    map[serviceVersion]time.Time{},
 	}
@@ -103,7 +114,7 @@
 // Announce stores an announcement that was made at the given time. An older target at the
 // same address is removed.
 func (d *Directory) Announce(made time.Time, a fleet.Announcement) Result {
-	if d.hasEnded(made, &a) || d.isDisplaced(&a) {
+	if d.hasEnded(made, &a) || d.isDisplaced(&a) || d.isSetAside(made, &a) {
 		return Ignored
 	}
 	old := d.entries[a.Target]
@@ -113,6 +124,7 @@
 	e := &Entry{Announcement: a, LastAnnounced: made, ColdUntil: made.Add(a.ColdFor)}
 	d.see(made, e)
 	d.entries[a.Target] = e
+	delete(d.unused, a.Target)
 	if old != nil && old.Address != a.Address && d.byAddress[old.Address] == a.Target {
 		delete(d.byAddress, old.Address)
 	}
@@ -152,18 +164,45 @@
 	return holder != nil && holder.Target != a.Target && holder.Address == a.Address && holder.Incarnation > a.Incarnation
 }
 
-// Refresh records that a target announced the same as before at the given time. It reports
-// whether the target has an entry.
-func (d *Directory) Refresh(made time.Time, id fleet.TargetID) bool {
-	e := d.entries[id]
+// isSetAside reports whether an announcement is from before its target was set aside.
+func (d *Directory) isSetAside(made time.Time, a *fleet.Announcement) bool {
+	u, ok := d.unused[a.Target]
+	return ok && a.Incarnation <= u.Incarnation && !made.After(u.at)
+}
+
+// Refresh records that a target announced the same as before at the given time. A target that expired or
+// was set aside before that time is used again: the result is Changed. It is Ignored if the target has
+// never been known, has ended, or its address is another target's.
+func (d *Directory) Refresh(made time.Time, id fleet.TargetID) Result {
+	e, result := d.entries[id], Refreshed
 	if e == nil {
-		return false
+		u, ok := d.unused[id]
+		if !ok || !made.After(u.at) || d.byAddress[u.Address] != "" {
+			return Ignored
+		}
+		e, result = u.Entry, Changed
+		delete(d.unused, id)
+		d.entries[id], d.byAddress[e.Address] = e, id
 	}
 	if made.After(e.LastAnnounced) {
 		e.LastAnnounced = made
 		d.see(made, e)
 	}
-	return true
+	return result
+}
+
+// SetAside removes a target that was found not to be at its address, until it announces itself after now.
+func (d *Directory) SetAside(now time.Time, id fleet.TargetID) {
+	if e := d.entries[id]; e != nil {
+		d.remove(e)
+		d.keepUnused(now, e)
+	}
+}
+
+func (d *Directory) keepUnused(now time.Time, e *Entry) {
+	if len(d.unused) < maxTargets {
+		d.unused[e.Target] = unusedEntry{Entry: e, at: now}
+	}
 }
 
 // End removes a target that has ended. The incarnation is 0 if it is unknown. End returns
@@ -175,6 +214,10 @@
 		d.see(now, e)
 		d.remove(e)
 	}
+	if u, ok := d.unused[end.Target]; ok && (end.Incarnation == 0 || end.Incarnation >= u.Incarnation) {
+		end.Incarnation = max(end.Incarnation, u.Incarnation)
+		delete(d.unused, end.Target)
+	}
 	if old := d.ended[end.Target]; old.incarnation <= end.Incarnation {
 		d.ended[end.Target] = endRecord{incarnation: end.Incarnation, at: now}
 	}
@@ -210,13 +253,15 @@
 }
 
 // Expire removes the targets whose last announcement was before since, except for those
-// for which keep returns true, and returns their IDs, sorted. keep may be nil.
+// for which keep returns true, and returns their IDs, sorted. keep may be nil. A removed target
+// that announces itself again is used again.
 func (d *Directory) Expire(now, since time.Time, keep func(fleet.TargetID) bool) []fleet.TargetID {
 	var out []fleet.TargetID
 	for id, e := range d.entries {
 		if e.LastAnnounced.Before(since) && !(keep != nil && keep(id)) {
 			out = append(out, id)
 			d.remove(e)
+			d.keepUnused(e.LastAnnounced, e)
 		}
 	}
 	for id, end := range d.ended {
@@ -224,6 +269,11 @@
 			delete(d.ended, id)
 		}
 	}
+	for id, u := range d.unused {
+		if now.Sub(u.at) > endRetention {
+			delete(d.unused, id)
+		}
+	}
 	for v, at := range d.seenAt {
 		if now.Sub(at) > versionRetention {
 			delete(d.seenAt, v)
--- a/fleet/targets/targets_test.go
+++ b/fleet/targets/targets_test.go
@@ -80,6 +80,43 @@
 	})
 }
 
+// Guards against a target that is out of use for good at a process that stopped using it by itself.
+func TestTargetIsUsedAgain(t *testing.T) {
+	later := start.Add(10 * time.Second)
+	for name, giveUp := range map[string]func(*targets.Directory){
+		"expired":       func(d *targets.Directory) { d.Expire(later, later.Add(-time.Second), nil) },
+		"was set aside": func(d *targets.Directory) { d.SetAside(later, "a") },
+	} {
+		convey.Convey("A target that "+name, t, func() {
+			d := targets.New()
+			d.Announce(start, announcement("a", 5, 4, fleet.TargetServing))
+			giveUp(d)
+			convey.So(d.Get("a"), convey.ShouldBeNil)
+			convey.Convey("is used again once it announces the same as before", func() {
+				convey.So(d.Refresh(later.Add(time.Second), "a"), convey.ShouldEqual, targets.Changed)
+				convey.So(d.Get("a").Incarnation, convey.ShouldEqual, fleet.Incarnation(5))
+				convey.So(d.Refresh(later.Add(2*time.Second), "a"), convey.ShouldEqual, targets.Refreshed)
+			})
+			convey.Convey("is not once it has ended", func() {
+				d.End(later, fleet.TargetEnd{Target: "a"})
+				convey.So(d.Refresh(later.Add(time.Second), "a"), convey.ShouldEqual, targets.Ignored)
+			})
+			convey.Convey("is not once its address is another target's", func() {
+				d.Announce(later, announcement("b", 6, 1, fleet.TargetServing))
+				convey.So(d.Refresh(later.Add(time.Second), "a"), convey.ShouldEqual, targets.Ignored)
+			})
+		})
+	}
+	convey.Convey("A target that was set aside is not used again for what it announced before", t, func() {
+		d := targets.New()
+		d.Announce(start, announcement("a", 5, 4, fleet.TargetServing))
+		d.SetAside(later, "a")
+		convey.So(d.Announce(later.Add(-time.Second), announcement("a", 5, 9, fleet.TargetServing)), convey.ShouldEqual, targets.Ignored)
+		convey.So(d.Refresh(later.Add(-time.Second), "a"), convey.ShouldEqual, targets.Ignored)
+		convey.So(d.Announce(later.Add(time.Second), announcement("a", 5, 10, fleet.TargetServing)), convey.ShouldEqual, targets.Changed)
+	})
+}
+
 func TestColdness(t *testing.T) {
 	convey.Convey("A target that becomes cold or warm is a change; a shorter cold time is not", t, func() {
 		d := targets.New()
