--- a/fleet/placement/budget.go
+++ b/fleet/placement/budget.go
@@ -105,6 +105,8 @@
 		return fleet.ReasonTargetRefused
 	case FailedAnswer:
 		return fleet.ReasonTargetWrongAnswer
+	case VersionRefused:
+		return fleet.ReasonVersionRefused
 	}
 	return fleet.ReasonTargetReset
 }
--- a/fleet/placement/placement.go
+++ b/fleet/placement/placement.go
@@ -212,6 +212,9 @@
 	Declined Outcome = "Declined"
 	// Misdirected means that another target at the address refused the request.
 	Misdirected Outcome = "Misdirected"
+	// VersionRefused means that the target refused the request, which names the version of the
+	// weights that it expects. It says nothing about the target.
+	VersionRefused Outcome = "VersionRefused"
 	// Broken means that the attempt failed and may have run. Another attempt can still start
 	// or resume the answer.
 	Broken Outcome = "Broken"
@@ -231,7 +234,7 @@
 
 // NotRun reports whether an attempt with this outcome certainly did not run.
 func (o Outcome) NotRun() bool {
-	return o == Unreached || o == Withdrawn || o == Declined || o == Misdirected
+	return o == Unreached || o == Withdrawn || o == Declined || o == Misdirected || o == VersionRefused
 }
 
 // Send is the effect of sending a call to a target.
--- a/fleet/placement/router.go
+++ b/fleet/placement/router.go
@@ -348,6 +348,9 @@
 
 // retryObstacle returns the reason why a call may not be sent again, or "" if it may.
 func (r *Router) retryObstacle(k *call, o Outcome) fleet.Reason {
+	if o == VersionRefused {
+		return fleet.ReasonVersionRefused
+	}
 	if !o.NotRun() && (!k.Route.Repeatable() || k.attempts >= k.Route.Attempts) {
 		return failureReason(o)
 	}
--- a/fleet/placement/target.go
+++ b/fleet/placement/target.go
@@ -154,7 +154,7 @@
 	switch ev.Outcome {
 	case Answered:
 		r.sustain(k)
-	case CallerGone, Withdrawn, Superseded:
+	case CallerGone, Withdrawn, Superseded, VersionRefused:
 		return
 	case Unreached:
 		t.maybeRestarted = true
--- a/fleet/reason.go
+++ b/fleet/reason.go
@@ -48,4 +48,5 @@
 	ReasonStreamUnknown      Reason = "StreamUnknown"
 	ReasonTargetLimit        Reason = "TargetLimit"
 	ReasonTargetRetryAfter   Reason = "TargetRetryAfter"
+	ReasonVersionRefused     Reason = "VersionRefused"
 )
--- a/router/forward/forward.go
+++ b/router/forward/forward.go
@@ -34,6 +34,9 @@
 	RemainingMs string
 	// ExpectedTarget carries the id of the target that the request is meant for.
 	ExpectedTarget string
+	// ExpectedVersion carries, in callers' requests, the version of the weights that the target must
+	// have; it refuses others as misdirected.
+	ExpectedVersion string
 	// Customer carries the customer's name to the target.
 	Customer string
 	// Ran is set on every response of a target that has run the request.
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -28,7 +28,7 @@
 )
 
 var headerNames = forward.HeaderNames{
-	RequestID: "Request-Id", RemainingMs: "Remaining", ExpectedTarget: "Expected", Customer: "Customer",
+	RequestID: "Request-Id", RemainingMs: "Remaining", ExpectedTarget: "Expected", ExpectedVersion: "Expected-Version", Customer: "Customer",
 	Ran: "Stamp", NotRun: "Not-Run", LastEventID: "Last-Event-Id", Limit: "Limit", Leaving: "Leaving", CopyFrom: "Copy-From",
 }
 
--- a/router/forward/response.go
+++ b/router/forward/response.go
@@ -25,7 +25,10 @@
 	x.status = resp.StatusCode
 	if isNotRun(resp, names) {
 		err := discardBody(resp)
-		if resp.StatusCode == http.StatusMisdirectedRequest {
+		switch {
+		case resp.StatusCode == http.StatusMisdirectedRequest && x.req.Header.Get(names.ExpectedVersion) != "":
+			return placement.VersionRefused, err == nil
+		case resp.StatusCode == http.StatusMisdirectedRequest:
 			return placement.Misdirected, err == nil
 		}
 		return placement.Declined, err == nil
